--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,235 @@
+// Package upstream is the agent's client of the upstreams on its host: model
+// engines with an OpenAI-compatible API, and plain HTTP services.
+//
+// Its errors say truthfully whether the call ran. A call that could not be
+// written to any connection did not run; once the first byte may have reached
+// the upstream, the outcome is unknown unless the upstream itself says that it
+// refused the call.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// Headers sent to upstreams and read from them.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderAttemptID      = "X-Attempt-Id"
+	HeaderPriority       = "X-Priority"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Bounds of one upstream connection.
+const (
+	dialTimeout         = time.Second
+	idleTimeout         = 60 * time.Second
+	maxIdlePerUpstream  = 256
+	readBufferBytes     = 4 << 10
+	writeBufferBytes    = 4 << 10
+	maxUnaryAnswerBytes = 16 << 20
+)
+
+// Call is one call of an upstream.
+type Call struct {
+	RequestID string
+	AttemptID string
+	Method    string
+	// Path with the query.
+	Path           string
+	ContentType    string
+	Body           []byte
+	Priority       uint32
+	IdempotencyKey string
+	// Stream asks an engine for server-sent events.
+	Stream bool
+	// Engine is set for a model engine, whose 429 and 503 mean "not run"
+	// and whose other 5xx are failures; a plain service's statuses are all
+	// answers.
+	Engine bool
+	// Idempotent calls may use a pooled connection; others get one of their
+	// own, because net/http resends a call on a pooled connection that
+	// turns out to be closed.
+	Idempotent bool
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	InputTokens  uint64
+	OutputTokens uint64
+	CachedTokens uint64
+}
+
+// Sink takes the answer. A call blocks while the reader is slow.
+type Sink interface {
+	Head(status int, contentType string) error
+	Data(data []byte) error
+}
+
+// Client calls one upstream. It is safe for concurrent use.
+type Client struct {
+	base   string
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+// NewClient returns a client of the upstream at the IP:port address.
+func NewClient(address string) *Client {
+	return &Client{
+		base:   "http://" + address,
+		pooled: &http.Client{Transport: newTransport(false)},
+		fresh:  &http.Client{Transport: newTransport(true)},
+	}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerUpstream,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      readBufferBytes,
+		WriteBufferSize:     writeBufferBytes,
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Do makes the call and passes the answer to the sink. The error, if any, is a
+// *result.Error with the outcome of the call.
+func (c *Client) Do(ctx context.Context, call Call, sink Sink) (Usage, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return Usage{}, result.Wrap(err, result.Internal, "bad upstream request").WithOutcome(result.NotRun)
+	}
+	resp, err := c.client(call).Do(req)
+	if err != nil {
+		return Usage{}, transportError(ctx, err, connected.Load())
+	}
+	defer resp.Body.Close()
+	if call.Engine {
+		if err := engineRefusal(resp); err != nil {
+			return Usage{}, err
+		}
+	}
+	return c.readAnswer(ctx, call, resp, sink)
+}
+
+func (c *Client) client(call Call) *http.Client {
+	if call.Idempotent {
+		return c.pooled
+	}
+	return c.fresh
+}
+
+func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	if !call.Idempotent {
+		req.GetBody = nil
+	}
+	if call.ContentType != "" {
+		req.Header.Set("Content-Type", call.ContentType)
+	}
+	req.Header.Set(HeaderRequestID, call.RequestID)
+	req.Header.Set(HeaderAttemptID, call.AttemptID)
+	req.Header.Set(HeaderPriority, strconv.FormatUint(uint64(call.Priority), 10))
+	if call.IdempotencyKey != "" {
+		req.Header.Set(HeaderIdempotencyKey, call.IdempotencyKey)
+	}
+	return req, nil
+}
+
+// transportError tells a call that never left from one that may have run.
+func transportError(ctx context.Context, err error, connected bool) error {
+	if !connected {
+		return result.Wrap(err, result.UpstreamRefused, "no connection to the upstream")
+	}
+	if ctx.Err() != nil {
+		return result.Wrap(err, result.DeadlineExceeded, "the upstream did not answer in time")
+	}
+	return result.Wrap(err, result.OutcomeUnknown, "the upstream closed the connection before it answered")
+}
+
+// engineRefusal reads the statuses with which an engine refuses or fails.
+func engineRefusal(resp *http.Response) error {
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+		return result.New(result.UpstreamBusy, "the engine refused the request with status %d", resp.StatusCode).
+			WithRetryAfter(retryAfter(resp.Header))
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return result.New(result.UpstreamFailed, "the engine failed with status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+func (c *Client) readAnswer(ctx context.Context, call Call, resp *http.Response, sink Sink) (Usage, error) {
+	if err := sink.Head(resp.StatusCode, resp.Header.Get("Content-Type")); err != nil {
+		return Usage{}, sinkError(err)
+	}
+	if call.Stream && resp.StatusCode == http.StatusOK {
+		return readEvents(ctx, resp.Body, sink)
+	}
+	return readWhole(ctx, call, resp.Body, sink)
+}
+
+func readWhole(ctx context.Context, call Call, body io.Reader, sink Sink) (Usage, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxUnaryAnswerBytes+1))
+	if err != nil {
+		return Usage{}, cutError(ctx, err)
+	}
+	if len(data) > maxUnaryAnswerBytes {
+		return Usage{}, result.New(result.AnswerCut, "the answer is larger than %d bytes", maxUnaryAnswerBytes)
+	}
+	if err := sink.Data(data); err != nil {
+		return Usage{}, sinkError(err)
+	}
+	if !call.Engine {
+		return Usage{}, nil
+	}
+	return parseUsage(data), nil
+}
+
+func cutError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return result.Wrap(err, result.DeadlineExceeded, "the answer was not complete in time").WithOutcome(result.Ran)
+	}
+	return result.Wrap(err, result.AnswerCut, "the upstream cut its answer")
+}
+
+func sinkError(err error) error {
+	var e *result.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return result.Wrap(err, result.CallerGone, "the reader of the answer is gone").WithOutcome(result.Ran)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,161 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/standin/engine"
+)
+
+type collector struct {
+	status int
+	data   []string
+}
+
+func (c *collector) Head(status int, _ string) error {
+	c.status = status
+	return nil
+}
+
+func (c *collector) Data(data []byte) error {
+	c.data = append(c.data, string(data))
+	return nil
+}
+
+func chatCall(stream bool) Call {
+	body := `{"model":"m@1","messages":[{"role":"user","content":"hello there"}],"max_tokens":6}`
+	if stream {
+		body = strings.Replace(body, `{`, `{"stream":true,`, 1)
+	}
+	return Call{
+		RequestID: "r1", AttemptID: "a1", Method: http.MethodPost, Path: "/v1/chat/completions",
+		ContentType: "application/json", Body: []byte(body), Stream: stream, Engine: true, Idempotent: true,
+	}
+}
+
+func engineClient(t *testing.T, b engine.Behaviour) *Client {
+	t.Helper()
+	e := engine.New(engine.Options{Name: "e", Versions: []string{"m@1"}, Slots: 2, Behaviour: b})
+	srv := httptest.NewServer(e.Handler())
+	t.Cleanup(srv.Close)
+	c := NewClient(strings.TrimPrefix(srv.URL, "http://"))
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestUnaryAndStreamedAnswersArriveWhole(t *testing.T) {
+	c := engineClient(t, engine.Behaviour{})
+	for _, stream := range []bool{false, true} {
+		var got collector
+		usage, err := c.Do(t.Context(), chatCall(stream), &got)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all := strings.Join(got.data, "")
+		if !strings.Contains(all, "r1") || !strings.Contains(all, "end") {
+			t.Errorf("stream %v: answer is not whole: %s", stream, all)
+		}
+		if usage.OutputTokens != 6 || usage.InputTokens != 2 {
+			t.Errorf("stream %v: usage %+v", stream, usage)
+		}
+	}
+}
+
+func TestFailuresTellWhetherTheCallRan(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour engine.Behaviour
+		stream    bool
+		code      result.Code
+		outcome   result.Outcome
+	}{
+		{"refused before it ran", engine.Behaviour{FailStatus: 503}, false, result.UpstreamBusy, result.NotRun},
+		{"failed while it ran", engine.Behaviour{FailStatus: 500}, false, result.UpstreamFailed, result.Ran},
+		{"died before it answered", engine.Behaviour{DieBeforeAnswer: true}, false, result.OutcomeUnknown, result.Unknown},
+		{"cut its stream", engine.Behaviour{CutAfter: 2}, true, result.AnswerCut, result.Ran},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := engineClient(t, tt.behaviour)
+			_, err := c.Do(t.Context(), chatCall(tt.stream), &collector{})
+			e := result.From(err)
+			if e.Code != tt.code || e.Outcome != tt.outcome {
+				t.Errorf("got %v %v, want %v %v", e.Code, e.Outcome, tt.code, tt.outcome)
+			}
+		})
+	}
+}
+
+func TestNoConnectionMeansNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	_, err = NewClient(addr).Do(t.Context(), chatCall(false), &collector{})
+	if e := result.From(err); e.Code != result.UpstreamRefused || e.Outcome != result.NotRun {
+		t.Errorf("got %v", e)
+	}
+}
+
+// TestOnceCallIsWrittenOnce shows that net/http does not resend a call that
+// carries an Idempotency-Key when a pooled connection turns out to be closed:
+// the upstream reads the call, then closes without an answer.
+func TestOnceCallIsWrittenOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var bookings atomic.Int64
+	go acceptAndDrop(l, &bookings)
+	c := NewClient(l.Addr().String())
+	defer c.Close()
+	get := Call{Method: http.MethodGet, Path: "/stock", Idempotent: true}
+	if _, err := c.Do(t.Context(), get, &collector{}); err != nil {
+		t.Fatal(err)
+	}
+	post := Call{Method: http.MethodPost, Path: "/bookings", IdempotencyKey: "k1"}
+	_, err = c.Do(t.Context(), post, &collector{})
+	if e := result.From(err); e.Outcome != result.Unknown {
+		t.Errorf("got %v, want an unknown outcome", err)
+	}
+	if n := bookings.Load(); n != 1 {
+		t.Errorf("the booking was written %d times, want 1", n)
+	}
+}
+
+// acceptAndDrop answers each GET and drops the connection after each POST.
+func acceptAndDrop(l net.Listener, bookings *atomic.Int64) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			r := bufio.NewReader(conn)
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if req.Method == http.MethodPost {
+					bookings.Add(1)
+					return
+				}
+				if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
