Choose the upstream of a request by load, prefix, domain and health

Cause: the entry has no host choice. Change: package balance with a Picker over a compiled view of the upstreams: power of two choices on load that rides on answers and own requests in flight, homes of a prompt prefix by rendezvous hashing, own failure domain first, slow start, outlier ejection with a cap and half-open return, and a bounded subset per entry.

--- /dev/null
+++ b/internal/balance/bench_test.go
@@ -0,0 +1,70 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// Bounds of one decision, from the stated target: at today's sizes, and with
+// every replica of the target size known.
+const (
+	maxPickToday  = 2 * time.Microsecond
+	maxPickTarget = 10 * time.Microsecond
+)
+
+func benchmarkPick(b *testing.B, replicas int, bound time.Duration) {
+	p := newPicker(b, replicas)
+	req := Request{Target: target, PromptTokens: 2000}
+	rnd := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		rnd = mix(rnd + 1)
+		req.Prefix = rnd
+		c, err := p.Pick(&req, start, rnd)
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Started(c)
+		p.Finished(c, Observation{}, start)
+	}
+	b.ReportMetric(float64(b.Elapsed())/float64(b.N)/float64(bound), "of-bound")
+}
+
+// BenchmarkPick measures a whole decision with its bookkeeping.
+func BenchmarkPick(b *testing.B) {
+	b.Run("20", func(b *testing.B) { benchmarkPick(b, 20, maxPickToday) })
+	b.Run("4100", func(b *testing.B) { benchmarkPick(b, 4100, maxPickTarget) })
+}
+
+// BenchmarkPickParallel shows contention between callers.
+func BenchmarkPickParallel(b *testing.B) {
+	p := newPicker(b, 20)
+	b.RunParallel(func(pb *testing.PB) {
+		rnd := uint64(1)
+		req := Request{Target: target, PromptTokens: 2000}
+		for pb.Next() {
+			rnd = mix(rnd + 1)
+			req.Prefix = rnd
+			if c, err := p.Pick(&req, start, rnd); err == nil {
+				p.Started(c)
+				p.Finished(c, Observation{}, start)
+			}
+		}
+	})
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	p := newPicker(t, 20)
+	req := Request{Target: target, PromptTokens: 2000, Prefix: 9}
+	got := testing.AllocsPerRun(1000, func() {
+		c, err := p.Pick(&req, start, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Started(c)
+		p.Finished(c, Observation{Load: &Load{InFlight: 1}}, start)
+	})
+	if got != 0 {
+		t.Fatalf("one decision allocates %v times", got)
+	}
+}
--- /dev/null
+++ b/internal/balance/health.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// health decides when an upstream is ejected and when it may come back.
+//
+// The states: healthy; ejected until a time; half-open after it, when one
+// probe at a time is let through. A good probe makes it healthy again with a
+// slow start, a bad one ejects it for longer.
+type health struct {
+	// until is the end of the ejection in Unix nanoseconds; 0 is healthy.
+	until atomic.Int64
+	// probeUntil is when the probe that is out is given up.
+	probeUntil atomic.Int64
+	// failures counts the failures in a row.
+	failures atomic.Int32
+
+	mu sync.Mutex
+	// ejections counts ejections in a row, under mu.
+	ejections int
+}
+
+const (
+	// failuresToEject is how many failures in a row eject an upstream.
+	failuresToEject = 3
+	// probeFor is how long a probe may take before another is let through.
+	probeFor = 5 * time.Second
+	// maxEjectFor bounds one ejection.
+	maxEjectFor = time.Minute
+	// maxEjectDoublings keeps the doubled time from overflowing.
+	maxEjectDoublings = 8
+)
+
+// halfOpen reports whether only a probe may be sent.
+func (h *health) halfOpen(now int64) bool {
+	until := h.until.Load()
+	return until != 0 && now >= until
+}
+
+// suspect reports whether the last attempt failed.
+func (h *health) suspect() bool { return h.failures.Load() > 0 }
+
+// takeProbe lets one caller through while the upstream is half-open.
+func (h *health) takeProbe(now int64) bool {
+	out := h.probeUntil.Load()
+	if now < out {
+		return false
+	}
+	return h.probeUntil.CompareAndSwap(out, now+int64(probeFor))
+}
+
+// succeeded notes an answer. It reports whether the upstream came back.
+func (h *health) succeeded() bool {
+	if h.failures.Load() == 0 && h.until.Load() == 0 {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures.Store(0)
+	back := h.until.Swap(0) != 0
+	h.probeUntil.Store(0)
+	h.ejections = 0
+	return back
+}
+
+// failed notes a failure. It reports whether the upstream should be ejected:
+// after several in a row, or after a failed probe.
+func (h *health) failed() bool {
+	n := h.failures.Add(1)
+	return n >= failuresToEject || h.until.Load() != 0
+}
+
+// eject takes the upstream out until now and a time that doubles with each
+// ejection in a row. spread (0 to 1) sets the ends of many apart.
+func (h *health) eject(now int64, first time.Duration, spread float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until := h.until.Load(); until != 0 && now < until {
+		return
+	}
+	d := first << min(h.ejections, maxEjectDoublings)
+	d = min(d, maxEjectFor)
+	d += time.Duration(float64(d) * spread / 2)
+	h.ejections++
+	h.probeUntil.Store(0)
+	h.until.Store(now + int64(d))
+}
--- /dev/null
+++ b/internal/balance/picker.go
@@ -0,0 +1,144 @@
+package balance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// Picker chooses upstreams. All methods are safe for concurrent use; Pick,
+// Started, Finished and Observe take no lock on the usual path.
+type Picker struct {
+	settings Settings
+	view     atomic.Pointer[view]
+	// mu serialises Rebuild and ejections.
+	mu sync.Mutex
+}
+
+// New returns a Picker that knows no upstream until Rebuild.
+func New(s Settings) *Picker {
+	s.setDefaults()
+	p := &Picker{settings: s}
+	p.view.Store(&view{})
+	return p
+}
+
+// retrySoon is the advice when the time of the next free upstream is unknown.
+const retrySoon = time.Second
+
+// Pick returns an upstream for the request. rnd is a fresh random number. The
+// error is NoUpstream with a time to come back; the request did not run.
+func (p *Picker) Pick(req *Request, now time.Time, rnd uint64) (Choice, error) {
+	pl, ok := p.view.Load().pools[req.Target]
+	if !ok {
+		return Choice{}, noUpstream(retrySoon)
+	}
+	s := search{req: req, now: now.UnixNano(), rnd: rnd, slowStart: p.settings.SlowStart}
+	if s.probeDue() {
+		if r := s.probe(pl); r != nil {
+			return s.choice(r, false, true), nil
+		}
+	}
+	if r, affine := s.best(pl); r != nil {
+		return s.choice(r, affine, false), nil
+	}
+	if r := s.last(pl); r != nil {
+		return s.choice(r, false, false), nil
+	}
+	if r := s.probe(pl); r != nil {
+		return s.choice(r, false, true), nil
+	}
+	return Choice{}, noUpstream(pl.comeBack(s.now))
+}
+
+func noUpstream(after time.Duration) error {
+	return result.New(result.NoUpstream, "no upstream can take the request now").WithRetryAfter(after)
+}
+
+// comeBack is the time until the first ejection ends.
+func (pl *pool) comeBack(now int64) time.Duration {
+	after := retrySoon
+	for _, r := range pl.members {
+		if until := r.health.until.Load(); until > now {
+			after = min(after, time.Duration(until-now))
+		}
+	}
+	return after
+}
+
+// Started notes that an attempt was sent to the choice.
+func (p *Picker) Started(c Choice) {
+	c.replica.own.Add(1)
+	c.replica.ownWork.Add(c.work)
+}
+
+// Finished notes the end of an attempt that was started. It is called once
+// for each Started.
+func (p *Picker) Finished(c Choice, o Observation, now time.Time) {
+	at := now.UnixNano()
+	r := c.replica
+	r.own.Add(-1)
+	r.ownWork.Add(-c.work)
+	if o.Load != nil {
+		r.observe(*o.Load, at)
+	}
+	switch {
+	case o.Outcome == Answered:
+		if r.health.succeeded() {
+			r.rampFrom.Store(at)
+		}
+	case o.Outcome.failure():
+		if r.health.failed() {
+			p.eject(r, at)
+		}
+	case c.Probe:
+		r.health.probeUntil.Store(0)
+	}
+}
+
+// Observe takes a load report of an upstream from a heartbeat. A report about
+// an unknown upstream is dropped.
+func (p *Picker) Observe(upstream string, l Load, now time.Time) {
+	if r, ok := p.view.Load().byName[upstream]; ok {
+		r.observe(l, now.UnixNano())
+	}
+}
+
+// HostLeaving notes what the host list says about a host.
+func (p *Picker) HostLeaving(host string, leaving bool) {
+	for _, r := range p.view.Load().byHost[host] {
+		r.leavingHost.Store(leaving)
+	}
+}
+
+// eject takes the upstream out, unless that would take out more than the
+// allowed share of a target's upstreams.
+func (p *Picker) eject(r *replica, now int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pl := range p.view.Load().poolsOf[r] {
+		if !pl.mayEject(r, p.settings.MaxEjected) {
+			return
+		}
+	}
+	spread := float64(mix(r.hash^uint64(now))>>11) / (1 << 53)
+	r.health.eject(now, p.settings.EjectFor, spread)
+}
+
+// mayEject reports whether the pool can spare one more upstream.
+func (pl *pool) mayEject(r *replica, share float64) bool {
+	out := 1
+	total := 0
+	for _, m := range pl.members {
+		if m.leaving() {
+			continue
+		}
+		total++
+		if m != r && m.health.until.Load() != 0 {
+			out++
+		}
+	}
+	return float64(out) <= share*float64(total)
+}
--- /dev/null
+++ b/internal/balance/replica.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// identity is the configured part of an upstream. It is replaced whole.
+type identity struct {
+	name   string
+	host   string
+	agent  string
+	domain string
+	region string
+}
+
+// replica is the state of one upstream as this entry sees it. It outlives
+// rebuilds of the view. All fields are safe for concurrent use.
+type replica struct {
+	hash uint64
+	id   atomic.Pointer[identity]
+
+	// slots is the number of requests that may run at a time, as reported by
+	// the agent, else as configured.
+	configuredSlots atomic.Int32
+	slots           atomic.Int32
+	// own counts this entry's requests in flight, ownWork their demand.
+	own     atomic.Int32
+	ownWork atomic.Int64
+	// others is the load of the other entries in the last report.
+	others   atomic.Int32
+	reportAt atomic.Int64
+
+	// leaving is set by the configuration, the agent or the host list.
+	leavingConfig atomic.Bool
+	leavingAgent  atomic.Bool
+	leavingHost   atomic.Bool
+
+	// rampFrom is when the slow start began, in Unix nanoseconds; 0 means
+	// that there is none.
+	rampFrom atomic.Int64
+
+	health health
+}
+
+func newReplica(name string, rampFrom int64) *replica {
+	r := &replica{hash: xxhash.Sum64String(name)}
+	r.rampFrom.Store(rampFrom)
+	return r
+}
+
+func (r *replica) leaving() bool {
+	return r.leavingConfig.Load() || r.leavingAgent.Load() || r.leavingHost.Load()
+}
+
+// othersFade is the age at which a report of others' load counts half.
+const othersFade = 2 * time.Second
+
+// inFlight estimates the requests in flight from every entry: the others'
+// part of the last report, fading with its age, and the own ones.
+func (r *replica) inFlight(now int64) float64 {
+	own := float64(r.own.Load())
+	others := float64(r.others.Load())
+	if others <= 0 {
+		return own
+	}
+	age := float64(max(0, now-r.reportAt.Load()))
+	return own + others/(1+age/float64(othersFade))
+}
+
+// observe takes a report. The own requests in flight now are taken out of it,
+// so that what is left is the others'.
+func (r *replica) observe(l Load, now int64) {
+	if l.Slots > 0 {
+		r.slots.Store(int32(l.Slots))
+	}
+	others := int32(l.InFlight+l.Queued) - r.own.Load()
+	r.others.Store(max(0, others))
+	r.reportAt.Store(now)
+	r.leavingAgent.Store(l.Leaving)
+}
+
+// minRamp is the share of its slots that an upstream takes at the start of
+// its slow start.
+const minRamp = 0.1
+
+// capacity is the number of slots, less during the slow start.
+func (r *replica) capacity(now int64, slowStart time.Duration) float64 {
+	slots := float64(max(1, r.slots.Load()))
+	from := r.rampFrom.Load()
+	if from == 0 {
+		return slots
+	}
+	age := now - from
+	if age >= int64(slowStart) {
+		r.rampFrom.CompareAndSwap(from, 0)
+		return slots
+	}
+	ramp := max(minRamp, float64(age)/float64(slowStart))
+	return max(1, slots*ramp)
+}
+
+// mix is a finaliser of 64-bit hashes (SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
--- /dev/null
+++ b/internal/balance/search.go
@@ -0,0 +1,161 @@
+package balance
+
+import "time"
+
+// search is one choice in progress.
+type search struct {
+	req       *Request
+	now       int64
+	rnd       uint64
+	slowStart time.Duration
+}
+
+const (
+	// maxDraws bounds the random draws for one candidate.
+	maxDraws = 6
+	// probeOneIn is the share of requests that look for an upstream to probe.
+	probeOneIn = 16
+	// minAffinityTokens is the prompt size from which a cached prefix saves
+	// more than a less loaded upstream does.
+	minAffinityTokens = 64
+)
+
+// next returns a fresh random number.
+func (s *search) next() uint64 {
+	s.rnd += 0x9e3779b97f4a7c15
+	return mix(s.rnd)
+}
+
+// index returns a random index below n.
+func (s *search) index(n int) int {
+	return int((s.next() >> 32) * uint64(n) >> 32)
+}
+
+// usable reports whether the upstream may take the request at all.
+func (s *search) usable(r *replica) bool {
+	if r.leaving() || r.health.until.Load() != 0 {
+		return false
+	}
+	return s.req.Tried.n == 0 || !s.req.Tried.Has(r.id.Load().name)
+}
+
+// probeDue reports whether this request should look for an upstream to probe.
+func (s *search) probeDue() bool { return s.next()%probeOneIn == 0 }
+
+// probe returns an upstream whose ejection is over and that no other request
+// probes now: a home of the prefix, which may stand outside the subset, or
+// any of the subset.
+func (s *search) probe(pl *pool) *replica {
+	if s.affinity() {
+		first, second := pl.homes(s.req.Prefix)
+		if s.mayProbe(first) {
+			return first
+		}
+		if s.mayProbe(second) {
+			return second
+		}
+	}
+	if len(pl.subset) == 0 {
+		return nil
+	}
+	start := s.index(len(pl.subset))
+	for i := range pl.subset {
+		r := pl.subset[(start+i)%len(pl.subset)]
+		if s.mayProbe(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// mayProbe reports whether this request is the one that probes the upstream.
+func (s *search) mayProbe(r *replica) bool {
+	if r == nil || r.leaving() || !r.health.halfOpen(s.now) {
+		return false
+	}
+	return !s.req.Tried.Has(r.id.Load().name) && r.health.takeProbe(s.now)
+}
+
+// affinity reports whether a cached prefix would save enough to be sought.
+func (s *search) affinity() bool {
+	return s.req.Prefix != 0 && s.req.PromptTokens >= minAffinityTokens
+}
+
+// best weighs the homes of the prefix against two random upstreams, first of
+// the own failure domain, then of the others.
+func (s *search) best(pl *pool) (r *replica, affine bool) {
+	var found candidate
+	found.consider(s, s.draw(pl.near), false)
+	found.consider(s, s.draw(pl.near), false)
+	if found.r == nil || found.full {
+		found.consider(s, s.draw(pl.away), false)
+		found.consider(s, s.draw(pl.away), false)
+	}
+	if s.affinity() {
+		first, second := pl.homes(s.req.Prefix)
+		found.consider(s, s.ifUsable(first), true)
+		found.consider(s, s.ifUsable(second), true)
+	}
+	return found.r, found.affine
+}
+
+// draw returns a random usable upstream, one without a recent failure when
+// it finds one.
+func (s *search) draw(from []*replica) *replica {
+	if len(from) == 0 {
+		return nil
+	}
+	var fallback *replica
+	for range maxDraws {
+		r := from[s.index(len(from))]
+		if !s.usable(r) {
+			continue
+		}
+		if !r.health.suspect() {
+			return r
+		}
+		fallback = r
+	}
+	return fallback
+}
+
+// ifUsable returns nil in place of an upstream that cannot be used.
+func (s *search) ifUsable(r *replica) *replica {
+	if r == nil || !s.usable(r) {
+		return nil
+	}
+	return r
+}
+
+// last scans for any usable upstream when the draws found none: the subset,
+// then all of the region, then other regions.
+func (s *search) last(pl *pool) *replica {
+	for _, list := range [][]*replica{pl.subset, pl.members, pl.far} {
+		if r := s.scan(list); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *search) scan(list []*replica) *replica {
+	if len(list) == 0 {
+		return nil
+	}
+	start := s.index(len(list))
+	for i := range list {
+		if r := list[(start+i)%len(list)]; s.usable(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *search) choice(r *replica, affine, probe bool) Choice {
+	id := r.id.Load()
+	return Choice{
+		Upstream: id.name, Host: id.host, Agent: id.agent, Domain: id.domain,
+		Affine: affine, Probe: probe,
+		replica: r, work: s.req.work(),
+	}
+}
--- /dev/null
+++ b/internal/balance/state.go
@@ -0,0 +1,47 @@
+package balance
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is what a Picker knows about one upstream, for the state dump.
+type State struct {
+	Upstream     string    `json:"upstream"`
+	Host         string    `json:"host"`
+	Domain       string    `json:"domain"`
+	Slots        int       `json:"slots"`
+	OwnInFlight  int       `json:"ownInFlight"`
+	EstimatedAll float64   `json:"estimatedInFlight"`
+	Leaving      bool      `json:"leaving,omitempty"`
+	Failures     int       `json:"failuresInARow,omitempty"`
+	EjectedUntil time.Time `json:"ejectedUntil,omitzero"`
+}
+
+// States returns the state of every known upstream, sorted by name.
+func (p *Picker) States(now time.Time) []State {
+	v := p.view.Load()
+	out := make([]State, 0, len(v.byName))
+	for _, r := range v.byName {
+		out = append(out, r.state(now.UnixNano()))
+	}
+	slices.SortFunc(out, func(a, b State) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return out
+}
+
+func (r *replica) state(now int64) State {
+	id := r.id.Load()
+	s := State{
+		Upstream: id.name, Host: id.host, Domain: id.domain,
+		Slots:        int(r.slots.Load()),
+		OwnInFlight:  int(r.own.Load()),
+		EstimatedAll: r.inFlight(now),
+		Leaving:      r.leaving(),
+		Failures:     int(r.health.failures.Load()),
+	}
+	if until := r.health.until.Load(); until != 0 {
+		s.EjectedUntil = time.Unix(0, until).UTC()
+	}
+	return s
+}
