Read and rewrite chat bodies for engines

Cause: an engine knows a version as its model and reports usage and token probabilities only when asked. Change: Rewrite sets the model and stream members and keeps the others byte for byte; Confidence is the mean token probability of a draft.

--- /dev/null
+++ b/internal/chat/chat.go
@@ -0,0 +1,144 @@
+// Package chat reads and rewrites the JSON of chat completions as far as the
+// router needs it: the model field, the stream options, and the confidence
+// that an engine reports through token probabilities.
+package chat
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// Upstream says how a body is rewritten for an engine.
+type Upstream struct {
+	// Version is what the engine knows the model as, "model@version".
+	Version string
+	Stream  bool
+	// Logprobs asks for token probabilities, from which a draft is judged.
+	Logprobs bool
+}
+
+// overridden lists the fields that Rewrite sets itself.
+func overridden(key string, u Upstream) bool {
+	switch key {
+	case "model", "stream", "stream_options":
+		return true
+	case "logprobs":
+		return u.Logprobs
+	}
+	return false
+}
+
+// Rewrite returns the body with the model and stream fields set for the
+// engine. All other members are kept as they are. Usage is always asked for,
+// since every request is billed by it.
+func Rewrite(body []byte, u Upstream) ([]byte, error) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return nil, errors.NotValidf("chat body")
+	}
+	out := make([]byte, 0, len(body)+len(u.Version)+128)
+	out = append(out, `{"model":`...)
+	out = strconv.AppendQuote(out, u.Version)
+	if u.Stream {
+		out = append(out, `,"stream":true,"stream_options":{"include_usage":true}`...)
+	}
+	if u.Logprobs {
+		out = append(out, `,"logprobs":true`...)
+	}
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		key, ok := name.(string)
+		if !ok {
+			return nil, errors.NotValidf("chat body")
+		}
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return nil, errors.Trace(err)
+		}
+		if overridden(key, u) {
+			continue
+		}
+		quoted, err := json.Marshal(key)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		out = append(out, ',')
+		out = append(out, quoted...)
+		out = append(out, ':')
+		out = append(out, value...)
+	}
+	return append(out, '}'), nil
+}
+
+// choices is the part of an answer or event that Confidence reads.
+type choices struct {
+	Choices []struct {
+		Logprobs *struct {
+			Content []struct {
+				Logprob float64 `json:"logprob"`
+			} `json:"content"`
+		} `json:"logprobs"`
+	} `json:"choices"`
+}
+
+// Confidence is the mean token probability over the parts of an answer.
+type Confidence struct {
+	sum   float64
+	count int
+}
+
+// Add reads the token probabilities of one event or whole answer.
+func (c *Confidence) Add(data []byte) {
+	if !bytes.Contains(data, []byte(`"logprob"`)) {
+		return
+	}
+	var parts choices
+	if json.Unmarshal(data, &parts) != nil {
+		return
+	}
+	for _, choice := range parts.Choices {
+		if choice.Logprobs == nil {
+			continue
+		}
+		for _, token := range choice.Logprobs.Content {
+			c.sum += math.Exp(token.Logprob)
+			c.count++
+		}
+	}
+}
+
+// Value returns the mean, and false when the engine reported none.
+func (c *Confidence) Value() (float64, bool) {
+	if c.count == 0 {
+		return 0, false
+	}
+	return c.sum / float64(c.count), true
+}
+
+// text is the part of an answer or event that Text reads.
+type text struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+	} `json:"choices"`
+}
+
+// Text returns the words of one event or whole answer, for rating.
+func Text(data []byte) string {
+	var t text
+	if json.Unmarshal(data, &t) != nil || len(t.Choices) == 0 {
+		return ""
+	}
+	return t.Choices[0].Delta.Content + t.Choices[0].Message.Content
+}
--- /dev/null
+++ b/internal/chat/chat_test.go
@@ -0,0 +1,66 @@
+package chat
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+func TestRewriteSetsTheModelAndKeepsTheRest(t *testing.T) {
+	body := `{"model":"auto","messages":[{"role":"user","content":"a \"model\": b"}],"stream":true,"stream_options":{"include_usage":false},"temperature":0.5,"x":{"model":1}}`
+	out, err := Rewrite([]byte(body), Upstream{Version: "small@1", Stream: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"model":"small@1","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"a \"model\": b"}],"temperature":0.5,"x":{"model":1}}`
+	if string(out) != want {
+		t.Errorf("got  %s\nwant %s", out, want)
+	}
+	if !json.Valid(out) {
+		t.Error("the rewritten body is not valid JSON")
+	}
+}
+
+func TestRewriteRefusesWhatIsNoObject(t *testing.T) {
+	for _, body := range []string{``, `[]`, `{"a":`, `7`, `{"a" 1}`} {
+		if out, err := Rewrite([]byte(body), Upstream{Version: "m@1"}); err == nil {
+			t.Errorf("Rewrite(%q) = %s, want an error", body, out)
+		}
+	}
+}
+
+func TestConfidenceIsTheMeanTokenProbability(t *testing.T) {
+	var c Confidence
+	c.Add([]byte(`{"choices":[{"delta":{"content":"a"},"logprobs":{"content":[{"token":"a","logprob":0}]}}]}`))
+	c.Add([]byte(`{"choices":[{"delta":{"content":"b"},"logprobs":null}]}`))
+	c.Add([]byte(`{"choices":[{"logprobs":{"content":[{"token":"b","logprob":-0.6931471805599453}]}}]}`))
+	got, ok := c.Value()
+	if !ok || got < 0.7499 || got > 0.7501 {
+		t.Errorf("Value() = %v %v, want 0.75", got, ok)
+	}
+	if _, ok := new(Confidence).Value(); ok {
+		t.Error("no report must not read as a confidence")
+	}
+}
+
+func TestTextReadsEventsAndWholeAnswers(t *testing.T) {
+	if got := Text([]byte(`{"choices":[{"delta":{"content":" w1"}}]}`)); got != " w1" {
+		t.Errorf("event: %q", got)
+	}
+	if got := Text([]byte(`{"choices":[{"message":{"content":"whole"}}]}`)); got != "whole" {
+		t.Errorf("answer: %q", got)
+	}
+}
+
+func FuzzRewrite(f *testing.F) {
+	f.Add([]byte(`{"model":"a","messages":[]}`))
+	f.Add([]byte(`{"a":"\u0000","a":1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		out, err := Rewrite(body, Upstream{Version: "m@1", Stream: true, Logprobs: true})
+		if err != nil {
+			return
+		}
+		if json.Valid(body) && !json.Valid(out) {
+			t.Errorf("valid %q became invalid %q", body, out)
+		}
+	})
+}
