--- /dev/null
+++ b/internal/retry/drain.go
@@ -0,0 +1,66 @@
+package retry
+
+import "time"
+
+// Drain measures how fast a queue empties, for the Retry-After advice of a
+// refusal. It is not safe for concurrent use; its owner guards it.
+type Drain struct {
+	// perSecond is the smoothed rate of requests that left.
+	perSecond float64
+	left      int
+	from      time.Time
+}
+
+const (
+	// drainWindow is the time over which departures are counted.
+	drainWindow = 500 * time.Millisecond
+	// drainSmoothing is the weight of the newest window.
+	drainSmoothing = 0.3
+	// minAdvice and maxAdvice bound the advice.
+	minAdvice = 100 * time.Millisecond
+	maxAdvice = time.Minute
+	// adviceSpread is the share by which advice is lengthened at most, so
+	// that those refused together do not come back together.
+	adviceSpread = 0.5
+)
+
+// Left notes that a request left the queue, to run or for good.
+func (d *Drain) Left(now time.Time) {
+	d.roll(now)
+	d.left++
+}
+
+// roll closes the window when it is over.
+func (d *Drain) roll(now time.Time) {
+	if d.from.IsZero() {
+		d.from = now
+		return
+	}
+	age := now.Sub(d.from)
+	if age < drainWindow {
+		return
+	}
+	rate := float64(d.left) / age.Seconds()
+	if d.perSecond == 0 {
+		d.perSecond = rate
+	}
+	d.perSecond += drainSmoothing * (rate - d.perSecond)
+	d.left = 0
+	d.from = now
+}
+
+// Advice returns when to come back, with the given number of requests waiting
+// ahead. rnd is a fresh random number from 0 to 1.
+func (d *Drain) Advice(waiting int, now time.Time, rnd float64) time.Duration {
+	d.roll(now)
+	after := maxAdvice
+	if d.perSecond > 0 {
+		seconds := float64(waiting+1) / d.perSecond
+		after = time.Duration(min(seconds, maxAdvice.Seconds()) * float64(time.Second))
+	} else if waiting == 0 {
+		after = minAdvice
+	}
+	after = max(after, minAdvice)
+	after += time.Duration(rnd * adviceSpread * float64(after))
+	return min(after, maxAdvice)
+}
