--- a/internal/link/linkv1/linkv1connect/link.connect.go
+++ b/internal/link/linkv1/linkv1connect/link.connect.go
@@ -41,6 +41,8 @@
 	AgentServiceAttemptProcedure = "/tarragonbay.link.v1.AgentService/Attempt"
 	// AgentServiceResumeProcedure is the fully-qualified name of the AgentService's Resume RPC.
 	AgentServiceResumeProcedure = "/tarragonbay.link.v1.AgentService/Resume"
+	// AgentServiceAckProcedure is the fully-qualified name of the AgentService's Ack RPC.
+	AgentServiceAckProcedure = "/tarragonbay.link.v1.AgentService/Ack"
 	// AgentServiceSettleProcedure is the fully-qualified name of the AgentService's Settle RPC.
 	AgentServiceSettleProcedure = "/tarragonbay.link.v1.AgentService/Settle"
 	// AgentServiceCancelProcedure is the fully-qualified name of the AgentService's Cancel RPC.
@@ -62,6 +64,9 @@
 	// Resume streams the frames of a running or finished attempt from a
 	// sequence number on, over a new connection.
 	Resume(context.Context, *connect.Request[linkv1.ResumeRequest]) (*connect.ServerStreamForClient[linkv1.Frame], error)
+	// Ack tells how much of an answer has arrived, so that the agent may drop
+	// it from its buffer.
+	Ack(context.Context, *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error)
 	// Settle proves what became of an attempt. An attempt that was not
 	// dispatched is tombstoned, so that a late copy of it never runs.
 	Settle(context.Context, *connect.Request[linkv1.SettleRequest]) (*connect.Response[linkv1.SettleResponse], error)
@@ -98,6 +103,12 @@
 			connect.WithSchema(agentServiceMethods.ByName("Resume")),
 			connect.WithClientOptions(opts...),
 		),
+		ack: connect.NewClient[linkv1.AckRequest, linkv1.AckResponse](
+			httpClient,
+			baseURL+AgentServiceAckProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Ack")),
+			connect.WithClientOptions(opts...),
+		),
 		settle: connect.NewClient[linkv1.SettleRequest, linkv1.SettleResponse](
 			httpClient,
 			baseURL+AgentServiceSettleProcedure,
@@ -135,6 +146,7 @@
 type agentServiceClient struct {
 	attempt *connect.Client[linkv1.AttemptRequest, linkv1.Frame]
 	resume  *connect.Client[linkv1.ResumeRequest, linkv1.Frame]
+	ack     *connect.Client[linkv1.AckRequest, linkv1.AckResponse]
 	settle  *connect.Client[linkv1.SettleRequest, linkv1.SettleResponse]
 	cancel  *connect.Client[linkv1.CancelRequest, linkv1.CancelResponse]
 	report  *connect.Client[linkv1.ReportRequest, linkv1.ReportResponse]
@@ -152,6 +164,11 @@
 	return c.resume.CallServerStream(ctx, req)
 }
 
+// Ack calls tarragonbay.link.v1.AgentService.Ack.
+func (c *agentServiceClient) Ack(ctx context.Context, req *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error) {
+	return c.ack.CallUnary(ctx, req)
+}
+
 // Settle calls tarragonbay.link.v1.AgentService.Settle.
 func (c *agentServiceClient) Settle(ctx context.Context, req *connect.Request[linkv1.SettleRequest]) (*connect.Response[linkv1.SettleResponse], error) {
 	return c.settle.CallUnary(ctx, req)
@@ -184,6 +201,9 @@
 	// Resume streams the frames of a running or finished attempt from a
 	// sequence number on, over a new connection.
 	Resume(context.Context, *connect.Request[linkv1.ResumeRequest], *connect.ServerStream[linkv1.Frame]) error
+	// Ack tells how much of an answer has arrived, so that the agent may drop
+	// it from its buffer.
+	Ack(context.Context, *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error)
 	// Settle proves what became of an attempt. An attempt that was not
 	// dispatched is tombstoned, so that a late copy of it never runs.
 	Settle(context.Context, *connect.Request[linkv1.SettleRequest]) (*connect.Response[linkv1.SettleResponse], error)
@@ -216,6 +236,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Resume")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceAckHandler := connect.NewUnaryHandler(
+		AgentServiceAckProcedure,
+		svc.Ack,
+		connect.WithSchema(agentServiceMethods.ByName("Ack")),
+		connect.WithHandlerOptions(opts...),
+	)
 	agentServiceSettleHandler := connect.NewUnaryHandler(
 		AgentServiceSettleProcedure,
 		svc.Settle,
@@ -252,6 +278,8 @@
 			agentServiceAttemptHandler.ServeHTTP(w, r)
 		case AgentServiceResumeProcedure:
 			agentServiceResumeHandler.ServeHTTP(w, r)
+		case AgentServiceAckProcedure:
+			agentServiceAckHandler.ServeHTTP(w, r)
 		case AgentServiceSettleProcedure:
 			agentServiceSettleHandler.ServeHTTP(w, r)
 		case AgentServiceCancelProcedure:
@@ -279,6 +307,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.AgentService.Resume is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Ack(context.Context, *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.AgentService.Ack is not implemented"))
+}
+
 func (UnimplementedAgentServiceHandler) Settle(context.Context, *connect.Request[linkv1.SettleRequest]) (*connect.Response[linkv1.SettleResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.AgentService.Settle is not implemented"))
 }
