--- /dev/null
+++ b/internal/quality/book.go
@@ -0,0 +1,160 @@
+package quality
+
+import (
+	"math"
+	"time"
+)
+
+// Settings of a Book. The zero value of a field takes its default.
+type Settings struct {
+	// Window is the number of ratings or drafts after which older ones are
+	// forgotten at the rate at which new ones come.
+	Window float64
+	// AnswerWindow is the same for answers, whose cost and latency change
+	// with the load.
+	AnswerWindow float64
+	// HalfLife is the time without a rating in which the weight of the
+	// ratings halves.
+	HalfLife time.Duration
+	// Z is the width of the bounds in standard errors.
+	Z float64
+	// StrictZ is the width of the strict lower bound.
+	StrictZ float64
+	// Fresh is the age of the newest rating up to which the rating service
+	// counts as answering.
+	Fresh time.Duration
+}
+
+// Defaults of Settings.
+const (
+	DefaultWindow       = 2000
+	DefaultAnswerWindow = 200
+	DefaultHalfLife     = 7 * 24 * time.Hour
+	DefaultZ            = 1.645
+	DefaultStrictZ      = 2.576
+	DefaultFresh        = 10 * time.Minute
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.Window <= 0 {
+		s.Window = DefaultWindow
+	}
+	if s.AnswerWindow <= 0 {
+		s.AnswerWindow = DefaultAnswerWindow
+	}
+	if s.HalfLife <= 0 {
+		s.HalfLife = DefaultHalfLife
+	}
+	if s.Z <= 0 {
+		s.Z = DefaultZ
+	}
+	if s.StrictZ <= 0 {
+		s.StrictZ = DefaultStrictZ
+	}
+	if s.Fresh <= 0 {
+		s.Fresh = DefaultFresh
+	}
+	return s
+}
+
+// cell holds the decayed sums of one key.
+type cell struct {
+	good, bad       float64
+	kept, escalated float64
+	answers         float64
+	outputTokens    float64
+	latency         float64
+	latencySq       float64
+	rated           time.Time
+}
+
+// Book holds the sums of every key. It is not safe for use by several
+// goroutines: one duty owns it and hands out Views.
+type Book struct {
+	set    Settings
+	cells  map[Key]*cell
+	newest time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook(s Settings) *Book {
+	return &Book{set: s.withDefaults(), cells: map[Key]*cell{}}
+}
+
+// Add counts a delta at the time now. Deltas may come in any order.
+func (b *Book) Add(k Key, d Delta, now time.Time) {
+	c, ok := b.cells[k]
+	if !ok {
+		c = &cell{}
+		b.cells[k] = c
+	}
+	if d.Good+d.Bad > 0 {
+		c.rate(d, b.set, now)
+		b.newest = later(b.newest, now)
+	}
+	c.draft(d, b.set)
+	c.answer(d, b.set)
+}
+
+// Forget drops what is known of a version, for one that was replaced under
+// the same name or left the configuration.
+func (b *Book) Forget(version string) {
+	for k := range b.cells {
+		if k.Version == version {
+			delete(b.cells, k)
+		}
+	}
+}
+
+func (c *cell) rate(d Delta, s Settings, now time.Time) {
+	fade := c.fade(s, now)
+	c.good = c.good*fade + float64(d.Good)
+	c.bad = c.bad*fade + float64(d.Bad)
+	f := shrink(c.good+c.bad, s.Window)
+	c.good *= f
+	c.bad *= f
+	c.rated = later(c.rated, now)
+}
+
+// fade returns the weight left to the ratings after the time without one.
+func (c *cell) fade(s Settings, now time.Time) float64 {
+	if c.rated.IsZero() || !now.After(c.rated) {
+		return 1
+	}
+	return math.Exp2(-float64(now.Sub(c.rated)) / float64(s.HalfLife))
+}
+
+func (c *cell) draft(d Delta, s Settings) {
+	c.kept += float64(d.Kept)
+	c.escalated += float64(d.Escalated)
+	f := shrink(c.kept+c.escalated, s.Window)
+	c.kept *= f
+	c.escalated *= f
+}
+
+func (c *cell) answer(d Delta, s Settings) {
+	c.answers += float64(d.Answers)
+	c.outputTokens += float64(d.OutputTokens)
+	c.latency += d.LatencyMs
+	c.latencySq += d.LatencySqMs
+	f := shrink(c.answers, s.AnswerWindow)
+	c.answers *= f
+	c.outputTokens *= f
+	c.latency *= f
+	c.latencySq *= f
+}
+
+// shrink returns the factor that brings n down to the window.
+func shrink(n, window float64) float64 {
+	if n <= window {
+		return 1
+	}
+	return window / n
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/quality/delta.go
@@ -0,0 +1,87 @@
+package quality
+
+import (
+	"strings"
+	"time"
+)
+
+// Key names what an estimate is about. Classes must come from the
+// configuration, so that callers cannot make the state grow.
+type Key struct {
+	// Class of the request, "" for requests of no configured class.
+	Class string
+	// Via is the chain of versions in which the answer was made, or "" for
+	// an answer by the version alone. Answers that a cascade keeps or hands
+	// on are not like the version's other answers, so they count apart.
+	Via string
+	// Version is "model@version".
+	Version string
+}
+
+// viaSeparator stands between class and chain in a sample's class.
+const viaSeparator = "|"
+
+// SampleClass returns the class under which an answer is handed to the rating
+// service, so that its rating finds the way back to the key.
+func (k Key) SampleClass() string {
+	if k.Via == "" {
+		return k.Class
+	}
+	return k.Class + viaSeparator + k.Via
+}
+
+// ParseKey is the reverse of SampleClass.
+func ParseKey(sampleClass, version string) Key {
+	class, via, _ := strings.Cut(sampleClass, viaSeparator)
+	return Key{Class: class, Via: via, Version: version}
+}
+
+// Delta is what was seen of one key since the last delta. The zero value is
+// nothing seen.
+type Delta struct {
+	// Good and Bad count ratings.
+	Good, Bad uint32
+	// Kept and Escalated count drafts of a step that was not the last.
+	Kept, Escalated uint32
+	// Answers counts the answers behind the sums below.
+	Answers uint32
+	// OutputTokens is a sum.
+	OutputTokens uint64
+	// LatencyMs and LatencySqMs are the sum of the latencies in
+	// milliseconds and the sum of their squares.
+	LatencyMs, LatencySqMs float64
+}
+
+// Add merges another delta of the same key.
+func (d *Delta) Add(o Delta) {
+	d.Good += o.Good
+	d.Bad += o.Bad
+	d.Kept += o.Kept
+	d.Escalated += o.Escalated
+	d.Answers += o.Answers
+	d.OutputTokens += o.OutputTokens
+	d.LatencyMs += o.LatencyMs
+	d.LatencySqMs += o.LatencySqMs
+}
+
+// Rated returns the delta of one rating.
+func Rated(good bool) Delta {
+	if good {
+		return Delta{Good: 1}
+	}
+	return Delta{Bad: 1}
+}
+
+// Answered returns the delta of one answer.
+func Answered(latency time.Duration, outputTokens uint64) Delta {
+	ms := float64(latency) / float64(time.Millisecond)
+	return Delta{Answers: 1, OutputTokens: outputTokens, LatencyMs: ms, LatencySqMs: ms * ms}
+}
+
+// Drafted returns the delta of one draft of a step that was not the last.
+func Drafted(escalated bool) Delta {
+	if escalated {
+		return Delta{Escalated: 1}
+	}
+	return Delta{Kept: 1}
+}
--- /dev/null
+++ b/internal/quality/quality_test.go
@@ -0,0 +1,89 @@
+package quality
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestWilsonCoversTheTrueShare(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	const runs, n, share = 4000, 200, 0.95
+	below := 0
+	for range runs {
+		good := 0.0
+		for range n {
+			if rnd.Float64() < share {
+				good++
+			}
+		}
+		if low, _ := Wilson(good, n, DefaultZ); low > share {
+			below++
+		}
+	}
+	if rate := float64(below) / runs; rate > 0.06 {
+		t.Errorf("the lower bound was above the true share in %.3f of the runs, want about 0.05", rate)
+	}
+	if low, high := Wilson(0, 0, DefaultZ); low != 0 || high != 1 {
+		t.Errorf("without trials the bounds are %v and %v", low, high)
+	}
+}
+
+func TestDeltasMergeInAnyOrder(t *testing.T) {
+	k := Key{Class: "tag", Via: "auto", Version: "small@1"}
+	deltas := []Delta{
+		Rated(true), Rated(false), Drafted(true), Drafted(false), Drafted(false),
+		Answered(time.Second, 10), Answered(3*time.Second, 30),
+	}
+	one, merged := NewBook(Settings{}), NewBook(Settings{})
+	var sum Delta
+	for i := range deltas {
+		one.Add(k, deltas[i], epoch)
+		sum.Add(deltas[len(deltas)-1-i])
+	}
+	merged.Add(k, sum, epoch)
+	a, _ := one.View(epoch).Get(k)
+	b, _ := merged.View(epoch).Get(k)
+	if a != b {
+		t.Errorf("one by one %+v, merged %+v", a, b)
+	}
+	if a.Mean != 0.5 || math.Abs(a.Escalation-1.0/3) > 1e-9 || a.OutputTokens != 20 || a.Latency != 2*time.Second {
+		t.Errorf("estimate is %+v", a)
+	}
+	if got := ParseKey(k.SampleClass(), k.Version); got != k {
+		t.Errorf("the key came back as %+v", got)
+	}
+}
+
+func TestBoundsWidenWhileRatingsAreAway(t *testing.T) {
+	b := NewBook(Settings{})
+	k := Key{Version: "small@1"}
+	b.Add(k, Delta{Good: 190, Bad: 10}, epoch)
+	last, _ := b.View(epoch).Get(k)
+	for hours := 12; hours <= 24*28; hours += 12 {
+		e, _ := b.View(epoch.Add(time.Duration(hours) * time.Hour)).Get(k)
+		if e.Low >= last.Low || e.High <= last.High || math.Abs(e.Mean-0.95) > 1e-9 {
+			t.Fatalf("after %d h the estimate went from %+v to %+v", hours, last, e)
+		}
+		last = e
+	}
+	if b.View(epoch.Add(time.Hour)).Fresh() {
+		t.Error("a rating service away for an hour counts as fresh")
+	}
+}
+
+func TestAVersionThatChangesIsFollowed(t *testing.T) {
+	b := NewBook(Settings{Window: 500})
+	k := Key{Version: "small@1"}
+	b.Add(k, Delta{Good: 5000, Bad: 5000}, epoch)
+	for range 1500 {
+		b.Add(k, Rated(true), epoch)
+	}
+	e, _ := b.View(epoch).Get(k)
+	if e.Ratings > 500 || e.Low < 0.95 {
+		t.Errorf("after three windows of good ratings the estimate is %+v", e)
+	}
+}
--- /dev/null
+++ b/internal/quality/view.go
@@ -0,0 +1,114 @@
+package quality
+
+import (
+	"math"
+	"time"
+)
+
+// Estimate is what is known of one key at the time of a View.
+type Estimate struct {
+	// Ratings is the weight of the ratings behind the bounds.
+	Ratings float64
+	// Mean is the share of good ratings; Low and High are its bounds, and
+	// Strict is a lower bound with more confidence. Without ratings Mean
+	// is 0, Low and Strict are 0 and High is 1.
+	Mean, Low, High, Strict float64
+	// Drafts is the weight behind Escalation, the share of drafts that were
+	// handed on to the next step.
+	Drafts, Escalation float64
+	// Answers is the weight behind the means below.
+	Answers float64
+	// OutputTokens is the mean per answer.
+	OutputTokens float64
+	// Latency is the mean, and LatencyHigh the mean and two standard
+	// deviations.
+	Latency, LatencyHigh time.Duration
+}
+
+// ClassEstimate is the mean over all versions that answer a class.
+type ClassEstimate struct {
+	Answers      float64
+	OutputTokens float64
+	Latency      time.Duration
+}
+
+// View is an immutable reading of a Book. It is shared without locks.
+type View struct {
+	estimates map[Key]Estimate
+	classes   map[string]ClassEstimate
+	fresh     bool
+}
+
+// EmptyView is the view before anything was seen.
+var EmptyView = &View{}
+
+// View reads the book at the time now.
+func (b *Book) View(now time.Time) *View {
+	v := &View{
+		estimates: make(map[Key]Estimate, len(b.cells)),
+		classes:   map[string]ClassEstimate{},
+	}
+	sums := map[string]*cell{}
+	for k, c := range b.cells {
+		v.estimates[k] = c.estimate(b.set, now)
+		sum, ok := sums[k.Class]
+		if !ok {
+			sum = &cell{}
+			sums[k.Class] = sum
+		}
+		sum.answers += c.answers
+		sum.outputTokens += c.outputTokens
+		sum.latency += c.latency
+	}
+	for class, c := range sums {
+		e := c.estimate(b.set, now)
+		v.classes[class] = ClassEstimate{Answers: e.Answers, OutputTokens: e.OutputTokens, Latency: e.Latency}
+	}
+	v.fresh = b.newest.IsZero() || now.Sub(b.newest) <= b.set.Fresh
+	return v
+}
+
+// Get returns the estimate of a key.
+func (v *View) Get(k Key) (Estimate, bool) {
+	e, ok := v.estimates[k]
+	return e, ok
+}
+
+// Class returns the means of a class; zero when no answer was seen.
+func (v *View) Class(class string) ClassEstimate { return v.classes[class] }
+
+// Fresh reports whether ratings keep coming. It is true before the first
+// rating, so that a first start can learn.
+func (v *View) Fresh() bool { return v.estimates == nil || v.fresh }
+
+// Len returns the number of keys.
+func (v *View) Len() int { return len(v.estimates) }
+
+func (c *cell) estimate(s Settings, now time.Time) Estimate {
+	e := Estimate{High: 1}
+	fade := c.fade(s, now)
+	good, n := c.good*fade, (c.good+c.bad)*fade
+	if n > 0 {
+		e.Ratings = n
+		e.Mean = good / n
+		e.Low, e.High = Wilson(good, n, s.Z)
+		e.Strict, _ = Wilson(good, n, s.StrictZ)
+	}
+	if drafts := c.kept + c.escalated; drafts > 0 {
+		e.Drafts = drafts
+		e.Escalation = c.escalated / drafts
+	}
+	if c.answers > 0 {
+		e.Answers = c.answers
+		e.OutputTokens = c.outputTokens / c.answers
+		mean := c.latency / c.answers
+		deviation := math.Sqrt(max(0, c.latencySq/c.answers-mean*mean))
+		e.Latency = millis(mean)
+		e.LatencyHigh = millis(mean + 2*deviation)
+	}
+	return e
+}
+
+func millis(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,356 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// Plan chooses the steps for a request. rnd is a random number of 64 bits.
+//
+// It fails with UnknownModel when the target does not exist, ModelNotAllowed
+// when the organisation may use nothing that could answer, VersionWithdrawn or
+// VersionDraining when all it may use takes no new work, and NoUpstream when
+// the rest is in Without. A session fails with VersionWithdrawn rather than
+// move to another version. All of these are "not run".
+func (p *Planner) Plan(req Request, now time.Time, rnd uint64) (Plan, error) {
+	org, ok := p.organisations[req.Organisation]
+	if !ok {
+		return Plan{}, result.New(result.ModelNotAllowed, "organisation %q is not known", req.Organisation)
+	}
+	r, row := p.rule(org, req.Class)
+	plan := newPlan(&req, r, now)
+	if row != otherClass {
+		plan.Class = req.Class
+	}
+	if req.Session != "" {
+		return p.planSession(&req, org, plan)
+	}
+	options, ok := p.targets[req.Target]
+	if !ok {
+		return Plan{}, result.New(result.UnknownModel, "no model, version or cascade is named %q", req.Target)
+	}
+	if r != nil && len(r.options) > 0 {
+		options = r.options
+	}
+	c := chooser{
+		scoring:   p.newScoring(&req, row),
+		req:       &req,
+		org:       org,
+		objective: plan.Objective,
+		left:      timeLeft(plan.Deadline, now),
+		best:      -1,
+		try:       -1,
+		held:      -1,
+	}
+	if r != nil {
+		c.target = r.target
+	}
+	for i := range options {
+		c.consider(options, i)
+	}
+	if c.best < 0 {
+		return Plan{}, c.refusal()
+	}
+	c.finish(&plan, options, rnd)
+	return plan, nil
+}
+
+// rule returns the rule for the class, if any, and the row of its estimates.
+func (p *Planner) rule(org *organisation, name string) (r *rule, row int) {
+	c, known := p.classes[name]
+	if !known {
+		return nil, otherClass
+	}
+	if own := org.rules[name]; own != nil {
+		return own, c.index
+	}
+	return c.rule, c.index
+}
+
+func newPlan(req *Request, r *rule, now time.Time) Plan {
+	plan := Plan{Deadline: req.Deadline, Objective: catalog.ObjectiveCost}
+	if r == nil {
+		return plan
+	}
+	plan.Objective = r.objective
+	if r.deadline == 0 {
+		return plan
+	}
+	limit := now.Add(r.deadline)
+	if plan.Deadline.IsZero() || limit.Before(plan.Deadline) {
+		plan.Deadline = limit
+	}
+	return plan
+}
+
+func timeLeft(deadline, now time.Time) time.Duration {
+	if deadline.IsZero() {
+		return math.MaxInt64
+	}
+	return deadline.Sub(now)
+}
+
+// planSession keeps the session on its version or refuses it.
+func (p *Planner) planSession(req *Request, org *organisation, plan Plan) (Plan, error) {
+	i, ok := p.index[req.Session]
+	if !ok || p.versions[i].state == catalog.VersionWithdrawn {
+		return Plan{}, result.New(result.VersionWithdrawn, "version %q of the session is withdrawn", req.Session)
+	}
+	if !org.allowed[i] {
+		return Plan{}, result.New(result.ModelNotAllowed, "version %q is not allowed to organisation %q", req.Session, req.Organisation)
+	}
+	if slices.Contains(req.Without, req.Session) {
+		return Plan{}, result.New(result.NoUpstream, "version %q of the session cannot take work now", req.Session)
+	}
+	plan.Chain = single(&p.versions[i])
+	return plan, nil
+}
+
+func single(v *version) Chain {
+	c := Chain{count: 1}
+	c.steps[0] = Step{Version: v.name, RollingOut: v.reserved}
+	return c
+}
+
+// refused is the set of reasons why versions were passed over.
+type refused uint8
+
+const (
+	refusedState refused = 1 << iota
+	refusedDraining
+	refusedNow
+)
+
+// chooser goes through the options of one request.
+type chooser struct {
+	scoring
+	req       *Request
+	org       *organisation
+	objective string
+	// target is the rule's quality target, or 0 for the option's own.
+	target float64
+	left   time.Duration
+
+	best       int
+	bestScore  score
+	bestRank   int
+	bestFilled [MaxSteps]candidate
+	bestTarget float64
+
+	try       int
+	tryScore  score
+	tryFilled [MaxSteps]candidate
+	// tryKnown is set when the ratings say that the try misses the target.
+	tryKnown bool
+
+	// held is a version passed over because it is held back, or -1.
+	held int
+
+	reasons refused
+}
+
+// The ranks of an option, the best first.
+const (
+	rankMeets = iota
+	rankSecond
+	rankThird
+	rankLast
+)
+
+// rank weighs quality and deadline. With the latency objective an answer in
+// time goes before a likelier good one.
+func rank(meets, inTime bool, objective string) int {
+	switch {
+	case meets && inTime:
+		return rankMeets
+	case !meets && !inTime:
+		return rankLast
+	case inTime == (objective == catalog.ObjectiveLatency):
+		return rankSecond
+	}
+	return rankThird
+}
+
+// consider scores option i and keeps it when it is the best so far.
+func (c *chooser) consider(options []option, i int) {
+	o := &options[i]
+	var filled [MaxSteps]candidate
+	if !c.fill(o, &filled) {
+		return
+	}
+	sc := c.score(o, &filled)
+	target := orDefault(c.target, o.target)
+	meets := sc.bound(c.objective) >= target
+	r := rank(meets, sc.slow <= c.left, c.objective)
+	if c.beats(&sc, r, meets) {
+		c.best, c.bestScore, c.bestRank = i, sc, r
+		c.bestFilled, c.bestTarget = filled, target
+	}
+	if !meets && sc.slow <= c.left {
+		c.considerTry(&sc, i, &filled, target)
+	}
+}
+
+func (c *chooser) beats(sc *score, r int, meets bool) bool {
+	if c.best < 0 || r != c.bestRank {
+		return c.best < 0 || r < c.bestRank
+	}
+	if meets {
+		return better(sc, &c.bestScore, c.objective)
+	}
+	return likelier(sc, &c.bestScore)
+}
+
+// considerTry keeps the option that is most worth learning about: the
+// cheapest that may meet the target, before one that seems to miss it.
+func (c *chooser) considerTry(sc *score, i int, filled *[MaxSteps]candidate, target float64) {
+	known := sc.high < target
+	if c.try >= 0 && known != c.tryKnown {
+		if known {
+			return
+		}
+	} else if c.try >= 0 && !better(sc, &c.tryScore, c.objective) {
+		return
+	}
+	c.try, c.tryScore, c.tryFilled, c.tryKnown = i, *sc, *filled, known
+}
+
+// fill picks a candidate for each stage and reports whether there is one.
+func (c *chooser) fill(o *option, filled *[MaxSteps]candidate) bool {
+	for i := range o.stages {
+		best, ok := c.pick(o.stages[i].candidates, o.named)
+		if !ok {
+			return false
+		}
+		filled[i] = best
+	}
+	return true
+}
+
+// pick returns the usable candidate with the best known quality.
+func (c *chooser) pick(candidates []candidate, named bool) (best candidate, ok bool) {
+	low := -1.0
+	for _, cd := range candidates {
+		if !c.usable(cd.version, named) {
+			continue
+		}
+		if e := &c.row[cd.slot]; e.Low > low {
+			best, low, ok = cd, e.Low, true
+		}
+	}
+	return best, ok
+}
+
+func (c *chooser) usable(i int, named bool) bool {
+	v := &c.planner.versions[i]
+	if !c.org.allowed[i] || (v.reserved && !named) {
+		return false
+	}
+	if v.state != catalog.VersionActive {
+		c.reasons |= refusedState
+		if v.state == catalog.VersionDraining {
+			c.reasons |= refusedDraining
+		}
+		return false
+	}
+	if slices.Contains(c.req.Held, v.name) {
+		c.held = i
+		c.reasons |= refusedNow
+		return false
+	}
+	if slices.Contains(c.req.Without, v.name) {
+		c.reasons |= refusedNow
+		return false
+	}
+	return true
+}
+
+func (c *chooser) refusal() error {
+	target := c.req.Target
+	switch {
+	case c.reasons&refusedNow != 0:
+		return result.New(result.NoUpstream, "no version for %q can take work now", target)
+	case c.reasons&refusedDraining != 0:
+		return result.New(result.VersionDraining, "every allowed version for %q is draining or withdrawn", target)
+	case c.reasons&refusedState != 0:
+		return result.New(result.VersionWithdrawn, "every allowed version for %q is withdrawn", target)
+	}
+	return result.New(result.ModelNotAllowed, "organisation %q may use no version for %q", c.req.Organisation, target)
+}
+
+// finish writes the choice, or the try in its place, into the plan.
+func (c *chooser) finish(plan *Plan, options []option, rnd uint64) {
+	plan.Target = c.bestTarget
+	plan.Cost, plan.Latency = c.bestScore.cost, c.bestScore.latency
+	plan.Chain = c.chain(&options[c.best], &c.bestFilled)
+	if c.explores(rnd) {
+		c.explore(plan, &options[c.try])
+	}
+	if c.held >= 0 && c.mayShadow() && fraction(rnd) < c.planner.settings.ShadowHeld {
+		plan.Shadow = single(&c.planner.versions[c.held])
+	}
+}
+
+// explore puts the try beside the choice, or in its place.
+func (c *chooser) explore(plan *Plan, o *option) {
+	chain := c.chain(o, &c.tryFilled)
+	plan.Exploring = true
+	if c.objective == catalog.ObjectiveExposure {
+		plan.Shadow = chain
+		return
+	}
+	plan.Chain = chain
+	plan.Cost, plan.Latency = c.tryScore.cost, c.tryScore.latency
+}
+
+func (c *chooser) chain(o *option, filled *[MaxSteps]candidate) Chain {
+	out := Chain{Via: o.via, count: len(o.stages)}
+	for i := range o.stages {
+		out.steps[i] = c.step(filled[i].version, o)
+		if i < out.count-1 {
+			out.steps[i].Escalate = o.stages[i].escalate
+		}
+	}
+	return out
+}
+
+// mayShadow reports whether a request may be tried beside, which needs a
+// rating service that answers.
+func (c *chooser) mayShadow() bool {
+	return c.planner.settings.Shadow && c.planner.estimates.fresh
+}
+
+// explores draws whether the request is spent on the try.
+func (c *chooser) explores(rnd uint64) bool {
+	if c.try < 0 || c.try == c.best || !c.planner.estimates.fresh {
+		return false
+	}
+	if c.objective == catalog.ObjectiveExposure && !c.mayShadow() {
+		return false
+	}
+	if !better(&c.tryScore, &c.bestScore, c.objective) {
+		return false
+	}
+	rate := c.planner.settings.ExploreCold
+	if c.tryKnown {
+		rate = c.planner.settings.ExploreKnown
+	}
+	return fraction(rnd) < rate
+}
+
+// step applies the roll-out, if any, to a version.
+func (c *chooser) step(i int, o *option) Step {
+	v := &c.planner.versions[i]
+	if v.next < 0 || o.named || fraction(c.req.Sticky) >= v.share || !c.usable(v.next, true) {
+		return Step{Version: v.name, RollingOut: v.reserved}
+	}
+	next := &c.planner.versions[v.next]
+	return Step{Version: next.name, RollingOut: next.reserved}
+}
+
+// fraction maps a random number to 0 <= x < 1.
+func fraction(rnd uint64) float64 { return float64(rnd>>11) / (1 << 53) }
