Admit, queue and refuse requests before anything is dispatched

Cause: neither entry nor agent bounds what it takes on. Refusals advise when to come back from the measured drain rate.

--- /dev/null
+++ b/internal/admission/fair.go
@@ -0,0 +1,204 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+)
+
+// fairQueue is start-time fair queueing over the organisations: each is
+// served in proportion to its weight times that of its priority class,
+// counted in tokens asked for.
+type fairQueue struct {
+	flows map[flowKey]*flow
+	// backlog lists the flows with a queue.
+	backlog []*flow
+	// virtual is the start tag of the last request dispatched.
+	virtual float64
+	orgs    map[string]*organisation
+}
+
+// flowKey names a flow: an organisation's requests of one priority class.
+type flowKey struct {
+	organisation string
+	priority     int
+}
+
+// organisation is what the configuration says about one, and its rates over
+// all classes.
+type organisation struct {
+	weight        float64
+	inFlightLimit int
+	rates         *rates
+}
+
+// flow is the running and waiting requests of one organisation and class.
+type flow struct {
+	*organisation
+	key    flowKey
+	name   string
+	weight float64
+	queue  []*waiter
+	// finish is the finish tag of the last request dispatched.
+	finish  float64
+	running int
+	runTime runTime
+}
+
+func newFairQueue() fairQueue {
+	return fairQueue{flows: map[flowKey]*flow{}, orgs: map[string]*organisation{}}
+}
+
+// configure replaces the organisations. Rates of those that stay keep what
+// they have spent.
+func (q *fairQueue) configure(
+	orgs map[string]*catalog.Organisation, weightsOnly bool, share float64, now time.Time,
+) {
+	next := make(map[string]*organisation, len(orgs))
+	for name, o := range orgs {
+		old, ok := q.orgs[name]
+		if !ok {
+			old = &organisation{rates: newRates()}
+		}
+		old.weight = weightOf(o)
+		limits := o.Limits
+		if weightsOnly {
+			limits = catalog.Limits{}
+		}
+		old.inFlightLimit = shareOfCount(limits.InFlight, share)
+		old.rates.set(limits, share, now)
+		next[name] = old
+	}
+	q.orgs = next
+	for key, f := range q.flows {
+		f.organisation = q.organisationOf(key.organisation)
+		f.weight = f.organisation.weight * classWeight(key.priority)
+		q.dropIdle(f)
+	}
+}
+
+// shareOfCount returns the entry's part of a count, at least one.
+func shareOfCount(limit int, share float64) int {
+	if limit == 0 {
+		return 0
+	}
+	return max(1, int(math.Ceil(float64(limit)*share)))
+}
+
+func (q *fairQueue) organisationOf(name string) *organisation {
+	if o, ok := q.orgs[name]; ok {
+		return o
+	}
+	return &organisation{weight: catalog.DefaultWeight, rates: newRates()}
+}
+
+// flow returns the flow of the organisation and class, made when missing.
+func (q *fairQueue) flow(name string, priority int) *flow {
+	key := flowKey{name, priority}
+	if f, ok := q.flows[key]; ok {
+		return f
+	}
+	o := q.organisationOf(name)
+	f := &flow{organisation: o, key: key, name: name, weight: o.weight * classWeight(priority)}
+	q.flows[key] = f
+	return f
+}
+
+// dropIdle forgets an idle flow of an organisation that is not configured, so
+// that the flows stay bounded.
+func (q *fairQueue) dropIdle(f *flow) {
+	if _, known := q.orgs[f.name]; !known && f.running == 0 && len(f.queue) == 0 {
+		delete(q.flows, f.key)
+	}
+}
+
+func (q *fairQueue) push(w *waiter) {
+	if len(w.flow.queue) == 0 {
+		q.backlog = append(q.backlog, w.flow)
+	}
+	w.flow.queue = append(w.flow.queue, w)
+}
+
+// start is the start tag of the flow's next request.
+func (q *fairQueue) start(f *flow) float64 { return max(q.virtual, f.finish) }
+
+// pick returns the waiter with the least start tag; on a tie the one that
+// came first.
+func (q *fairQueue) pick() *waiter {
+	var best *flow
+	for _, f := range q.backlog {
+		if best == nil || q.before(f, best) {
+			best = f
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.queue[0]
+}
+
+func (q *fairQueue) before(a, b *flow) bool {
+	if sa, sb := q.start(a), q.start(b); sa != sb {
+		return sa < sb
+	}
+	if a.weight != b.weight {
+		return a.weight > b.weight
+	}
+	return a.queue[0].ticket < b.queue[0].ticket
+}
+
+// dispatched takes the waiter off its queue and advances the tags.
+func (q *fairQueue) dispatched(w *waiter) {
+	f := w.flow
+	q.virtual = q.start(f)
+	f.finish = q.virtual + w.cost/f.weight
+	q.remove(w)
+}
+
+func (q *fairQueue) remove(w *waiter) {
+	f := w.flow
+	i := slices.Index(f.queue, w)
+	if i < 0 {
+		return
+	}
+	f.queue = slices.Delete(f.queue, i, i+1)
+	if len(f.queue) == 0 {
+		q.backlog = slices.DeleteFunc(q.backlog, func(o *flow) bool { return o == f })
+	}
+}
+
+// all returns every waiter, in no order that matters.
+func (q *fairQueue) all() []*waiter {
+	var out []*waiter
+	for _, f := range q.backlog {
+		out = append(out, f.queue...)
+	}
+	return out
+}
+
+// overShare returns the newest waiter of the flow whose queue is the longest
+// for its weight, the one to refuse when the queue is full.
+func (q *fairQueue) overShare() *waiter {
+	var worst *flow
+	for _, f := range q.backlog {
+		if worst == nil || float64(len(f.queue))/f.weight > float64(len(worst.queue))/worst.weight {
+			worst = f
+		}
+	}
+	return worst.queue[len(worst.queue)-1]
+}
+
+// shareOf is the part of the whole rate that the flow gets while every flow
+// with a queue keeps one.
+func (q *fairQueue) shareOf(f *flow) float64 {
+	total := 0.0
+	if len(f.queue) == 0 {
+		total = f.weight
+	}
+	for _, o := range q.backlog {
+		total += o.weight
+	}
+	return f.weight / total
+}
--- a/internal/retry/drain.go
+++ b/internal/retry/drain.go
@@ -64,3 +64,6 @@
 	after += time.Duration(rnd * adviceSpread * float64(after))
 	return min(after, maxAdvice)
 }
+
+// PerSecond returns the smoothed rate; 0 while nothing was measured.
+func (d *Drain) PerSecond() float64 { return d.perSecond }
