--- /dev/null
+++ b/internal/link/http.go
@@ -0,0 +1,86 @@
+package link
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Waits and sizes of the HTTP connections.
+const (
+	dialTimeout    = 500 * time.Millisecond
+	keepAlivePause = 15 * time.Second
+	// clientIdle is less than serverIdle, so that the server seldom closes a
+	// connection that the client is about to use.
+	clientIdle        = 45 * time.Second
+	serverIdle        = 2 * time.Minute
+	headerTimeout     = 5 * time.Second
+	idlePerAgent      = 256
+	connectionBuffer  = 4 << 10
+	maxHeaderBytes    = 16 << 10
+	tlsHandshakeLimit = time.Second
+)
+
+// NewHTTPServer returns a server for the handler that speaks HTTP/1.1 only,
+// with mutual TLS when the configuration asks for it. Start it with Serve, or
+// with ServeTLS and empty names when tlsConfig is not nil.
+func NewHTTPServer(h http.Handler, tlsConfig *tls.Config) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       serverIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         new(http.Protocols),
+	}
+	s.Protocols.SetHTTP1(true)
+	return s
+}
+
+// Serve runs the server on the listener, with TLS when it is configured. It
+// returns nil after Shutdown.
+func Serve(s *http.Server, ln net.Listener) error {
+	err := serveOn(s, ln)
+	if err == http.ErrServerClosed { //nolint:errorlint // net/http returns it unwrapped.
+		return nil
+	}
+	return err
+}
+
+func serveOn(s *http.Server, ln net.Listener) error {
+	if s.TLSConfig != nil {
+		return s.ServeTLS(ln, "", "")
+	}
+	return s.Serve(ln)
+}
+
+// newTransport returns a transport to one agent.
+func newTransport(tlsConfig *tls.Config, pooled bool) *http.Transport {
+	t := &http.Transport{
+		DialContext:           dial,
+		TLSHandshakeTimeout:   tlsHandshakeLimit,
+		DisableCompression:    true,
+		DisableKeepAlives:     !pooled,
+		MaxIdleConnsPerHost:   idlePerAgent,
+		IdleConnTimeout:       clientIdle,
+		ReadBufferSize:        connectionBuffer,
+		WriteBufferSize:       connectionBuffer,
+		ExpectContinueTimeout: time.Second,
+		Protocols:             new(http.Protocols),
+	}
+	if tlsConfig != nil {
+		t.TLSClientConfig = tlsConfig.Clone()
+	}
+	t.Protocols.SetHTTP1(true)
+	return t
+}
+
+// httpClient makes requests without redirects, cookies or a timeout of its
+// own: connect-go needs no more than the transport.
+type httpClient struct{ transport *http.Transport }
+
+// Do implements connect.HTTPClient.
+func (c httpClient) Do(r *http.Request) (*http.Response, error) {
+	return c.transport.RoundTrip(r)
+}
