Add the caller API

A slow body kept a connection for good while the server read the rest of a refused request; the read bound now stays on it.

--- /dev/null
+++ b/internal/callerapi/handler.go
@@ -0,0 +1,359 @@
+package callerapi
+
+import (
+	"context"
+	"io"
+	"mime"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/settings"
+	"tarragonbay.example/tarragonbay/internal/telemetry"
+)
+
+// Options are what a handler needs.
+type Options struct {
+	Router Router
+	// Set returns the configuration in force, or nil before the first.
+	Set      func() *catalog.Set
+	Limits   settings.Limits
+	Timeouts settings.Timeouts
+	// Metrics and Log may be nil.
+	Metrics *telemetry.Metrics
+	Log     *zap.Logger
+	// Now and NewID may be nil for the system clock and random IDs.
+	Now   func() time.Time
+	NewID func() string
+}
+
+// handler serves callers. All of its methods are safe for concurrent use.
+type handler struct {
+	Options
+	index   indexCache
+	running atomic.Int64
+	// bodyBytes is the memory that request bodies hold now.
+	bodyBytes atomic.Int64
+
+	requests metrics.Counter
+	failures metrics.Counter
+	duration *telemetry.Timer
+}
+
+// part is the name in logs and metrics.
+const part = "callerapi"
+
+// fullRetry is the advice to a caller when every place is taken.
+const fullRetry = time.Second
+
+// NewHandler returns the handler for callers.
+func NewHandler(o Options) http.Handler {
+	if o.Metrics == nil {
+		o.Metrics = telemetry.NewMetrics()
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.NewID == nil {
+		o.NewID = uuid.NewString
+	}
+	h := &handler{
+		Options:  o,
+		requests: o.Metrics.Counter(part, "requests"),
+		failures: o.Metrics.Counter(part, "failures"),
+		duration: o.Metrics.Timer(part, "request"),
+	}
+	o.Metrics.GaugeFunc(part, "requests_running", h.running.Load)
+	o.Metrics.GaugeFunc(part, "body_bytes", h.bodyBytes.Load)
+	return h
+}
+
+// request is one request on its way through the handler.
+type request struct {
+	*http.Request
+	w *writer
+	// callerID is the ID that the caller sent and gets back; id is the
+	// product's own, which no two requests share.
+	callerID string
+	id       string
+
+	org   string
+	index *index
+	// reserved is the share of the handler's bodyBytes held by this request.
+	reserved int64
+}
+
+// ServeHTTP serves one request.
+func (h *handler) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	began := h.Now()
+	h.requests.Inc(1)
+	defer func() { h.duration.Observe(h.Now().Sub(began)) }()
+	w := &writer{ResponseWriter: rw, ctl: http.NewResponseController(rw), timeout: h.Timeouts.Write, now: h.Now}
+	req := &request{Request: r, w: w}
+	defer h.recoverPanic(req)
+	h.boundReading(w)
+	if e := h.serve(req); e != nil {
+		h.fail(req, e)
+	}
+}
+
+// recoverPanic turns a panic into an error for the caller, when the answer has
+// not begun, and keeps the process.
+func (h *handler) recoverPanic(req *request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	h.Log.Error("Request panicked.", zap.String("request", req.id), zap.Any("panic", v), zap.Stack("stack"))
+	h.failures.Inc(1)
+	if req.w.Header().Get("Content-Type") != "" {
+		panic(http.ErrAbortHandler) // cuts the connection, so the answer is not taken for whole
+	}
+	req.w.extend()
+	writeError(req.w, result.New(result.Internal, "internal error"), "", req.callerID)
+}
+
+func (h *handler) fail(req *request, e *fieldError) {
+	h.failures.Inc(1)
+	if e.err.Code == result.Internal {
+		h.Log.Error("Request failed.", zap.String("request", req.id), zap.Error(e.err))
+	}
+	req.w.extend()
+	writeError(req.w, e.err, e.param, req.callerID)
+}
+
+// plain makes a refusal that is about no field.
+func plain(code result.Code, format string, args ...any) *fieldError {
+	return &fieldError{err: result.New(code, format, args...)}
+}
+
+func (h *handler) serve(req *request) *fieldError {
+	if e := h.identify(req); e != nil {
+		return e
+	}
+	if headerSize(req.Header) > h.Limits.HeaderBytes {
+		return plain(result.HeadersTooLarge, "the headers are larger than %d bytes", h.Limits.HeaderBytes)
+	}
+	if n := h.running.Add(1); n > int64(h.Limits.InFlight+h.Limits.QueueLength) {
+		h.running.Add(-1)
+		e := result.New(result.QueueFull, "every place is taken").WithRetryAfter(fullRetry)
+		return &fieldError{err: e}
+	}
+	defer h.running.Add(-1)
+	defer h.releaseBody(req)
+	route, e := h.route(req)
+	if e != nil {
+		return e
+	}
+	if e := h.authenticate(req); e != nil {
+		return e
+	}
+	return route(req)
+}
+
+var requestIDRE = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,64}$`)
+
+// identify gives the request its IDs. The ID that a caller sends is echoed,
+// but callers repeat IDs, so the product's own adds a random part.
+func (h *handler) identify(req *request) *fieldError {
+	req.id = h.NewID()
+	req.callerID = req.id
+	sent := req.Header.Get(headerID)
+	if sent != "" && !requestIDRE.MatchString(sent) {
+		return badField(headerID, "must be 1 to 64 of letters, digits, '.', '_', ':', '-'")
+	}
+	if sent != "" {
+		req.callerID = sent
+		req.id = sent + "~" + req.id
+	}
+	req.w.Header().Set(headerID, req.callerID)
+	return nil
+}
+
+func headerSize(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// Paths of the API.
+const (
+	pathChat     = "/v1/chat/completions"
+	pathModels   = "/v1/models"
+	pathServices = "/services/"
+)
+
+func (h *handler) route(req *request) (func(*request) *fieldError, *fieldError) {
+	path := req.URL.Path
+	switch {
+	case path == pathChat:
+		return h.chat, method(req, http.MethodPost)
+	case path == pathModels:
+		return h.models, method(req, http.MethodGet)
+	case strings.HasPrefix(path, pathModels+"/"):
+		return h.model, method(req, http.MethodGet)
+	case strings.HasPrefix(path, pathServices):
+		return h.service, method(req, http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete)
+	}
+	return nil, plain(result.NoSuchRoute, "the path is not served")
+}
+
+func method(req *request, allowed ...string) *fieldError {
+	for _, m := range allowed {
+		if req.Method == m {
+			return nil
+		}
+	}
+	req.w.Header().Set("Allow", strings.Join(allowed, ", "))
+	return plain(result.MethodNotAllowed, "the path does not take the method %.16q", req.Method)
+}
+
+func (h *handler) authenticate(req *request) *fieldError {
+	set := h.Set()
+	if set == nil {
+		e := result.New(result.NoConfiguration, "no configuration yet").WithRetryAfter(fullRetry)
+		return &fieldError{err: e}
+	}
+	auth := req.Header.Get("Authorization")
+	if auth == "" {
+		return plain(result.MissingKey, "the Authorization header is missing")
+	}
+	scheme, key, _ := strings.Cut(auth, " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return plain(result.WrongKey, "the Authorization header must be \"Bearer KEY\"")
+	}
+	org, _, ok := set.OrganisationByKey(key)
+	if !ok {
+		return plain(result.WrongKey, "the key belongs to no organisation")
+	}
+	req.org = org
+	req.index = h.index.of(set)
+	return nil
+}
+
+// boundReading gives the body its time. The bound stays on a request that is
+// refused, because the server then reads the rest of its body; it is taken off
+// once the body has been read, because the server goes on reading to see
+// whether the caller has left.
+func (h *handler) boundReading(w *writer) {
+	// A recorder in a test has no deadline, and then needs none.
+	_ = w.ctl.SetReadDeadline(h.Now().Add(h.Timeouts.ReadBody))
+}
+
+// readBody reads the body under its size and time limits.
+func (h *handler) readBody(req *request) ([]byte, *fieldError) {
+	limit := h.Limits.BodyBytes
+	if req.ContentLength > limit {
+		return nil, plain(result.BodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if !h.reserveBody(req) {
+		e := result.New(result.QueueFull, "too many bodies are held now").WithRetryAfter(fullRetry)
+		return nil, &fieldError{err: e}
+	}
+	body := http.MaxBytesReader(req.w.ResponseWriter, req.Body, limit)
+	data, err := readSized(body, req.ContentLength)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, plain(result.BodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, plain(result.BadJSON, "the body could not be read to its end")
+	}
+	_ = req.w.ctl.SetReadDeadline(time.Time{}) // as in boundReading
+	return data, nil
+}
+
+// reserveBody takes memory for the body, the most it may have when its size is
+// not told. It reports whether there was enough.
+func (h *handler) reserveBody(req *request) bool {
+	size := req.ContentLength
+	if size < 0 {
+		size = h.Limits.BodyBytes
+	}
+	if h.bodyBytes.Add(size) > h.Limits.BodyMemory {
+		h.bodyBytes.Add(-size)
+		return false
+	}
+	req.reserved = size
+	return true
+}
+
+func (h *handler) releaseBody(req *request) { h.bodyBytes.Add(-req.reserved) }
+
+// readSized reads to the end, in one piece of memory when the size is known.
+func readSized(r io.Reader, size int64) ([]byte, error) {
+	if size < 0 {
+		return io.ReadAll(r)
+	}
+	data := make([]byte, size)
+	_, err := io.ReadFull(r, data)
+	return data, err
+}
+
+func checkContentType(req *request) *fieldError {
+	if enc := req.Header.Get("Content-Encoding"); enc != "" && enc != "identity" {
+		return plain(result.BadContentType, "the content encoding %.32q is not taken", enc)
+	}
+	ct := req.Header.Get("Content-Type")
+	if ct == contentJSON {
+		return nil
+	}
+	media, params, err := mime.ParseMediaType(ct)
+	charset := params["charset"]
+	if err != nil || media != contentJSON || (charset != "" && !strings.EqualFold(charset, "utf-8")) {
+		return plain(result.BadContentType, "the content type must be application/json, not %.64q", ct)
+	}
+	return nil
+}
+
+// deadline returns when the caller stops waiting: what the caller says, else
+// what the rules say of the class, else the setting.
+func (h *handler) deadline(req *request, fallback time.Duration) (time.Time, *fieldError) {
+	d := fallback
+	if v := req.Header.Get(headerLimit); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms < 1 || ms > h.Timeouts.MaxRequest.Milliseconds() {
+			return time.Time{}, badField(headerLimit, "must be a whole number from 1 to %d", h.Timeouts.MaxRequest.Milliseconds())
+		}
+		d = time.Duration(ms) * time.Millisecond
+	}
+	return h.Now().Add(d), nil
+}
+
+// withDeadline bounds the work for a request.
+func withDeadline(req *request, deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(req.Context(), deadline)
+}
+
+// routerError reads an error of the Router. A context that has ended says why
+// when the Router gave no code of its own.
+func routerError(ctx context.Context, err error) *result.Error {
+	var own *result.Error
+	if errors.As(err, &own) {
+		return own
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.Wrap(err, result.DeadlineExceeded, "the deadline passed before the answer was complete")
+	}
+	if ctx.Err() != nil {
+		return result.Wrap(err, result.CallerGone, "the caller went away")
+	}
+	return result.From(err)
+}
--- /dev/null
+++ b/internal/callerapi/server_test.go
@@ -0,0 +1,194 @@
+package callerapi
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/settings"
+)
+
+// pipeListener hands out in-memory connections, whose deadlines run on the
+// virtual clock of a synctest bubble.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial() net.Conn {
+	client, server := net.Pipe()
+	l.conns <- server
+	return client
+}
+
+// serving runs a server around the router until the test's end.
+func serving(t *testing.T, r Router) (ln *pipeListener, stop func() error) {
+	set := testSet(t)
+	s := settings.Default(settings.RoleEntry)
+	h := NewHandler(Options{Router: r, Set: func() *catalog.Set { return set }, Limits: s.Limits, Timeouts: s.Timeouts})
+	ln = newPipeListener()
+	server := newServer(s, h, ln)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	return ln, func() error { cancel(); return <-done }
+}
+
+func rawChat(body string) string {
+	return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-a\r\n" +
+		"Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func TestSlowReaderIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 1)
+		big := strings.Repeat(" ", 64<<10)
+		ln, stop := serving(t, &fakeRouter{chat: func(_ context.Context, _ ChatCall, sink AnswerSink) error {
+			err := sink.Begin(testStart)
+			for err == nil {
+				err = sink.Chunk([]byte(big))
+			}
+			ended <- err
+			return err
+		}})
+		c := ln.dial()
+		if _, err := io.WriteString(c, rawChat(streamBody)); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		if err := <-ended; !result.Is(err, result.CallerGone) {
+			t.Errorf("the router got %v", err)
+		}
+		if took := time.Since(began); took != settings.Default(settings.RoleEntry).Timeouts.Write {
+			t.Errorf("the reader was held for %v", took)
+		}
+		c.Close()
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestSlowBodyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ln, stop := serving(t, &fakeRouter{})
+		c := ln.dial()
+		half := rawChat(goodBody)
+		half = half[:len(half)-10]
+		if _, err := io.WriteString(c, half); err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(res.Body)
+		if e := errorOf(t, string(body)); e.TBCode != result.BadJSON.String() || e.Outcome != "not_run" {
+			t.Errorf("got %+v", e)
+		}
+		c.Close()
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestSlowHeadersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ln, stop := serving(t, &fakeRouter{})
+		c := ln.dial()
+		if _, err := io.WriteString(c, "POST /v1/chat"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(c); err != nil {
+			t.Fatal(err)
+		}
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestCallerThatLeavesEndsTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 1)
+		ln, stop := serving(t, &fakeRouter{chat: func(ctx context.Context, _ ChatCall, _ AnswerSink) error {
+			<-ctx.Done()
+			ended <- context.Cause(ctx)
+			return ctx.Err()
+		}})
+		c := ln.dial()
+		if _, err := io.WriteString(c, rawChat(streamBody)); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		c.Close()
+		if err := <-ended; err != context.Canceled { //nolint:errorlint // the cause itself
+			t.Errorf("got %v", err)
+		}
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestStopLetsARunningRequestFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		ln, stop := serving(t, &fakeRouter{chat: func(ctx context.Context, c ChatCall, sink AnswerSink) error {
+			<-release
+			return answer(`{"id":"c1"}`)(ctx, c, sink)
+		}})
+		c := ln.dial()
+		if _, err := io.WriteString(c, rawChat(goodBody)); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- stop() }()
+		synctest.Wait()
+		close(release)
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(res.Body); string(body) != `{"id":"c1"}` {
+			t.Errorf("got %s", body)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+		c.Close()
+	})
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -159,6 +159,9 @@
 func (c *checker) limits() {
 	l := c.s.Limits
 	c.positive("limits.bodyBytes", l.BodyBytes)
+	if l.BodyMemory < l.BodyBytes {
+		c.add("limits.bodyMemory", "must not be less than bodyBytes")
+	}
 	c.positive("limits.answerBytes", l.AnswerBytes)
 	c.positive("limits.headerBytes", int64(l.HeaderBytes))
 	c.positive("limits.nestingDepth", int64(l.NestingDepth))
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -39,6 +39,7 @@
 
 var defaultLimits = Limits{
 	BodyBytes:    8 << 20,
+	BodyMemory:   512 << 20,
 	AnswerBytes:  32 << 20,
 	HeaderBytes:  32 << 10,
 	NestingDepth: 64,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,6 +115,7 @@
 // Limits bound what one daemon takes.
 type Limits struct {
 	BodyBytes    int64 `json:"bodyBytes" doc:"Largest request body." unit:"bytes"`
+	BodyMemory   int64 `json:"bodyMemory" doc:"All request bodies held at a time." unit:"bytes"`
 	AnswerBytes  int64 `json:"answerBytes" doc:"Largest unary answer." unit:"bytes"`
 	HeaderBytes  int   `json:"headerBytes" doc:"Largest request header block." unit:"bytes"`
 	NestingDepth int   `json:"nestingDepth" doc:"Deepest nesting of a JSON body." unit:"levels"`
