--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -14,8 +14,9 @@
 // It fails with UnknownModel when the target does not exist, ModelNotAllowed
 // when the organisation may use nothing that could answer, VersionWithdrawn or
 // VersionDraining when all it may use takes no new work, and NoUpstream when
-// the rest is in Without. A session fails with VersionWithdrawn rather than
-// move to another version. All of these are "not run".
+// the rest is in Without or Held. A session never moves to another version: it
+// fails with VersionWithdrawn, or with Quarantined while its version is held.
+// All of these are "not run".
 func (p *Planner) Plan(req Request, now time.Time, rnd uint64) (Plan, error) {
 	org, ok := p.organisations[req.Organisation]
 	if !ok {
@@ -103,6 +104,9 @@
 	if !org.allowed[i] {
 		return Plan{}, result.New(result.ModelNotAllowed, "version %q is not allowed to organisation %q", req.Session, req.Organisation)
 	}
+	if slices.Contains(req.Held, req.Session) {
+		return Plan{}, result.New(result.Quarantined, "version %q of the session is held back on suspicion", req.Session)
+	}
 	if slices.Contains(req.Without, req.Session) {
 		return Plan{}, result.New(result.NoUpstream, "version %q of the session cannot take work now", req.Session)
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -161,6 +161,7 @@
 		{"held", Request{Organisation: "alpha", Target: "large", Held: []catalog.VersionName{"large@1"}}, result.NoUpstream},
 		{"session on a withdrawn version", Request{Organisation: "alpha", Target: "small", Session: "small@1"}, result.VersionWithdrawn},
 		{"session on a version that is not allowed", Request{Organisation: "beta", Target: "small", Session: "small@2"}, result.ModelNotAllowed},
+		{"session on a held version", Request{Organisation: "alpha", Target: "small", Session: "small@2", Held: []catalog.VersionName{"small@2"}}, result.Quarantined},
 		{"session on a draining version", Request{Organisation: "alpha", Target: "small", Session: "small@2"}, result.OK},
 	}
 	for _, tt := range tests {
