--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/httpserver"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
 )
@@ -58,7 +59,7 @@
 	s := settings.Default(settings.RoleEntry)
 	h := NewHandler(Options{Router: r, Set: func() *catalog.Set { return set }, Limits: s.Limits, Timeouts: s.Timeouts})
 	ln = newPipeListener()
-	server := newServer(s, h, ln)
+	server := httpserver.New(serverConfig(s), h, ln)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- server.Run(ctx) }()
--- /dev/null
+++ b/internal/httpserver/httpserver.go
@@ -0,0 +1,102 @@
+// Package httpserver runs the HTTP listeners of a daemon, with the same bounds
+// and the same graceful shutdown for all of them.
+package httpserver
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/net/netutil"
+
+	"tarragonbay.example/tarragonbay/internal/settings"
+	"tarragonbay.example/tarragonbay/internal/tlsfiles"
+)
+
+// Config is what a listener needs.
+type Config struct {
+	// Name is used in errors, such as "callers".
+	Name string
+	// Address is IP:port; port 0 picks a free one.
+	Address string
+	// TLS is the certificate, if any.
+	TLS settings.CallerTLS
+	// Connections that may be open at a time; more wait in the kernel.
+	Connections int
+	// HeaderBytes bounds the headers of a request.
+	HeaderBytes int
+	ReadHeader  time.Duration
+	Idle        time.Duration
+	// Drain is the time that running requests get at the end.
+	Drain time.Duration
+}
+
+// Server is an open listener.
+type Server struct {
+	config   Config
+	http     *http.Server
+	listener net.Listener
+}
+
+// Listen opens the listener; nothing is served before Run. The error is a
+// *result.Error when the certificate cannot be used.
+func Listen(c Config, handler http.Handler) (*Server, error) {
+	var tlsConfig *tls.Config
+	if c.TLS.Enabled() {
+		pair, err := tlsfiles.Load(c.TLS.CertFile, c.TLS.KeyFile)
+		if err != nil {
+			return nil, err
+		}
+		tlsConfig = pair.Server()
+	}
+	ln, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for %s", c.Name)
+	}
+	ln = netutil.LimitListener(ln, c.Connections)
+	if tlsConfig != nil {
+		ln = tls.NewListener(ln, tlsConfig)
+	}
+	return New(c, handler, ln), nil
+}
+
+// New returns a server on a listener that is open already.
+func New(c Config, handler http.Handler, ln net.Listener) *Server {
+	return &Server{
+		config: c,
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: c.ReadHeader,
+			IdleTimeout:       c.Idle,
+			MaxHeaderBytes:    c.HeaderBytes,
+		},
+		listener: ln,
+	}
+}
+
+// Addr returns the address listened on.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Run serves until the context ends, then takes no new connections, lets
+// running requests finish within the drain time, and returns. It returns an
+// error when serving or draining failed.
+func (s *Server) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- s.http.Serve(s.listener) }()
+	select {
+	case err := <-failed:
+		return errors.Annotatef(err, "serve %s", s.config.Name)
+	case <-ctx.Done():
+	}
+	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.config.Drain)
+	defer cancel()
+	err := s.http.Shutdown(drain)
+	if err != nil {
+		_ = s.http.Close() // the drain time has passed
+	}
+	<-failed //nolint:errcheck // it is http.ErrServerClosed
+	return errors.Annotatef(err, "drain %s", s.config.Name)
+}
