--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,224 @@
+// Package agent is the duty of the process beside the upstreams of one host.
+// It is the only way to them: it checks each attempt against its own revision
+// of the configuration, waits for a slot, records the dispatch, calls the
+// upstream and keeps the answer until the entry has it.
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/attempt"
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/link"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/publish"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/telemetry"
+)
+
+// Configuration is the agent's view of the configuration in force. It is
+// implemented by publish.Follower.
+type Configuration interface {
+	Set() (*catalog.Set, uint64)
+	Updates() <-chan publish.State
+	Envelope() *linkv1.Envelope
+	SawEnvelope(e *linkv1.Envelope)
+}
+
+// Charger takes the charge of each attempt that ran. It is implemented by
+// ledger.Charger.
+type Charger interface {
+	// Charge numbers the charge and keeps it until it is durable.
+	Charge(c *linkv1.Charge)
+	// Durable returns the highest number up to which all charges are durable.
+	Durable() uint64
+	// HandIn takes copies of charges made by an agent that died.
+	HandIn(charges []*linkv1.Charge) int
+}
+
+// Orders passes engine orders through the fencing gate.
+type Orders interface {
+	Order(ctx context.Context, req *linkv1.OrderRequest) (*linkv1.OrderResponse, error)
+}
+
+// Watch judges versions on this host. It may be nil.
+type Watch interface {
+	// Admit is asked right before a version's answer is made. It refuses a
+	// version that is quarantined or whose budget of unrated answers is
+	// spent.
+	Admit(version string, now time.Time) error
+	// Ended takes the end of an answer.
+	Ended(end Ended)
+	// Quarantined lists the versions held back on this host.
+	Quarantined() []string
+}
+
+// Ended is the end of one answer, for the Watch.
+type Ended struct {
+	RequestID string
+	Version   string
+	Class     string
+	// Whole is set when the upstream completed the answer.
+	Whole bool
+	// Code of an answer that is not whole.
+	Code result.Code
+	// Prompt and Answer are set for answers that may be handed in for rating.
+	Prompt  []byte
+	Answer  string
+	Latency time.Duration
+	At      time.Time
+}
+
+// Options configure an Agent.
+type Options struct {
+	// Host is the name of this host in the configuration.
+	Host        string
+	Incarnation uint64
+	Config      Configuration
+	Charger     Charger
+	Orders      Orders
+	Watch       Watch
+	Timing      link.Timing
+	Log         *zap.Logger
+	Metrics     *telemetry.Metrics
+	// MaxJobs bounds the attempts that run or wait at a time.
+	MaxJobs int
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+}
+
+// defaultMaxJobs bounds the attempts that run or wait on one host.
+const defaultMaxJobs = 8192
+
+// Agent implements link.Agent. It is safe for concurrent use.
+type Agent struct {
+	host        string
+	incarnation uint64
+	config      Configuration
+	charger     Charger
+	orders      Orders
+	watch       Watch
+	log         *zap.Logger
+	now         func() time.Time
+
+	registry *attempt.Registry
+	logs     *link.Logs
+	hosted   hosted
+	jobs     pond.Pool
+	stopping atomic.Bool
+	// leaving is what the host list says about this host.
+	leaving atomic.Bool
+	metrics counters
+
+	mu sync.Mutex
+	// running holds the cancel function of each attempt that is not over.
+	running map[string]context.CancelFunc
+}
+
+// New returns an agent that knows no upstream until Run has seen a revision.
+func New(o Options) *Agent {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.MaxJobs == 0 {
+		o.MaxJobs = defaultMaxJobs
+	}
+	revision := func() uint64 {
+		_, r := o.Config.Set()
+		return r
+	}
+	a := &Agent{
+		host:        o.Host,
+		incarnation: o.Incarnation,
+		config:      o.Config,
+		charger:     o.Charger,
+		orders:      o.Orders,
+		watch:       o.Watch,
+		log:         o.Log,
+		now:         o.Now,
+		registry:    attempt.NewRegistry(o.Incarnation, attempt.DefaultLimits()),
+		logs:        link.NewLogs(o.Incarnation, revision, o.Timing),
+		jobs:        pond.NewPool(o.MaxJobs),
+		running:     map[string]context.CancelFunc{},
+		metrics:     newCounters(o.Metrics),
+	}
+	a.hosted.init(o.Host, o.Now)
+	return a
+}
+
+// Logs returns the answer logs, for the link handler.
+func (a *Agent) Logs() *link.Logs { return a.logs }
+
+// Run follows the configuration until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	if set, _ := a.config.Set(); set != nil {
+		a.hosted.rebuild(set)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case state := <-a.config.Updates():
+			a.hosted.rebuild(state.Set)
+			a.log.Info("configuration in force", zap.Uint64("revision", state.Revision))
+		}
+	}
+}
+
+// Probe asks the upstreams for their state until ctx ends.
+func (a *Agent) Probe(ctx context.Context) error {
+	tick := time.NewTicker(probeEvery)
+	defer tick.Stop()
+	for {
+		a.hosted.probe(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// SetLeaving takes what the host list says about this host.
+func (a *Agent) SetLeaving(leaving bool) {
+	if a.leaving.Swap(leaving) != leaving {
+		a.log.Info("host list changed", zap.Bool("leaving", leaving))
+	}
+}
+
+// Stop refuses new attempts from now on and waits until those that run are
+// over, or ctx ends. It returns the number that were left.
+func (a *Agent) Stop(ctx context.Context) int {
+	a.stopping.Store(true)
+	a.log.Info("stopping", zap.Int("running", a.Running()))
+	tick := time.NewTicker(drainTick)
+	defer tick.Stop()
+	for a.Running() > 0 || a.logs.Unread() > 0 {
+		select {
+		case <-ctx.Done():
+			return a.Running()
+		case <-tick.C:
+		}
+	}
+	return 0
+}
+
+// Running returns the number of attempts that are not over.
+func (a *Agent) Running() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.running)
+}
+
+// Pauses of the agent's duties.
+const (
+	gateTick   = 200 * time.Millisecond
+	probeEvery = time.Second
+	drainTick  = 20 * time.Millisecond
+)
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/attempt"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// Settle implements link.Agent.
+func (a *Agent) Settle(_ context.Context, req *linkv1.SettleRequest) (*linkv1.SettleResponse, error) {
+	a.config.SawEnvelope(req.GetEnvelope())
+	s := a.registry.Settle(a.now(), attempt.Question{
+		AttemptID:   req.GetAttemptId(),
+		Incarnation: req.GetAgentIncarnation(),
+		Age:         time.Duration(req.GetAgeMs()) * time.Millisecond,
+	})
+	a.metrics.settled.Inc(1)
+	if s.Outcome == result.NotRun {
+		a.cancel(req.GetAttemptId())
+	}
+	return &linkv1.SettleResponse{
+		Envelope: a.config.Envelope(),
+		Outcome:  s.Outcome.String(),
+		State:    s.State.String(),
+	}, nil
+}
+
+// Cancel implements link.Agent.
+func (a *Agent) Cancel(_ context.Context, req *linkv1.CancelRequest) (*linkv1.CancelResponse, error) {
+	a.config.SawEnvelope(req.GetEnvelope())
+	before := a.registry.Cancel(a.now(), req.GetAttemptId())
+	a.cancel(req.GetAttemptId())
+	return &linkv1.CancelResponse{Envelope: a.config.Envelope(), Found: before != attempt.Forgotten}, nil
+}
+
+func (a *Agent) cancel(attemptID string) {
+	a.mu.Lock()
+	cancel := a.running[attemptID]
+	a.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// Report implements link.Agent.
+func (a *Agent) Report(_ context.Context, req *linkv1.ReportRequest) (*linkv1.ReportResponse, error) {
+	a.config.SawEnvelope(req.GetEnvelope())
+	leaving := a.leaving.Load() || a.stopping.Load()
+	resp := &linkv1.ReportResponse{
+		Envelope:      a.config.Envelope(),
+		Leaving:       leaving,
+		DurableCharge: a.charger.Durable(),
+	}
+	for _, u := range a.hosted.all() {
+		resp.Upstreams = append(resp.Upstreams, &linkv1.UpstreamReport{
+			Name:    u.name,
+			Load:    u.load(leaving),
+			Healthy: u.healthy.Load(),
+		})
+	}
+	if a.watch != nil {
+		resp.Quarantined = a.watch.Quarantined()
+	}
+	return resp, nil
+}
+
+// HandIn implements link.Agent.
+func (a *Agent) HandIn(_ context.Context, req *linkv1.HandInRequest) (*linkv1.HandInResponse, error) {
+	a.config.SawEnvelope(req.GetEnvelope())
+	n := a.charger.HandIn(req.GetCharges())
+	return &linkv1.HandInResponse{Envelope: a.config.Envelope(), Accepted: uint32(n)}, nil
+}
+
+// Order implements link.Agent.
+func (a *Agent) Order(ctx context.Context, req *linkv1.OrderRequest) (*linkv1.OrderResponse, error) {
+	a.config.SawEnvelope(req.GetEnvelope())
+	if a.orders == nil {
+		return nil, result.New(result.OrderRefused, "this agent takes no orders")
+	}
+	return a.orders.Order(ctx, req)
+}
--- /dev/null
+++ b/internal/agent/job.go
@@ -0,0 +1,229 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/admission"
+	"tarragonbay.example/tarragonbay/internal/chat"
+	"tarragonbay.example/tarragonbay/internal/link"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/upstream"
+)
+
+// job is one attempt on its way through the agent. It belongs to one
+// goroutine of the pool and is the producer of the answer log.
+type job struct {
+	agent    *Agent
+	req      *linkv1.AttemptRequest
+	up       *hostedUpstream
+	log      *link.AnswerLog
+	received time.Time
+
+	// ctx ends with the caller's budget or when the caller cancels.
+	ctx        context.Context
+	dispatched time.Time
+	firstData  time.Time
+	events     uint64
+	answer     []byte
+}
+
+func (j *job) run(ctx context.Context) {
+	j.ctx = ctx
+	permit, err := j.up.gate.Acquire(ctx, j.admission())
+	if err != nil {
+		j.refuse(err)
+		return
+	}
+	if err := j.dispatch(); err != nil {
+		permit.Release(admission.Feedback{})
+		j.refuse(err)
+		return
+	}
+	usage, err := j.up.client.Do(ctx, j.call(), j)
+	permit.Release(admission.Feedback{RunTime: j.agent.now().Sub(j.dispatched)})
+	j.finish(usage, err)
+}
+
+func (j *job) admission() *admission.Request {
+	return &admission.Request{
+		Organisation: j.req.GetOrganisation(),
+		Priority:     int(j.req.GetPriority()),
+		Deadline:     j.received.Add(time.Duration(j.req.GetBudgetMs()) * time.Millisecond),
+	}
+}
+
+// dispatch checks the attempt once more, since the configuration may have
+// changed while it waited, and records that it goes to the upstream.
+func (j *job) dispatch() error {
+	a := j.agent
+	id := j.req.GetAttemptId()
+	if err := a.registry.Admit(a.now(), id); err != nil {
+		return err
+	}
+	if _, err := a.check(j.req); err != nil {
+		return err
+	}
+	j.dispatched = a.now()
+	return a.registry.Dispatch(j.dispatched, id)
+}
+
+func (j *job) refuse(err error) {
+	e := result.From(err)
+	if refuseErr := j.agent.registry.Refuse(j.agent.now(), j.req.GetAttemptId()); refuseErr != nil {
+		j.agent.log.Error("refusal failed", zap.Error(refuseErr))
+	}
+	j.agent.metrics.refused.Inc(1)
+	_, revision := j.agent.config.Set()
+	j.logError(j.log.Refuse(&linkv1.Refusal{
+		Code:         uint32(e.Code),
+		Message:      e.Message,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		Revision:     revision,
+		Load:         j.up.load(j.agent.leaving.Load()),
+	}))
+}
+
+func (j *job) call() upstream.Call {
+	c := j.req.GetCall()
+	return upstream.Call{
+		RequestID:      j.req.GetRequestId(),
+		AttemptID:      j.req.GetAttemptId(),
+		Method:         c.GetMethod(),
+		Path:           c.GetPath(),
+		ContentType:    c.GetContentType(),
+		Body:           c.GetBody(),
+		Priority:       j.req.GetPriority(),
+		IdempotencyKey: c.GetIdempotencyKey(),
+		Stream:         c.GetStream(),
+		Engine:         j.req.GetVersion() != "",
+		Idempotent:     c.GetIdempotent(),
+	}
+}
+
+// Head implements upstream.Sink.
+func (j *job) Head(status int, contentType string) error {
+	_, revision := j.agent.config.Set()
+	return j.log.Head(&linkv1.Head{
+		Status:      uint32(status),
+		ContentType: contentType,
+		Load:        j.up.load(j.agent.leaving.Load()),
+		Revision:    revision,
+	})
+}
+
+// Data implements upstream.Sink. It blocks while the entry reads slowly.
+func (j *job) Data(data []byte) error {
+	if j.events == 0 {
+		j.firstData = j.agent.now()
+		j.up.firstToken.observe(j.firstData.Sub(j.dispatched))
+	}
+	j.events++
+	if err := j.log.Data(j.ctx, data); err != nil {
+		return err
+	}
+	j.keep(data)
+	return nil
+}
+
+// maxRatedBytes bounds the text of an answer kept for rating.
+const maxRatedBytes = 64 << 10
+
+// keep collects the text of an answer that may be rated.
+func (j *job) keep(data []byte) {
+	if j.agent.watch == nil || j.req.GetVersion() == "" || len(j.answer) > maxRatedBytes {
+		return
+	}
+	j.answer = append(j.answer, chat.Text(data)...)
+}
+
+// finish records the end, charges what ran and closes the answer.
+func (j *job) finish(usage upstream.Usage, err error) {
+	a := j.agent
+	outcome := result.Ran
+	if err != nil {
+		outcome = result.From(err).Outcome
+	}
+	if e := a.registry.Finish(a.now(), j.req.GetAttemptId(), outcome); e != nil {
+		a.log.Error("finish failed", zap.Error(e))
+	}
+	final := &linkv1.Final{
+		Usage:  j.usage(usage),
+		Load:   j.up.load(a.leaving.Load()),
+		Charge: j.charge(usage, err, outcome),
+	}
+	if final.Charge != nil {
+		a.charger.Charge(final.Charge)
+	}
+	j.report(err)
+	if err != nil {
+		a.metrics.failed.Inc(1)
+		j.logError(j.log.Fail(final, result.From(err)))
+		return
+	}
+	a.metrics.answered.Inc(1)
+	j.logError(j.log.End(final))
+}
+
+func (j *job) usage(u upstream.Usage) *linkv1.Usage {
+	return &linkv1.Usage{
+		InputTokens:  u.InputTokens,
+		OutputTokens: u.OutputTokens,
+		CachedTokens: u.CachedTokens,
+	}
+}
+
+// report tells the watch how the answer ended.
+func (j *job) report(err error) {
+	if j.agent.watch == nil || j.req.GetVersion() == "" {
+		return
+	}
+	end := Ended{
+		RequestID: j.req.GetRequestId(),
+		Version:   j.req.GetVersion(),
+		Class:     j.req.GetRequestClass(),
+		Whole:     err == nil,
+		Prompt:    j.req.GetCall().GetBody(),
+		Answer:    string(j.answer),
+		Latency:   j.agent.now().Sub(j.dispatched),
+		At:        j.agent.now(),
+	}
+	if err != nil {
+		end.Code = result.From(err).Code
+	}
+	j.agent.watch.Ended(end)
+}
+
+func (j *job) logError(err error) {
+	if err != nil {
+		j.agent.log.Warn("answer log refused a frame", zap.String("attempt", j.req.GetAttemptId()), zap.Error(err))
+	}
+}
+
+// charge returns what the attempt costs, or nil for one that costs nothing:
+// not run, or ended by a failure of the upstream before any answer.
+func (j *job) charge(usage upstream.Usage, err error, outcome result.Outcome) *linkv1.Charge {
+	if outcome == result.NotRun || (err != nil && j.events == 0) {
+		return nil
+	}
+	set, _ := j.agent.config.Set()
+	c := &linkv1.Charge{
+		RequestId:    j.req.GetRequestId(),
+		Step:         j.req.GetStep(),
+		AttemptId:    j.req.GetAttemptId(),
+		Organisation: j.req.GetOrganisation(),
+		Version:      j.req.GetVersion(),
+		Service:      j.req.GetService(),
+		InputTokens:  usage.InputTokens,
+		OutputTokens: usage.OutputTokens,
+		AtMs:         j.agent.now().UnixMilli(),
+	}
+	if err != nil && c.OutputTokens == 0 {
+		c.OutputTokens = j.events
+	}
+	price(c, set)
+	return c
+}
--- a/internal/link/answerlog.go
+++ b/internal/link/answerlog.go
@@ -28,6 +28,8 @@
 	length uint64
 	digest *xxhash.Digest
 	ended  bool
+	// taken is set once the last frame was sent to a reader.
+	taken bool
 	// idleAt is when the log ended or its last reader left after that.
 	idleAt time.Time
 	// wake belongs to the present reader; nil without one.
@@ -202,6 +204,18 @@
 	}
 }
 
+func (l *AnswerLog) markTaken() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.taken = true
+}
+
+func (l *AnswerLog) wasTaken() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.taken
+}
+
 // idleFor is how long a finished log has had no reader; 0 while it has one.
 func (l *AnswerLog) idleFor(now time.Time) time.Duration {
 	l.mu.Lock()
--- a/internal/link/logs.go
+++ b/internal/link/logs.go
@@ -62,6 +62,20 @@
 	return len(s.byID), s.held.Load()
 }
 
+// Unread returns the number of answers whose last frame no reader has been
+// sent. An agent that stops waits until it is zero.
+func (s *Logs) Unread() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, l := range s.byID {
+		if !l.wasTaken() {
+			n++
+		}
+	}
+	return n
+}
+
 // limit is the most unacknowledged data one log may hold now.
 func (s *Logs) limit() int {
 	if s.held.Load() > TotalLimit {
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -40,6 +40,8 @@
 		}
 		next += uint64(len(batch))
 		if ended {
+			to.Flush()
+			l.markTaken()
 			return nil
 		}
 		if len(batch) > 0 {
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -10,6 +10,8 @@
 	InFlight int      `json:"inFlight"`
 	Slots    int      `json:"slots"`
 	Versions []string `json:"versions"`
+	// Leaving is set some time before the engine goes away.
+	Leaving bool `json:"leaving"`
 }
 
 // OrderRequest asks the engine to load or unload a version.
@@ -22,7 +24,7 @@
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	report := LoadReport{InFlight: int(e.inFlight.Load()), Slots: e.slots}
+	report := LoadReport{InFlight: int(e.inFlight.Load()), Slots: e.slots, Leaving: e.behaviour.Leaving}
 	for v := range e.versions {
 		report.Versions = append(report.Versions, v)
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -32,6 +32,8 @@
 	CutAfter int `json:"cutAfter,omitempty"`
 	// DieBeforeAnswer runs the request and ends the connection.
 	DieBeforeAnswer bool `json:"dieBeforeAnswer,omitempty"`
+	// Leaving makes the engine say that it is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Run is one request that ran.
