--- a/internal/quality/delta.go
+++ b/internal/quality/delta.go
@@ -10,9 +10,10 @@
 type Key struct {
 	// Class of the request, "" for requests of no configured class.
 	Class string
-	// Via is the chain of versions in which the answer was made, or "" for
-	// an answer by the version alone. Answers that a cascade keeps or hands
-	// on are not like the version's other answers, so they count apart.
+	// Via names the steps of a cascade before this one, or "" for an answer
+	// by the version alone. Drafts that a cascade keeps, and answers to what
+	// earlier steps handed on, are not like the version's other answers, so
+	// they count apart.
 	Via string
 	// Version is "model@version".
 	Version string
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -149,7 +149,8 @@
 	tryScore  score
 	tryFilled [MaxSteps]candidate
 	// tryKnown is set when the ratings say that the try misses the target.
-	tryKnown bool
+	tryKnown  bool
+	tryTarget float64
 
 	// held is a version passed over because it is held back, or -1.
 	held int
@@ -182,6 +183,9 @@
 // consider scores option i and keeps it when it is the best so far.
 func (c *chooser) consider(options []option, i int) {
 	o := &options[i]
+	if c.req.NewSession && len(o.stages) > 1 {
+		return
+	}
 	var filled [MaxSteps]candidate
 	if !c.fill(o, &filled) {
 		return
@@ -220,7 +224,8 @@
 	} else if c.try >= 0 && !better(sc, &c.tryScore, c.objective) {
 		return
 	}
-	c.try, c.tryScore, c.tryFilled, c.tryKnown = i, *sc, *filled, known
+	c.try, c.tryScore, c.tryFilled = i, *sc, *filled
+	c.tryKnown, c.tryTarget = known, target
 }
 
 // fill picks a candidate for each stage and reports whether there is one.
@@ -312,12 +317,11 @@
 }
 
 func (c *chooser) chain(o *option, filled *[MaxSteps]candidate) Chain {
-	out := Chain{Via: o.via, count: len(o.stages)}
+	out := Chain{count: len(o.stages)}
 	for i := range o.stages {
 		out.steps[i] = c.step(filled[i].version, o)
-		if i < out.count-1 {
-			out.steps[i].Escalate = o.stages[i].escalate
-		}
+		out.steps[i].Via = o.stages[i].via
+		out.steps[i].Escalate = o.stages[i].escalate
 	}
 	return out
 }
@@ -339,11 +343,20 @@
 	if !better(&c.tryScore, &c.bestScore, c.objective) {
 		return false
 	}
-	rate := c.planner.settings.ExploreCold
-	if c.tryKnown {
-		rate = c.planner.settings.ExploreKnown
+	return fraction(rnd) < c.tryRate()
+}
+
+// tryRate returns the share of requests that the try is worth: it falls with
+// what the ratings say of the try.
+func (c *chooser) tryRate() float64 {
+	s := &c.planner.settings
+	switch {
+	case c.tryKnown:
+		return s.ExploreKnown
+	case c.tryScore.mean >= c.tryTarget:
+		return s.ExploreLikely
 	}
-	return fraction(rnd) < rate
+	return s.ExploreCold
 }
 
 // step applies the roll-out, if any, to a version.
--- a/internal/route/compile.go
+++ b/internal/route/compile.go
@@ -36,13 +36,14 @@
 type stage struct {
 	candidates []candidate
 	escalate   float64
+	// via names what came before and whether more comes after; see
+	// quality.Key.
+	via string
 }
 
 // option is one way to answer: a version, or a chain of a cascade.
 type option struct {
 	stages []stage
-	// via names the chain, "" for a single version.
-	via    string
 	target float64
 	// named is set when the option is a version by its own name.
 	named bool
@@ -209,35 +210,51 @@
 	return out
 }
 
-// cascadeOptions returns the whole chain and each of its ends: a cheap first
-// step is skipped where it does not pay.
+// cascadeOptions returns every chain that keeps some of the cascade's steps in
+// their order: a step is skipped where it does not pay.
 func (p *Planner) cascadeOptions(set *catalog.Set, name string, c *catalog.Cascade) []option {
 	steps := p.cascadeSteps(set, c)
 	var out []option
-	for i := range steps {
-		rest := steps[i:]
-		if len(rest) == 1 {
-			for _, v := range rest[0] {
-				out = append(out, p.single(v, c.QualityTarget))
-			}
+	for mask := 1; mask < 1<<len(steps); mask++ {
+		kept := keptSteps(mask, len(steps))
+		if len(kept) > 1 {
+			out = append(out, p.chainOption(name, steps, kept, c))
 			continue
 		}
-		via := name
-		if i > 0 {
-			via += "~" + strconv.Itoa(i)
+		for _, v := range steps[kept[0]] {
+			out = append(out, p.single(v, c.QualityTarget))
 		}
-		out = append(out, p.chainOption(rest, via, c))
 	}
 	return out
 }
 
-func (p *Planner) chainOption(steps [][]int, via string, c *catalog.Cascade) option {
-	o := option{via: via, target: c.QualityTarget}
-	for _, versions := range steps {
-		o.stages = append(o.stages, stage{
-			candidates: p.candidates(via, versions...),
-			escalate:   orDefault(c.Escalate, catalog.DefaultEscalate),
-		})
+// keptSteps returns the indexes of the bits set in mask.
+func keptSteps(mask, n int) []int {
+	var kept []int
+	for i := range n {
+		if mask&(1<<i) != 0 {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// lastStep marks the estimates of answers that no later step may replace.
+const lastStep = "/last"
+
+func (p *Planner) chainOption(name string, steps [][]int, kept []int, c *catalog.Cascade) option {
+	o := option{target: c.QualityTarget}
+	via := name
+	for i, step := range kept {
+		st := stage{via: via}
+		if i == len(kept)-1 {
+			st.via += lastStep
+		} else {
+			st.escalate = orDefault(c.Escalate, catalog.DefaultEscalate)
+		}
+		st.candidates = p.candidates(st.via, steps[step]...)
+		o.stages = append(o.stages, st)
+		via += "~" + strconv.Itoa(step)
 	}
 	return o
 }
--- a/internal/route/plan.go
+++ b/internal/route/plan.go
@@ -23,6 +23,9 @@
 	// Sticky decides on which side of a roll-out the request falls: a hash
 	// of the session's ID, or of the request's for one without a session.
 	Sticky uint64
+	// NewSession is set when the answer starts a session. It is then made by
+	// a single version, on which the session stays.
+	NewSession bool
 	// Deadline is when the caller stops waiting; zero means never.
 	Deadline time.Time
 	// PromptTokens is an estimate; MaxTokens is 0 when the caller set none.
@@ -44,6 +47,8 @@
 	// Escalate is the self-reported confidence under which the draft is
 	// thrown away and the next step runs. Zero at the last step.
 	Escalate float64
+	// Via names the steps before, "" for a single version; see quality.Key.
+	Via string
 	// RollingOut is set when the version is the new one of a roll-out. Its
 	// answers are all handed in for rating.
 	RollingOut bool
@@ -53,8 +58,6 @@
 type Chain struct {
 	steps [MaxSteps]Step
 	count int
-	// Via names the chain; "" for a single version.
-	Via string
 }
 
 // Len returns the number of steps.
@@ -98,5 +101,5 @@
 func (p *Plan) ShadowKey(i int) quality.Key { return p.key(&p.Shadow, i) }
 
 func (p *Plan) key(c *Chain, i int) quality.Key {
-	return quality.Key{Class: p.Class, Via: c.Via, Version: string(c.steps[i].Version)}
+	return quality.Key{Class: p.Class, Via: c.steps[i].Via, Version: string(c.steps[i].Version)}
 }
--- a/internal/route/settings.go
+++ b/internal/route/settings.go
@@ -6,8 +6,11 @@
 	// PriorWeight is the number of ratings that a version's prior quality
 	// stands for.
 	PriorWeight float64
-	// ExploreCold is the share of requests that try an unproven choice with
-	// a fair chance to meet the target.
+	// ExploreLikely is the share of requests that try an unproven choice
+	// whose mean, with its prior, meets the target.
+	ExploreLikely float64
+	// ExploreCold is the share that tries an unproven choice whose mean
+	// misses the target, while its upper bound does not.
 	ExploreCold float64
 	// ExploreKnown is the share that tries a choice again of which the
 	// ratings say that it misses the target.
@@ -22,16 +25,20 @@
 
 // Defaults of Settings.
 const (
-	DefaultPriorWeight  = 4
-	DefaultExploreCold  = 0.08
-	DefaultExploreKnown = 0.002
-	DefaultShadowHeld   = 0.5
+	DefaultPriorWeight   = 4
+	DefaultExploreLikely = 0.3
+	DefaultExploreCold   = 0.05
+	DefaultExploreKnown  = 0.002
+	DefaultShadowHeld    = 0.5
 )
 
 func (s Settings) withDefaults() Settings {
 	if s.PriorWeight <= 0 {
 		s.PriorWeight = DefaultPriorWeight
 	}
+	if s.ExploreLikely == 0 {
+		s.ExploreLikely = DefaultExploreLikely
+	}
 	if s.ExploreCold == 0 {
 		s.ExploreCold = DefaultExploreCold
 	}
