--- a/internal/publish/cluster_test.go
+++ b/internal/publish/cluster_test.go
@@ -34,7 +34,6 @@
 	history  map[string][]uint64
 }
 
-//nolint:unparam // the herd test gives limits
 func newCluster(t testing.TB, o fake.Options) *cluster {
 	p := fake.New(o)
 	c := &cluster{
