--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -17,7 +17,7 @@
 	serverIdle        = 2 * time.Minute
 	headerTimeout     = 5 * time.Second
 	idlePerAgent      = 256
-	connectionBuffer  = 4 << 10
+	connectionBuffer  = 2 << 10
 	maxHeaderBytes    = 16 << 10
 	tlsHandshakeLimit = time.Second
 )
