--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -206,7 +206,7 @@
 // charge returns what the attempt costs, or nil for one that costs nothing:
 // not run, or ended by a failure of the upstream before any answer.
 func (j *job) charge(usage upstream.Usage, err error, outcome result.Outcome) *linkv1.Charge {
-	if outcome == result.NotRun || (err != nil && j.events == 0) {
+	if j.req.GetShadow() || outcome == result.NotRun || (err != nil && j.events == 0) {
 		return nil
 	}
 	set, _ := j.agent.config.Set()
--- /dev/null
+++ b/internal/daemon/agent.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"tarragonbay.example/tarragonbay/internal/agent"
+	"tarragonbay.example/tarragonbay/internal/link"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// agentRole runs beside the upstreams of one host.
+type agentRole struct {
+	daemon *Daemon
+	agent  *agent.Agent
+}
+
+// NewAgent composes an agent.
+func NewAgent(o Options) (*Daemon, error) {
+	d, err := newDaemon(o)
+	if err != nil {
+		return nil, err
+	}
+	a := agent.New(agent.Options{
+		Host:        d.settings.Name,
+		Incarnation: d.incarnation,
+		Config:      d.follower,
+		Charger:     d.charger(),
+		Timing:      d.timing(),
+		Log:         d.log.Part("agent"),
+		Metrics:     d.metrics,
+	})
+	d.dumps.Register("agent", a)
+	return d, d.setRole(&agentRole{daemon: d, agent: a})
+}
+
+func (r *agentRole) mount(mux *http.ServeMux) {
+	mux.Handle(link.NewHandler(r.agent, r.agent.Logs()))
+}
+
+func (r *agentRole) duties() []duty {
+	return []duty{
+		{"agent", r.agent.Run},
+		{"probe", r.agent.Probe},
+	}
+}
+
+func (r *agentRole) ready() error {
+	_, err := r.daemon.follower.Current()
+	return err
+}
+
+func (r *agentRole) drain(ctx context.Context) error {
+	if left := r.agent.Stop(ctx); left > 0 {
+		return result.New(result.Stopping, "%d attempts were cut at the end of the drain time", left)
+	}
+	return nil
+}
+
+func (r *agentRole) addresses(*Addresses) {}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"tarragonbay.example/tarragonbay/internal/callerapi"
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/entry"
+	"tarragonbay.example/tarragonbay/internal/httpserver"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/session"
+)
+
+// entryRole takes callers' requests.
+type entryRole struct {
+	daemon *Daemon
+	entry  *entry.Entry
+	caller *httpserver.Server
+}
+
+// NewEntry composes an entry.
+func NewEntry(o Options) (*Daemon, error) {
+	d, err := newDaemon(o)
+	if err != nil {
+		return nil, err
+	}
+	signer, err := d.signer()
+	if err != nil {
+		return nil, err
+	}
+	s := d.settings
+	e := entry.New(entry.Options{
+		Name:     s.Name,
+		Domain:   s.Domain,
+		Config:   d.follower,
+		Link:     d.linkClient(),
+		Sessions: signer,
+		Copies:   d.copies(),
+		InFlight: s.Limits.InFlight,
+		Queue:    s.Limits.QueueLength,
+		Log:      d.log.Part("entry"),
+		Metrics:  d.metrics,
+	})
+	d.dumps.Register("entry", e)
+	handler := callerapi.NewHandler(callerapi.Options{
+		Router:   e,
+		Set:      func() *catalog.Set { set, _ := d.follower.Set(); return set },
+		Limits:   s.Limits,
+		Timeouts: s.Timeouts,
+		Metrics:  d.metrics,
+		Log:      d.log.Part("callers"),
+	})
+	caller, err := callerapi.Listen(s, handler)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.setRole(&entryRole{daemon: d, entry: e, caller: caller})
+}
+
+func (d *Daemon) signer() (*session.Signer, error) {
+	var keys []session.Key
+	for _, k := range d.settings.SessionKeys {
+		keys = append(keys, session.Key{Name: k.Name, Secret: []byte(k.Secret)})
+	}
+	return session.NewSigner(keys, d.settings.Timeouts.Session)
+}
+
+func (r *entryRole) mount(*http.ServeMux) {}
+
+func (r *entryRole) duties() []duty {
+	return []duty{
+		{"entry", r.entry.Run},
+		{"admission", r.entry.Admit},
+		{"learner", r.entry.Learn},
+		{"ratings", func(ctx context.Context) error { return r.entry.Rate(ctx, r.daemon.ports.Ratings) }},
+		{"callers", r.caller.Run},
+	}
+}
+
+func (r *entryRole) ready() error { return r.entry.Ready() }
+
+func (r *entryRole) drain(ctx context.Context) error {
+	r.entry.Drain()
+	if left := r.entry.Wait(ctx); left > 0 {
+		return result.New(result.Stopping, "%d requests were cut at the end of the drain time", left)
+	}
+	return nil
+}
+
+func (r *entryRole) addresses(a *Addresses) { a.Caller = r.caller.Addr().String() }
--- /dev/null
+++ b/internal/daemon/ledger.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"sync/atomic"
+
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+)
+
+// counted numbers charges and keeps none.
+type counted struct{ n atomic.Uint64 }
+
+// Charge implements agent.Charger.
+func (c *counted) Charge(charge *linkv1.Charge) { charge.Number = c.n.Add(1) }
+
+// Durable implements agent.Charger.
+func (c *counted) Durable() uint64 { return 0 }
+
+// HandIn implements agent.Charger.
+func (c *counted) HandIn(charges []*linkv1.Charge) int { return len(charges) }
+
+// Keep implements entry.Copies.
+func (c *counted) Keep(string, *linkv1.Charge) {}
+
+func (d *Daemon) charger() *counted { return &counted{} }
+func (d *Daemon) copies() *counted  { return &counted{} }
--- /dev/null
+++ b/internal/entry/step.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tarragonbay.example/tarragonbay/internal/attempt"
+	"tarragonbay.example/tarragonbay/internal/balance"
+	"tarragonbay.example/tarragonbay/internal/callerapi"
+	"tarragonbay.example/tarragonbay/internal/chat"
+	"tarragonbay.example/tarragonbay/internal/link"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/route"
+)
+
+// engineChatPath is the path of chat completions at a model engine.
+const engineChatPath = "/v1/chat/completions"
+
+// stepRun is one step of a plan: attempts of one version.
+type stepRun struct {
+	*chatRun
+	step    route.Step
+	index   int
+	key     quality.Key
+	streams bool
+	body    []byte
+	tried   balance.Tried
+	started time.Time
+}
+
+// runStep runs attempts of one step. It reports whether its answer was given
+// to the caller, or false for a draft that the next step replaces.
+func (r *chatRun) runStep(plan *route.Plan, i int) (kept bool, failure *result.Error) {
+	step := plan.Step(i)
+	s := &stepRun{chatRun: r, step: step, index: i, key: plan.Key(i), streams: plan.Streams(i)}
+	last := i == plan.Len()-1
+	body, err := chat.Rewrite(r.call.Body, chat.Upstream{
+		Version:  string(step.Version),
+		Stream:   r.call.Stream,
+		Logprobs: !last,
+	})
+	if err != nil {
+		return false, result.Wrap(err, result.BadJSON, "the body cannot be read")
+	}
+	s.body = body
+	s.started = r.entry.now()
+	for {
+		out, failure := s.try()
+		if failure == nil {
+			return s.conclude(out, last)
+		}
+		if err := s.again(failure); err != nil {
+			r.exclude(step, err)
+			return false, err
+		}
+	}
+}
+
+// exclude keeps a version that takes no work out of the next plan.
+func (r *chatRun) exclude(step route.Step, failure *result.Error) {
+	if !replannable(failure) {
+		return
+	}
+	r.without = append(r.without, step.Version)
+	if failure.Code == result.Quarantined {
+		r.entry.held.hold(step.Version, r.entry.now())
+	}
+}
+
+// again waits for the next attempt, or returns the final error.
+func (s *stepRun) again(failure *result.Error) *result.Error {
+	if err := s.request.MayTry(); err != nil {
+		return failure
+	}
+	d := s.retries.Next(failure, s.request.Released(), s.entry.now(), rand.Float64())
+	if d.Final != nil {
+		return d.Final
+	}
+	s.entry.metrics.retries.Inc(1)
+	if d.Wait <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d.Wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-s.ctx.Done():
+		return failure
+	}
+}
+
+// try makes one attempt.
+func (s *stepRun) try() (*output, *result.Error) {
+	e := s.entry
+	choice, err := e.picker.Pick(&balance.Request{
+		Target:       balance.Target{Version: s.step.Version},
+		Prefix:       s.call.Prefix,
+		PromptTokens: s.call.PromptTokens,
+		OutputTokens: s.call.MaxTokens,
+		Tried:        s.tried,
+	}, e.now(), e.random())
+	if err != nil {
+		return nil, result.From(err)
+	}
+	s.tried.Add(choice.Upstream)
+	id := uuid.NewString()
+	if err := s.request.Begin(id); err != nil {
+		return nil, result.From(err)
+	}
+	e.picker.Started(choice)
+	stream, err := e.link.Attempt(s.ctx, choice.Agent, s.message(id, choice))
+	out := &output{step: s, attemptID: id}
+	if err == nil {
+		err = out.read(stream)
+	}
+	stream.Close()
+	return out, s.close(id, choice, stream, err)
+}
+
+func (s *stepRun) message(id string, choice balance.Choice) *linkv1.AttemptRequest {
+	return &linkv1.AttemptRequest{
+		RequestId:    s.call.RequestID,
+		AttemptId:    id,
+		Step:         uint32(s.index),
+		Organisation: s.call.Organisation,
+		Version:      string(s.step.Version),
+		Upstream:     choice.Upstream,
+		Priority:     uint32(s.priority),
+		Session:      s.pin != "",
+		RequestClass: s.key.SampleClass(),
+		Call: &linkv1.Call{
+			Method:      http.MethodPost,
+			Path:        engineChatPath,
+			ContentType: "application/json",
+			Body:        s.body,
+			Stream:      s.call.Stream,
+			Idempotent:  true,
+		},
+	}
+}
+
+// close records the end of the attempt and what it told of the load.
+func (s *stepRun) close(id string, choice balance.Choice, stream *link.Stream, err error) *result.Error {
+	failure := s.entry.closeAttempt(s.ctx, s.request, id, choice, stream, err)
+	if load := stream.Load(); load != nil {
+		s.queued = int(load.GetQueued())
+	}
+	s.busy = s.busy || (failure != nil && failure.Code == result.UpstreamBusy)
+	return failure
+}
+
+// closeAttempt records the end of an attempt with every part that learns from
+// it, and returns its failure, if any.
+func (e *Entry) closeAttempt(ctx context.Context, req *attempt.Request, id string, choice balance.Choice,
+	stream *link.Stream, err error) *result.Error {
+	ending := stream.Ending()
+	var failure *result.Error
+	if err != nil {
+		failure = result.From(err)
+		if !ending.Whole {
+			ending = attempt.Ending{Outcome: failure.Outcome, Code: failure.Code}
+		}
+		if ctx.Err() != nil || failure.Code == result.CallerGone {
+			e.cancel(ctx, stream)
+		}
+	}
+	if concludeErr := req.Conclude(id, ending); concludeErr != nil {
+		failure = result.Wrap(concludeErr, result.Internal, "attempt cannot be closed")
+	}
+	e.config.Saw(choice.Agent, stream.Revision())
+	e.picker.Finished(choice, observation(failure, stream.Load()), e.now())
+	if c := stream.Final().GetCharge(); c != nil {
+		e.copies.Keep(choice.Agent, c)
+	}
+	return failure
+}
+
+// cancelTimeout bounds telling an agent that the caller is gone.
+const cancelTimeout = 2 * time.Second
+
+func (e *Entry) cancel(ctx context.Context, stream *link.Stream) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer stop()
+	if err := stream.Cancel(ctx); err != nil {
+		e.metrics.cancelLost.Inc(1)
+	}
+}
+
+// conclude gives the answer to the caller, or drops a draft.
+func (s *stepRun) conclude(out *output, last bool) (kept bool, failure *result.Error) {
+	e := s.entry
+	e.learner.answered(s.key, e.now().Sub(s.started), out.usage.OutputTokens)
+	if !last {
+		escalated := out.confidence() < s.step.Escalate
+		e.learner.drafted(s.key, escalated)
+		if escalated {
+			e.metrics.escalated.Inc(1)
+			return false, nil
+		}
+	}
+	if err := out.deliver(); err != nil {
+		return false, result.From(err)
+	}
+	return true, nil
+}
+
+// begin is what the caller is told when the answer starts.
+func (s *stepRun) begin() (callerapi.Start, error) {
+	token, err := s.token(string(s.step.Version))
+	if err != nil {
+		return callerapi.Start{}, err
+	}
+	return callerapi.Start{
+		Version:      string(s.step.Version),
+		SessionToken: token,
+		Revision:     s.revision,
+	}, nil
+}
+
+// observation turns the end of an attempt into what it tells of the upstream.
+func observation(failure *result.Error, load *linkv1.Load) balance.Observation {
+	o := balance.Observation{Outcome: balance.Answered}
+	if load != nil {
+		o.Load = &balance.Load{
+			InFlight: int(load.GetInFlight()),
+			Queued:   int(load.GetQueued()),
+			Slots:    int(load.GetSlots()),
+			Leaving:  load.GetLeaving(),
+		}
+	}
+	if failure == nil {
+		return o
+	}
+	switch failure.Code {
+	case result.CallerGone:
+		o.Outcome = balance.Cancelled
+	case result.UpstreamRefused, result.NoUpstream:
+		o.Outcome = balance.Refused
+	case result.OutcomeUnknown, result.DeadlineExceeded, result.BadFrame:
+		o.Outcome = balance.TimedOut
+	case result.UpstreamFailed, result.AnswerCut:
+		o.Outcome = balance.Failed
+	default:
+		o.Outcome = balance.Busy
+	}
+	return o
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -19,6 +19,8 @@
 	// Sender and Incarnation name the calling daemon in every message.
 	Sender      string
 	Incarnation uint64
+	// Address is where the calling daemon serves PeerService, as IP:port.
+	Address string
 	// Revision returns the configuration in force at the caller.
 	Revision func() uint64
 	// TLS is used when not nil.
@@ -123,7 +125,7 @@
 // envelope names the sender and its revision.
 func (c *Client) envelope() *linkv1.Envelope {
 	return &linkv1.Envelope{
-		Revision: c.opts.Revision(), Sender: c.opts.Sender, Incarnation: c.opts.Incarnation,
+		Revision: c.opts.Revision(), Sender: c.opts.Sender, Address: c.opts.Address, Incarnation: c.opts.Incarnation,
 	}
 }
 
