Add claims for calls that may not be repeated

Cause: a booking or a certificate runs at most once over restarts, outages and the same key through two entries. Change: internal/claim, a row of the table service for each key with the bound attempt, conditional ends, settlement by the agent and collection; the property test of attempts now dispatches twice, which a mutation had shown to be missed. Two writes for a call.

--- a/internal/attempt/registry_test.go
+++ b/internal/attempt/registry_test.go
@@ -212,6 +212,9 @@
 	if w.reg.Dispatch(w.now, id) != nil {
 		return
 	}
+	if w.reg.Dispatch(w.now, id) == nil || w.reg.Admit(w.now, id) == nil {
+		t.Fatalf("%s was let through twice", id)
+	}
 	w.ran[id]++
 	w.running = append(w.running, id)
 	if w.notRun[id] {
--- /dev/null
+++ b/internal/claim/collect.go
@@ -0,0 +1,70 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/platform"
+)
+
+// Slices is the number of parts into which the rows are divided for
+// collection.
+const Slices = 256
+
+// collectPage is how many rows one scan reads.
+const collectPage = 100
+
+// Collected counts what a collection did.
+type Collected struct {
+	Read    int
+	Deleted int
+}
+
+// Collect deletes the expired rows of one slice, 0 to Slices-1. It is a step
+// of a work item, which goes through the slices slowly: one pass over all of
+// them each Memory reads every row once. pause waits between pages.
+func Collect(ctx context.Context, t platform.Table, slice int, now time.Time, newID func() string, pause func(context.Context) error) (Collected, error) {
+	var total Collected
+	from := fmt.Sprintf("%s%02x", prefix, slice)
+	to := prefixEnd
+	if slice+1 < Slices {
+		to = fmt.Sprintf("%s%02x", prefix, slice+1)
+	}
+	for {
+		rows, err := t.Scan(ctx, from, to, collectPage)
+		if err != nil {
+			return total, err
+		}
+		total.Read += len(rows)
+		n, err := deleteExpired(ctx, t, rows, now, newID())
+		total.Deleted += n
+		if err != nil || len(rows) < collectPage {
+			return total, err
+		}
+		from = rows[len(rows)-1].Key + "\x00"
+		if err := pause(ctx); err != nil {
+			return total, err
+		}
+	}
+}
+
+// deleteExpired deletes the expired rows in one transaction.
+func deleteExpired(ctx context.Context, t platform.Table, rows []platform.Row, now time.Time, operationID string) (int, error) {
+	txn := platform.Txn{OperationID: operationID}
+	for _, row := range rows {
+		rec, err := decode(row.Value)
+		if err != nil || now.Before(rec.Expires) {
+			continue
+		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+	}
+	if len(txn.Writes) == 0 {
+		return 0, nil
+	}
+	if err := platform.CommitResolved(ctx, t, txn); err != nil {
+		return 0, err
+	}
+	return len(txn.Writes), nil
+}
--- /dev/null
+++ b/internal/claim/model_test.go
@@ -0,0 +1,167 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// inFlight is one taken claim on its way through an entry.
+type inFlight struct {
+	claim *Claim
+	sent  time.Time
+	// sentOnce is set when the attempt has left the entry.
+	sentOnce bool
+	ran      bool
+}
+
+// model drives two entries, an agent that restarts and a failing table
+// service in any order, on one key.
+type model struct {
+	*bench
+	n       int
+	flights []*inFlight
+	runs    int
+}
+
+func (m *model) take(t *rapid.T) {
+	m.n++
+	id := fmt.Sprint("a", m.n)
+	c, answer, err := m.books[m.n%2].Take(context.Background(), call("k", "body"), m.bind(id))
+	if c != nil {
+		m.flights = append(m.flights, &inFlight{claim: c})
+		return
+	}
+	if answer == nil && err == nil {
+		t.Fatal("neither claim, answer nor error")
+	}
+	if answer != nil && m.runs != 1 {
+		t.Fatalf("an answer was replayed after %d runs", m.runs)
+	}
+}
+
+func (m *model) pick(t *rapid.T) *inFlight {
+	if len(m.flights) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(m.flights).Draw(t, "flight")
+}
+
+// send lets the attempt arrive at the agent, at once or much later. An entry
+// does not send after its caller's deadline.
+func (m *model) send(t *rapid.T) {
+	f := m.pick(t)
+	if f == nil || f.sentOnce {
+		return
+	}
+	if f.sent.IsZero() {
+		if !time.Now().Before(f.claim.rec.Deadline) {
+			return
+		}
+		f.sent = time.Now()
+		if rapid.Bool().Draw(t, "delayed") {
+			return
+		}
+	}
+	f.sentOnce = true
+	if m.dispatch(f.claim.Binding(), f.sent) != nil {
+		return
+	}
+	f.ran = true
+	m.runs++
+	if m.runs > 1 {
+		t.Fatal("the call ran twice")
+	}
+}
+
+func (m *model) finish(t *rapid.T) {
+	f := m.pick(t)
+	if f == nil {
+		return
+	}
+	m.flights = without(m.flights, f)
+	ctx := context.Background()
+	switch {
+	case f.ran && rapid.Bool().Draw(t, "answered"):
+		_ = m.reg.Finish(time.Now(), f.claim.Binding().Attempt, result.Ran)
+		f.claim.Complete(ctx, NewAnswer(200, "x", []byte("booked")))
+	case !f.sent.IsZero():
+		// The attempt has left the entry and its answer was not seen.
+		f.claim.Fail(ctx, result.Unknown)
+	default:
+		f.claim.Release(ctx)
+	}
+}
+
+func without(all []*inFlight, f *inFlight) []*inFlight {
+	var out []*inFlight
+	for _, g := range all {
+		if g != f {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+func (m *model) fault(t *rapid.T) {
+	m.table.SetFaults(fake.TableFaults{
+		Outage:       rapid.Bool().Draw(t, "outage"),
+		LoseReplies:  rapid.IntRange(0, 3).Draw(t, "replies"),
+		LoseRequests: rapid.IntRange(0, 60).Draw(t, "requests"),
+	})
+}
+
+func (m *model) pending(*rapid.T) {
+	for _, b := range m.books {
+		for range b.Pending() {
+			ch := <-b.pending
+			if !b.writeOnce(context.Background(), ch) {
+				b.later(ch)
+			}
+		}
+	}
+}
+
+func TestACallRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		inBubble(t, func() {
+			m := &model{bench: newBench()}
+			rt.Repeat(map[string]func(*rapid.T){
+				"take":          m.take,
+				"take2":         m.take,
+				"send":          m.send,
+				"send2":         m.send,
+				"finish":        m.finish,
+				"crash":         func(t *rapid.T) { m.flights = without(m.flights, m.pick(t)) },
+				"agent restart": func(*rapid.T) { m.restartAgent() },
+				"agent away":    func(*rapid.T) { m.away = !m.away },
+				"fault":         m.fault,
+				"heal":          func(*rapid.T) { m.table.SetFaults(fake.TableFaults{}) },
+				"pending":       m.pending,
+				"wait": func(t *rapid.T) {
+					time.Sleep(time.Duration(rapid.IntRange(1, 1200).Draw(t, "seconds")) * time.Second)
+				},
+			})
+		})
+	})
+}
+
+// inBubble runs f under a virtual clock and passes its panic on, by which
+// rapid ends a case.
+func inBubble(t *testing.T, f func()) {
+	var caught any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { caught = recover() }()
+		f()
+	})
+	if caught != nil {
+		panic(caught)
+	}
+}
