--- /dev/null
+++ b/integration/harness/race_on.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package harness
+
+const raceEnabled = true
--- a/integration/harness/standin.go
+++ b/integration/harness/standin.go
@@ -45,7 +45,9 @@
 func Main(m *testing.M) {
 	spec := os.Getenv(standinEnv)
 	if spec == "" {
-		os.Exit(m.Run())
+		code := m.Run()
+		removeBinary()
+		os.Exit(code)
 	}
 	if err := runStandin(spec); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -15,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"tarragonbay.example/tarragonbay/internal/history"
 )
 
 // Behaviour sets how the engine answers. It can be changed while it runs.
@@ -45,6 +47,13 @@
 	Tokens    int       `json:"tokens"`
 	Whole     bool      `json:"whole"`
 	Cancelled bool      `json:"cancelled"`
+	// Digest of the answer's text, as history.Digest makes it.
+	Digest string `json:"digest"`
+	// ServedAt is when the whole answer was made.
+	ServedAt time.Time `json:"servedAt,omitzero"`
+	// CompletionTokens is what the usage said.
+	CompletionTokens int `json:"completionTokens"`
+	PromptTokens     int `json:"promptTokens"`
 }
 
 // Order is one order that the engine carried out.
@@ -174,10 +183,18 @@
 	return e.behaviour, e.versions[version]
 }
 
-func (e *Engine) record(run Run) {
+// record notes a run before anything else is done, and returns its index.
+func (e *Engine) record(run Run) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs = append(e.runs, run)
+	return len(e.runs) - 1
+}
+
+func (e *Engine) update(index int, run Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[index] = run
 }
 
 // answer is one answer in the making.
@@ -225,8 +242,12 @@
 		Version:   a.request.Model,
 		At:        time.Now(),
 		Tokens:    len(words),
+		Digest:    history.Digest([]byte(strings.Join(words, " "))),
 	}
-	defer func() { a.engine.record(run) }()
+	u := a.usage(len(words))
+	run.CompletionTokens, run.PromptTokens = u.CompletionTokens, u.PromptTokens
+	index := a.engine.record(run)
+	defer func() { a.engine.update(index, run) }()
 	if a.behaviour.DieBeforeAnswer {
 		a.hangUp()
 		return
@@ -235,8 +256,10 @@
 		run.Cancelled = true
 		return
 	}
+	run.ServedAt = time.Now()
 	if a.request.Stream {
 		run.Whole, run.Cancelled = a.stream(words, wrong)
+		run.ServedAt = time.Now()
 		return
 	}
 	if !a.wait(a.behaviour.TokenMs * float64(len(words))) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"tarragonbay.example/tarragonbay/internal/history"
 )
 
 // Behaviour sets how the service answers. It can be changed while it runs.
@@ -28,6 +30,8 @@
 	Method         string    `json:"method"`
 	Path           string    `json:"path"`
 	At             time.Time `json:"at"`
+	// Digest of the answer's body, as history.Digest makes it.
+	Digest string `json:"digest"`
 }
 
 // Service is the stand-in. It is safe for concurrent use.
@@ -80,7 +84,7 @@
 	if err != nil {
 		return
 	}
-	b, n := s.record(r)
+	b, answer := s.record(r, string(body))
 	if b.DelayMs > 0 {
 		time.Sleep(time.Duration(b.DelayMs * float64(time.Millisecond)))
 	}
@@ -88,17 +92,25 @@
 		hangUp(w)
 		return
 	}
-	writeJSON(w, Answer{
-		Service:   s.name,
-		RequestID: r.Header.Get("X-Request-Id"),
-		Number:    n,
-		Echo:      string(body),
-	})
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(answer); err != nil {
+		return
+	}
 }
 
-func (s *Service) record(r *http.Request) (Behaviour, int) {
+// record notes a call before anything else is done, and returns its answer.
+func (s *Service) record(r *http.Request, echo string) (Behaviour, []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	answer, err := json.Marshal(Answer{
+		Service:   s.name,
+		RequestID: r.Header.Get("X-Request-Id"),
+		Number:    len(s.runs) + 1,
+		Echo:      echo,
+	})
+	if err != nil {
+		answer = nil
+	}
 	s.runs = append(s.runs, Run{
 		RequestID:      r.Header.Get("X-Request-Id"),
 		AttemptID:      r.Header.Get("X-Attempt-Id"),
@@ -106,8 +118,9 @@
 		Method:         r.Method,
 		Path:           r.URL.Path,
 		At:             time.Now(),
+		Digest:         history.Digest(answer),
 	})
-	return s.behaviour, len(s.runs)
+	return s.behaviour, answer
 }
 
 func hangUp(w http.ResponseWriter) {
