Move the walk over JSON text into a package of its own

Cause: the caller API's walk is of use wherever a body is passed on unchanged; SetModel had no caller, since chat.Rewrite sets the model. A caller's deadline may not exceed ten minutes, for which agents keep records of attempts.

--- a/internal/callerapi/chatbody.go
+++ b/internal/callerapi/chatbody.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/jsonscan"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -73,13 +74,13 @@
 // parseChat checks a body and reads what routing needs. The text itself is
 // never changed. An error names the field it is about.
 func parseChat(data []byte, maxDepth int) (chatBody, *fieldError) {
-	if !depthWithin(data, maxDepth) {
+	if !jsonscan.DepthWithin(data, maxDepth) {
 		return chatBody{}, badField("", "is nested deeper than %d levels", maxDepth)
 	}
 	if !utf8.Valid(data) || !json.Valid(data) {
 		return chatBody{}, &fieldError{err: result.New(result.BadJSON, "the body is not valid JSON")}
 	}
-	walk, ok := members(data)
+	walk, ok := jsonscan.Members(data)
 	if !ok {
 		return chatBody{}, &fieldError{err: result.New(result.BadJSON, "the body is not a JSON object")}
 	}
@@ -87,7 +88,7 @@
 	var buf [maxFields][]byte
 	seen := buf[:0]
 	for {
-		name, value, more := walk.member()
+		name, value, more := walk.Member()
 		if !more {
 			break
 		}
@@ -181,13 +182,13 @@
 }
 
 func setMessages(b *chatBody, value []byte) string {
-	walk, ok := elements(value)
+	walk, ok := jsonscan.Elements(value)
 	if !ok {
 		return "must be an array"
 	}
 	count := 0
 	for {
-		message, more := walk.element()
+		message, more := walk.Element()
 		if !more {
 			break
 		}
@@ -207,13 +208,13 @@
 }
 
 func checkMessage(message []byte) string {
-	walk, ok := members(message)
+	walk, ok := jsonscan.Members(message)
 	if !ok {
 		return "must be an object"
 	}
 	hasRole := false
 	for {
-		name, value, more := walk.member()
+		name, value, more := walk.Member()
 		if !more {
 			break
 		}
--- a/internal/callerapi/chatbody_test.go
+++ b/internal/callerapi/chatbody_test.go
@@ -1,7 +1,6 @@
 package callerapi
 
 import (
-	"bytes"
 	"encoding/json"
 	"strings"
 	"testing"
@@ -32,10 +31,6 @@
 		if b.Model != want.Model || b.Stream != want.Stream || len(want.Messages) == 0 || b.PromptTokens == 0 {
 			t.Fatalf("%q: got %+v, want %+v", data, b, want)
 		}
-		var swapped struct{ Model string }
-		if err := json.Unmarshal(SetModel(data, "small@9"), &swapped); err != nil || swapped.Model != "small@9" {
-			t.Fatalf("SetModel(%q): %v %q", data, err, swapped.Model)
-		}
 	})
 }
 
@@ -68,11 +63,3 @@
 		t.Errorf("got %+v", b)
 	}
 }
-
-func TestSetModelKeepsTheRest(t *testing.T) {
-	got := SetModel([]byte(goodBody), "small@1")
-	want := bytes.Replace([]byte(goodBody), []byte(`"small"`), []byte(`"small@1"`), 1)
-	if !bytes.Equal(got, want) {
-		t.Errorf("got %s", got)
-	}
-}
--- a/internal/callerapi/sink.go
+++ b/internal/callerapi/sink.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"tarragonbay.example/tarragonbay/internal/jsonscan"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -189,12 +190,12 @@
 	if !json.Valid(data) {
 		return false
 	}
-	walk, ok := members(data)
+	walk, ok := jsonscan.Members(data)
 	if !ok {
 		return false
 	}
 	for {
-		name, value, more := walk.member()
+		name, value, more := walk.Member()
 		if !more {
 			return false
 		}
--- /dev/null
+++ b/internal/jsonscan/jsonscan.go
@@ -0,0 +1,142 @@
+// Package jsonscan walks JSON text without decoding it, for bodies that are
+// checked and passed on unchanged. It allocates nothing.
+package jsonscan
+
+// Cursor walks the members of an object or the elements of an array and returns
+// them as slices of the text. The text must be valid JSON, as json.Valid tells;
+// on other text it panics.
+type Cursor struct {
+	data []byte
+	pos  int
+}
+
+// Members starts a walk over an object; ok is false for any other value.
+func Members(value []byte) (c Cursor, ok bool) { return enter(value, '{') }
+
+// Elements starts a walk over an array; ok is false for any other value.
+func Elements(value []byte) (c Cursor, ok bool) { return enter(value, '[') }
+
+func enter(value []byte, open byte) (Cursor, bool) {
+	c := Cursor{data: value}
+	c.space()
+	if c.pos >= len(value) || value[c.pos] != open {
+		return Cursor{}, false
+	}
+	c.pos++
+	return c, true
+}
+
+// Member returns the next name, without its quotes, and its value.
+func (c *Cursor) Member() (name, value []byte, ok bool) {
+	if !c.next('}') {
+		return nil, nil, false
+	}
+	name = c.value()
+	c.space()
+	c.pos++ // the colon
+	c.space()
+	return name[1 : len(name)-1], c.value(), true
+}
+
+// Element returns the next value of an array.
+func (c *Cursor) Element() (value []byte, ok bool) {
+	if !c.next(']') {
+		return nil, false
+	}
+	return c.value(), true
+}
+
+// next stands on the next item, or returns false at the end.
+func (c *Cursor) next(end byte) bool {
+	c.space()
+	if c.data[c.pos] == ',' {
+		c.pos++
+		c.space()
+	}
+	return c.data[c.pos] != end
+}
+
+func (c *Cursor) space() {
+	for c.pos < len(c.data) {
+		switch c.data[c.pos] {
+		case ' ', '\t', '\r', '\n':
+			c.pos++
+		default:
+			return
+		}
+	}
+}
+
+// value takes the value at the position.
+func (c *Cursor) value() []byte {
+	start := c.pos
+	switch c.data[c.pos] {
+	case '"':
+		c.skipString()
+	case '{', '[':
+		c.skipNested()
+	default:
+		c.skipWord()
+	}
+	return c.data[start:c.pos]
+}
+
+func (c *Cursor) skipString() {
+	for c.pos++; c.data[c.pos] != '"'; c.pos++ {
+		if c.data[c.pos] == '\\' {
+			c.pos++
+		}
+	}
+	c.pos++
+}
+
+func (c *Cursor) skipNested() {
+	for depth := 0; ; {
+		switch c.data[c.pos] {
+		case '"':
+			c.skipString()
+			continue
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		}
+		c.pos++
+		if depth == 0 {
+			return
+		}
+	}
+}
+
+// skipWord skips a number, true, false or null.
+func (c *Cursor) skipWord() {
+	for ; c.pos < len(c.data); c.pos++ {
+		switch c.data[c.pos] {
+		case ',', '}', ']', ' ', '\t', '\r', '\n':
+			return
+		}
+	}
+}
+
+// DepthWithin reports whether no value is nested deeper than limit. It reads
+// any bytes, valid or not, and is called before the text is validated.
+func DepthWithin(data []byte, limit int) bool {
+	depth, quoted := 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '{' || c == '[':
+			depth++
+			if depth > limit {
+				return false
+			}
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return true
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,6 +18,10 @@
 // minSecretLength is the least length of a session secret, in characters.
 const minSecretLength = 32
 
+// longestRequest bounds timeouts.maxRequest. Agents keep the record of an
+// attempt for as long, so that a late copy of it is never run.
+const longestRequest = 10 * time.Minute
+
 var (
 	nameRE    = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 	keyNameRE = regexp.MustCompile(`^[a-z0-9-]{1,16}$`)
@@ -191,6 +195,9 @@
 	} {
 		c.positive("timeouts."+f.name, int64(f.d))
 	}
+	if t.MaxRequest > longestRequest {
+		c.add("timeouts.maxRequest", fmt.Sprintf("must not be longer than %v, for which agents keep records of attempts", longestRequest))
+	}
 	if t.Request > t.MaxRequest {
 		c.add("timeouts.request", "must not be longer than maxRequest")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,7 @@
 		{"short secret", `{"role": "entry", "sessionKeys": [{"name": "k", "secret": "x"}]}`, `sessionKeys[0].secret: must have at least 32`},
 		{"number for time", `{"role": "agent", "timeouts": {"idle": 3}}`, `timeouts.idle: must be a time such as`},
 		{"negative time", `{"role": "agent", "timeouts": {"idle": "-3s"}}`, `timeouts.idle: must be greater than 0`},
+		{"deadline beyond the records", `{"role": "agent", "timeouts": {"maxRequest": "11m"}}`, `timeouts.maxRequest: must not be longer than 10m0s`},
 		{"zero limit", `{"role": "agent", "limits": {"inFlight": 0}}`, `limits.inFlight: must be greater than 0`},
 		{"fraction", `{"role": "agent", "limits": {"inFlight": 1.5}}`, `limits.inFlight: must be a whole number`},
 		{"platform by name", `{"role": "agent", "platform": {"table": "http://table:1"}}`, `platform.table: must be http://IP:port`},
