Add membership

Change: View, a state machine over heartbeats, answers to work and the host list; Runner, which paces heartbeats by bytes and reads a long list less often. Conclusion: the rate is bounded by bytes, not by hosts, so it is flat beyond a hundred hosts.

--- /dev/null
+++ b/internal/membership/next.go
@@ -0,0 +1,151 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Probe is one heartbeat to send.
+type Probe struct {
+	Host Host
+}
+
+// Next returns a heartbeat that is to be sent now. When there is none it
+// returns false and the time to call again.
+func (v *View) Next(now time.Time) (Probe, time.Time, bool) {
+	v.forgivePause(now)
+	m := v.mostDue(now)
+	at := now.Add(v.settings.QuietFirst)
+	if m != nil {
+		at = m.due
+	}
+	if ready := v.pace.ready(now); ready.After(at) {
+		at = ready
+	}
+	if m == nil || at.After(now) {
+		v.wake = at
+		return Probe{}, at, false
+	}
+	v.pace.sent()
+	m.inFlight = true
+	m.due = now.Add(resultWait)
+	v.wake = now
+	return Probe{Host: m.host}, now, true
+}
+
+// forgivePause starts the silence of every host anew when this process itself
+// was paused, so that the time it missed is not held against them.
+func (v *View) forgivePause(now time.Time) {
+	if v.wake.IsZero() || now.Sub(v.wake) <= pausedAfter {
+		return
+	}
+	for _, m := range v.members {
+		m.inFlight = false
+		m.silentSince = now
+	}
+}
+
+// mostDue returns the watched member whose heartbeat is due first; suspects go
+// before all others that are due.
+func (v *View) mostDue(now time.Time) *member {
+	held := v.heldBack(now)
+	var best *member
+	for _, m := range v.watched {
+		if m.state == Removed || held[m] || (m.inFlight && m.due.After(now)) {
+			continue
+		}
+		if best == nil || before(m, best, now) {
+			best = m
+		}
+	}
+	return best
+}
+
+func before(a, b *member, now time.Time) bool {
+	aUrgent := a.state == Suspect && !a.due.After(now)
+	bUrgent := b.state == Suspect && !b.due.After(now)
+	if aUrgent != bUrgent {
+		return aUrgent
+	}
+	return a.due.Before(b.due)
+}
+
+// heldBack returns the silent hosts of failure domains that are silent as a
+// whole, but for a few canaries: a cut link needs no more probes than that.
+// The canaries change with time, so that a dead one hides nothing.
+func (v *View) heldBack(now time.Time) map[*member]bool {
+	silent := map[string][]*member{}
+	reached := map[string]bool{}
+	for _, m := range v.watched {
+		if m.state == Silent {
+			silent[m.host.Domain] = append(silent[m.host.Domain], m)
+		} else if m.state != Removed {
+			reached[m.host.Domain] = true
+		}
+	}
+	held := map[*member]bool{}
+	turn := int(now.Unix() / int64(canaryTurn/time.Second))
+	for domain, members := range silent {
+		if reached[domain] {
+			continue
+		}
+		for i, m := range members {
+			held[m] = (i+turn)%len(members) >= domainCanaries
+		}
+	}
+	return held
+}
+
+// Line is one host in a state dump.
+type Line struct {
+	Host        string `json:"host"`
+	Domain      string `json:"domain"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	Watched     bool   `json:"watched,omitempty"`
+}
+
+// Dump returns every host, sorted by name.
+func (v *View) Dump() []Line {
+	out := make([]Line, 0, len(v.members))
+	for _, m := range v.members {
+		out = append(out, Line{
+			Host:        m.host.Name,
+			Domain:      m.host.Domain,
+			State:       m.state.String(),
+			Incarnation: m.incarnation,
+			Leaving:     m.leaving(),
+			Watched:     m.watched,
+		})
+	}
+	slices.SortFunc(out, func(a, b Line) int { return strings.Compare(a.Host, b.Host) })
+	return out
+}
+
+// State returns what is believed of a host, and false for one that the
+// configuration does not name.
+func (v *View) State(host string) (State, bool) {
+	m := v.members[host]
+	if m == nil {
+		return Unheard, false
+	}
+	return m.state, true
+}
+
+// Domains returns the failure domains in which no watched host is reached.
+func (v *View) Domains() (cut []string) {
+	silent := map[string]bool{}
+	for _, m := range v.watched {
+		isSilent, seen := silent[m.host.Domain]
+		silent[m.host.Domain] = m.state == Silent && (isSilent || !seen)
+	}
+	for d, isSilent := range silent {
+		if isSilent {
+			cut = append(cut, d)
+		}
+	}
+	slices.Sort(cut)
+	return cut
+}
--- /dev/null
+++ b/internal/membership/runner.go
@@ -0,0 +1,283 @@
+package membership
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/platform"
+)
+
+// Reporter sends a heartbeat to an agent. An error means that a pooled and a
+// new connection were both tried.
+type Reporter interface {
+	Report(ctx context.Context, address string, req *linkv1.ReportRequest) (*linkv1.ReportResponse, error)
+}
+
+// Options configure a Runner.
+type Options struct {
+	Settings Settings
+	Reporter Reporter
+	// Hosts is the platform's host list; nil leaves it out.
+	Hosts platform.Hosts
+	// OnEvent takes each change of a host. It must not block or call back.
+	OnEvent func(Event)
+	// OnReport takes each answer to a heartbeat. It must not block.
+	OnReport func(host Host, r *linkv1.ReportResponse)
+	Log      *zap.Logger
+}
+
+// The pace of the runner.
+const (
+	// maxProbes bounds the heartbeats under way.
+	maxProbes = 8
+	// wireOverhead is the bytes of HTTP around one heartbeat.
+	wireOverhead = 400
+	// listFirst is the least pause between two reads of the host list.
+	listFirst = 2 * time.Second
+	// listBytesPerSecond bounds the reads of the host list; a long list is
+	// read less often.
+	listBytesPerSecond = 1000
+	// listLineBytes is the size of one line of the host list.
+	listLineBytes = 100
+	// listSpread is the share by which the pause is longer or shorter.
+	listSpread = 0.25
+)
+
+// Runner keeps a View up to date. It is safe for concurrent use.
+type Runner struct {
+	options Options
+	places  chan struct{}
+	wake    chan struct{}
+
+	mu    sync.Mutex
+	view  *View
+	stats Stats
+	// seen is the last answer of each host, to tell whether one is new.
+	seen map[string]*linkv1.ReportResponse
+}
+
+// Stats count what membership cost.
+type Stats struct {
+	Heartbeats uint64 `json:"heartbeats"`
+	Failures   uint64 `json:"failures"`
+	// Bytes of heartbeats and of reads of the host list, both ways.
+	Bytes     uint64 `json:"bytes"`
+	ListReads uint64 `json:"listReads"`
+	// ListError is why the host list could not be read last; empty when it
+	// could.
+	ListError string `json:"listError,omitempty"`
+}
+
+// NewRunner returns a runner that knows no host until SetCatalog.
+func NewRunner(o Options) *Runner {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.OnEvent == nil {
+		o.OnEvent = func(Event) {}
+	}
+	if o.OnReport == nil {
+		o.OnReport = func(Host, *linkv1.ReportResponse) {}
+	}
+	return &Runner{
+		options: o,
+		places:  make(chan struct{}, maxProbes),
+		wake:    make(chan struct{}, 1),
+		view:    NewView(o.Settings),
+		seen:    map[string]*linkv1.ReportResponse{},
+	}
+}
+
+// SetCatalog takes the hosts of a new revision.
+func (r *Runner) SetCatalog(set *catalog.Set) {
+	byName := map[string]Host{}
+	for _, u := range set.Upstreams {
+		byName[u.Host] = Host{Name: u.Host, Domain: u.Domain, Agent: u.Agent}
+	}
+	hosts := make([]Host, 0, len(byName))
+	for _, h := range byName {
+		hosts = append(hosts, h)
+	}
+	r.mu.Lock()
+	r.view.SetHosts(hosts, time.Now())
+	maps.DeleteFunc(r.seen, func(host string, _ *linkv1.ReportResponse) bool {
+		_, stays := byName[host]
+		return !stays
+	})
+	r.mu.Unlock()
+	r.nudge()
+}
+
+// Answered takes an answer to work that came from a host, so that it needs no
+// heartbeat. asked is when the work was sent.
+func (r *Runner) Answered(host string, incarnation uint64, leaving bool, asked time.Time) {
+	b := Beat{Asked: asked, Incarnation: incarnation, Leaving: leaving}
+	r.apply(func(v *View, now time.Time) []Event { return v.Heard(host, b, now) })
+}
+
+// Failed takes a failure to reach a host while work was sent to it.
+func (r *Runner) Failed(host string) {
+	r.apply(func(v *View, now time.Time) []Event { return v.Failed(host, now) })
+	r.nudge()
+}
+
+// apply changes the view and passes on what happened, in order.
+func (r *Runner) apply(change func(*View, time.Time) []Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range change(r.view, time.Now()) {
+		r.options.Log.Info("membership: host "+e.Kind.String(), zap.String("host", e.Host.Name))
+		r.options.OnEvent(e)
+	}
+}
+
+func (r *Runner) nudge() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Dump returns every host and what membership cost.
+func (r *Runner) Dump() ([]Line, Stats) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.Dump(), r.stats
+}
+
+// Run sends heartbeats and reads the host list until the context ends.
+func (r *Runner) Run(ctx context.Context) error {
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	if r.options.Hosts != nil {
+		duties.Go(func() { r.runList(ctx) })
+	}
+	for {
+		probe, at, ok := r.next()
+		if ok {
+			select {
+			case r.places <- struct{}{}:
+				duties.Go(func() {
+					defer func() { <-r.places }()
+					r.probe(ctx, probe.Host)
+				})
+			case <-ctx.Done():
+				return nil
+			}
+			continue
+		}
+		if !r.waitUntil(ctx, at) {
+			return nil
+		}
+	}
+}
+
+func (r *Runner) next() (Probe, time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.Next(time.Now())
+}
+
+// waitUntil returns false when the context ended.
+func (r *Runner) waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.wake:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// probe sends one heartbeat and takes what came of it.
+func (r *Runner) probe(ctx context.Context, host Host) {
+	asked := time.Now()
+	req := &linkv1.ReportRequest{}
+	resp, err := r.options.Reporter.Report(ctx, host.Agent, req)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		r.count(func(s *Stats) { s.Heartbeats++; s.Failures++; s.Bytes += wireOverhead })
+		r.Failed(host.Name)
+		return
+	}
+	bytes := proto.Size(req) + proto.Size(resp) + wireOverhead
+	r.count(func(s *Stats) { s.Heartbeats++; s.Bytes += uint64(bytes) })
+	b := Beat{
+		Asked:       asked,
+		Incarnation: resp.GetEnvelope().GetIncarnation(),
+		Leaving:     resp.GetLeaving(),
+		Changed:     r.changed(host.Name, resp),
+		Bytes:       bytes,
+	}
+	r.apply(func(v *View, now time.Time) []Event { return v.Heard(host.Name, b, now) })
+	r.options.OnReport(host, resp)
+}
+
+func (r *Runner) count(f func(*Stats)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.stats)
+}
+
+// changed reports whether an answer tells anything of the host that the one
+// before did not.
+func (r *Runner) changed(host string, resp *linkv1.ReportResponse) bool {
+	body := proto.CloneOf(resp)
+	body.Envelope = nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.seen[host]
+	r.seen[host] = body
+	return before == nil || !proto.Equal(before, body)
+}
+
+// runList reads the host list, a long one less often.
+func (r *Runner) runList(ctx context.Context) {
+	for {
+		list, err := r.options.Hosts.List(ctx)
+		bytes := listLineBytes*len(list) + wireOverhead
+		r.count(func(s *Stats) {
+			s.ListReads++
+			s.Bytes += uint64(bytes)
+			s.ListError = ""
+			if err != nil {
+				s.ListError = err.Error()
+			}
+		})
+		if err == nil {
+			r.apply(func(v *View, now time.Time) []Event { return v.Listed(list, now) })
+		}
+		if !sleep(ctx, listPause(bytes)) {
+			return
+		}
+	}
+}
+
+func listPause(bytes int) time.Duration {
+	pause := max(listFirst, time.Duration(float64(bytes)/listBytesPerSecond*float64(time.Second)))
+	spread := 1 + listSpread*(2*rand.Float64()-1)
+	return time.Duration(float64(pause) * spread)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/membership/runner_test.go
@@ -0,0 +1,279 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// The bounds of membership, from the target of 6 KB a second of control for
+// each daemon and 3 s until a leaving upstream gets no new work.
+const (
+	// boundHosts is 4,100 upstreams at 14 a host.
+	boundHosts   = 293
+	boundEntries = 20
+	// boundEntryBytes is bytes a second at an entry for heartbeats and the
+	// host list: half of the 6 KB; publication has a third.
+	boundEntryBytes = 3072
+	// boundAgentBytes is bytes a second at an agent for the heartbeats it
+	// answers: a sixth, because it has the ledger to write as well.
+	boundAgentBytes = 1024
+	// boundReturn is the time in which a domain that comes back is alive
+	// again at an entry: the longest pause of a probe and the spread.
+	boundReturn = 40 * time.Second
+)
+
+// agents is the far side of every heartbeat.
+type agents struct {
+	mu    sync.Mutex
+	down  map[string]bool
+	asked map[string]int
+}
+
+func newAgents() *agents { return &agents{down: map[string]bool{}, asked: map[string]int{}} }
+
+// cut takes domain b away, or gives it back.
+func (a *agents) cut(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down["b"] = down
+}
+
+func (a *agents) total() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, k := range a.asked {
+		n += k
+	}
+	return n
+}
+
+// Report answers for 14 idle upstreams; a domain that is down takes a second
+// to fail. The address is "domain/host".
+func (a *agents) Report(ctx context.Context, address string, _ *linkv1.ReportRequest) (*linkv1.ReportResponse, error) {
+	var domain, host string
+	_, _ = fmt.Sscanf(address, "%1s/%s", &domain, &host)
+	a.mu.Lock()
+	a.asked[address]++
+	down := a.down[domain]
+	a.mu.Unlock()
+	if down {
+		sleep(ctx, time.Second)
+		return nil, result.New(result.UpstreamRefused, "no answer")
+	}
+	resp := &linkv1.ReportResponse{Envelope: &linkv1.Envelope{Revision: 1000, Sender: host, Incarnation: 1 << 40, Address: "10.0.0.1:7000"}}
+	for i := range 14 {
+		resp.Upstreams = append(resp.Upstreams, &linkv1.UpstreamReport{
+			Name: fmt.Sprintf("upstream-%s-%02d", host, i), Healthy: true,
+			Load: &linkv1.Load{Slots: 16, FirstTokenUs: 120_000},
+		})
+	}
+	return resp, nil
+}
+
+func setOf(t testing.TB, n int) *catalog.Set {
+	t.Helper()
+	set, err := catalog.NewSet(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		domain := string(rune('a' + i%3))
+		host := fmt.Sprintf("h%03d", i)
+		set.Upstreams[host] = &catalog.Upstream{Host: host, Domain: domain, Agent: domain + "/" + host}
+	}
+	return set
+}
+
+// run starts an entry's runner and returns it.
+func run(t testing.TB, name string, a *agents, list platform.Hosts, set *catalog.Set) *Runner {
+	r := NewRunner(Options{Settings: Settings{Entry: name}, Reporter: a, Hosts: list})
+	r.SetCatalog(set)
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { _ = r.Run(ctx) })
+	t.Cleanup(func() { cancel(); done.Wait() })
+	return r
+}
+
+func listHosts(p *fake.Platform, set *catalog.Set) {
+	for _, u := range set.Upstreams {
+		p.Hosts.Put(platform.HostState{Name: u.Host, Domain: u.Domain, Address: u.Agent})
+	}
+}
+
+// TestBoundsSlopeOverHosts counts the bytes of membership as hosts grow, with
+// no work at all, which is when heartbeats are the most.
+func TestBoundsSlopeOverHosts(t *testing.T) {
+	for _, n := range []int{4, 10, 100, boundHosts} {
+		t.Run(fmt.Sprintf("hosts=%d", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkBytes(t, n) })
+		})
+	}
+}
+
+func checkBytes(t *testing.T, n int) {
+	entries := max(2, boundEntries*n/boundHosts)
+	p := fake.New(fake.Options{})
+	set := setOf(t, n)
+	listHosts(p, set)
+	a := newAgents()
+	var runners []*Runner
+	for i := range entries {
+		runners = append(runners, run(t, fmt.Sprintf("e%02d", i), a, p.Hosts, set))
+	}
+	const seconds = 600
+	time.Sleep(seconds * time.Second)
+	var most, all, beats float64
+	for _, r := range runners {
+		_, s := r.Dump()
+		most = max(most, float64(s.Bytes)/seconds)
+		all += float64(s.Bytes)
+		beats += float64(s.Heartbeats)
+		if s.Failures > 0 {
+			t.Errorf("%d heartbeats failed", s.Failures)
+		}
+	}
+	busiest := 0
+	for _, k := range a.asked {
+		busiest = max(busiest, k)
+	}
+	agentBytes := float64(busiest) * firstBeatBytes / seconds
+	t.Logf("%d hosts, %d entries: %.0f B/s at the busiest entry, %.2f heartbeats/s an entry, %.0f B/s at the busiest agent",
+		n, entries, most, beats/seconds/float64(entries), agentBytes)
+	if most > boundEntryBytes {
+		t.Errorf("%.0f B/s at an entry, bound %d", most, boundEntryBytes)
+	}
+	if agentBytes > boundAgentBytes {
+		t.Errorf("%.0f B/s at an agent, bound %d", agentBytes, boundAgentBytes)
+	}
+}
+
+// TestRegionsLoseEachOtherForAnHour cuts one domain off from an entry while
+// the host list says that its hosts live.
+func TestRegionsLoseEachOtherForAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fake.New(fake.Options{})
+		set := setOf(t, boundHosts)
+		listHosts(p, set)
+		a := newAgents()
+		r := run(t, "e1", a, p.Hosts, set)
+		time.Sleep(2 * time.Minute)
+		a.cut(true)
+		time.Sleep(2 * time.Minute)
+		before, asked := statesOf(r), a.total()
+		if before["b"][Alive.String()] > 0 || before["a"][Silent.String()] > 0 {
+			t.Errorf("two minutes into the cut: %v", before)
+		}
+		_, stats := r.Dump()
+		time.Sleep(time.Hour)
+		if got := statesOf(r); got["b"][Removed.String()] > 0 {
+			t.Errorf("hosts behind a cut link were removed: %v", got)
+		}
+		_, later := r.Dump()
+		if rate := float64(later.Bytes-stats.Bytes) / 3600; rate > boundEntryBytes {
+			t.Errorf("%.0f B/s during the cut", rate)
+		}
+		failures := float64(later.Failures-stats.Failures) / 3600
+		if failures > 0.2 {
+			t.Errorf("%.2f probes a second into the cut", failures)
+		}
+		a.cut(false)
+		returned := a.total()
+		time.Sleep(boundReturn)
+		if got := statesOf(r); got["b"][Silent.String()] > 0 {
+			t.Errorf("%v after the return: %v", boundReturn, got)
+		}
+		burst := float64(a.total()-returned) / boundReturn.Seconds()
+		t.Logf("%.2f failed probes/s in the cut, %.2f heartbeats/s after the return, %d before", failures, burst, asked)
+		if burst > 3 {
+			t.Errorf("%.1f heartbeats a second after the return", burst)
+		}
+	})
+}
+
+// statesOf counts the watched hosts by domain and state.
+func statesOf(r *Runner) map[string]map[string]int {
+	lines, _ := r.Dump()
+	out := map[string]map[string]int{"a": {}, "b": {}, "c": {}}
+	for _, l := range lines {
+		if l.Watched {
+			out[l.Domain][l.State]++
+		}
+	}
+	return out
+}
+
+func TestDeadHostIsRemovedAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fake.New(fake.Options{})
+		set := setOf(t, 3)
+		listHosts(p, set)
+		p.Hosts.SetFaults(fake.HostFaults{Lag: 20 * time.Second})
+		a := newAgents()
+		r := run(t, "e1", a, p.Hosts, set)
+		time.Sleep(time.Minute)
+		a.cut(true)
+		p.Hosts.Remove("h001")
+		time.Sleep(2 * time.Minute)
+		if got := statesOf(r)["b"]; got[Removed.String()] != 1 {
+			t.Errorf("the dead host is %v", got)
+		}
+		asked := a.total()
+		time.Sleep(10 * time.Second)
+		a.cut(false)
+		p.Hosts.Put(platform.HostState{Name: "h001", Domain: "b"})
+		time.Sleep(time.Minute)
+		if got := statesOf(r)["b"]; got[Alive.String()] != 1 {
+			t.Errorf("the host that came back is %v (asked %d)", got, asked)
+		}
+	})
+}
+
+// TestLeavingIsKnownInTime covers a host that says so itself on an answer to
+// work, and one that only the host list names.
+func TestLeavingIsKnownInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fake.New(fake.Options{})
+		set := setOf(t, 10)
+		listHosts(p, set)
+		r := run(t, "e1", newAgents(), p.Hosts, set)
+		time.Sleep(time.Minute)
+		r.Answered("h000", 1<<40, true, time.Now())
+		p.Hosts.Put(platform.HostState{Name: "h001", Domain: "b", Leaving: true})
+		time.Sleep(3 * time.Second)
+		lines, _ := r.Dump()
+		if !lines[0].Leaving || !lines[1].Leaving {
+			t.Errorf("got %+v", lines[:2])
+		}
+	})
+}
+
+func TestAnswersToWorkTakeThePlaceOfHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := setOf(t, 10)
+		a := newAgents()
+		r := run(t, "e1", a, nil, set)
+		time.Sleep(time.Minute)
+		before := a.total()
+		for range 60 {
+			for _, u := range set.Upstreams {
+				r.Answered(u.Host, 1<<40, false, time.Now())
+			}
+			time.Sleep(time.Second)
+		}
+		if n := a.total() - before; n > 0 {
+			t.Errorf("%d heartbeats to hosts that answer work", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/membership/view_test.go
@@ -0,0 +1,264 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonbay.example/tarragonbay/internal/platform"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// hosts makes n hosts in the domains in turn.
+func hosts(n int, domains ...string) []Host {
+	out := make([]Host, n)
+	for i := range out {
+		out[i] = Host{
+			Name:   fmt.Sprintf("h%03d", i),
+			Domain: domains[i%len(domains)],
+			Agent:  fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+		}
+	}
+	return out
+}
+
+func listOf(hs []Host) []platform.HostState {
+	var out []platform.HostState
+	for _, h := range hs {
+		out = append(out, platform.HostState{Name: h.Name, Domain: h.Domain})
+	}
+	return out
+}
+
+func newTestView(hs []Host) *View {
+	v := NewView(Settings{Entry: "e1"})
+	v.SetHosts(hs, start)
+	return v
+}
+
+func kinds(events []Event) []EventKind {
+	var out []EventKind
+	for _, e := range events {
+		out = append(out, e.Kind)
+	}
+	return out
+}
+
+func wantKinds(t *testing.T, what string, got []Event, want ...EventKind) {
+	t.Helper()
+	if !slices.Equal(kinds(got), want) {
+		t.Errorf("%s: got %v, want %v", what, kinds(got), want)
+	}
+}
+
+func beat(at time.Time, incarnation uint64) Beat {
+	return Beat{Asked: at, Incarnation: incarnation, Bytes: 900}
+}
+
+// TestDeadHostAndCutLink gives the same silence with three host lists.
+func TestDeadHostAndCutLink(t *testing.T) {
+	hs := hosts(1, "a")
+	tests := []struct {
+		name string
+		list func(v *View, now time.Time) []Event
+		want State
+	}{
+		{"off the list: dead", func(v *View, now time.Time) []Event { return v.Listed(nil, now) }, Removed},
+		{"on the list: the link is cut", func(v *View, now time.Time) []Event { return v.Listed(listOf(hs), now) }, Silent},
+		{"no list: nothing is removed", func(*View, time.Time) []Event { return nil }, Silent},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newTestView(hs)
+			wantKinds(t, "first answer", v.Heard("h000", beat(start, 1), start), HostBack)
+			now := start.Add(time.Second)
+			wantKinds(t, "first failure", v.Failed("h000", now))
+			wantKinds(t, "second failure", v.Failed("h000", now), HostSilent)
+			var events []Event
+			for range 60 {
+				now = now.Add(time.Minute)
+				events = append(events, tt.list(v, now)...)
+				events = append(events, v.Failed("h000", now)...)
+			}
+			if got, _ := v.State("h000"); got != tt.want {
+				t.Errorf("state %v, want %v", got, tt.want)
+			}
+			if tt.want == Removed {
+				wantKinds(t, "removal", events, HostRemoved)
+			}
+			wantKinds(t, "return", v.Heard("h000", beat(now, 1), now), HostBack)
+		})
+	}
+}
+
+func TestAnswerBeatsALaggingList(t *testing.T) {
+	v := newTestView(hosts(1, "a"))
+	now := start
+	for range 10 {
+		now = now.Add(10 * time.Second)
+		v.Heard("h000", beat(now, 1), now)
+		wantKinds(t, "list without the host", v.Listed(nil, now))
+	}
+	if got, _ := v.State("h000"); got != Alive {
+		t.Errorf("state %v", got)
+	}
+}
+
+func TestRestartIsSeenAndLateAnswersAreDropped(t *testing.T) {
+	v := newTestView(hosts(1, "a"))
+	v.Heard("h000", beat(start.Add(2*time.Second), 9), start.Add(3*time.Second))
+	wantKinds(t, "late answer of the life before", v.Heard("h000", beat(start.Add(time.Second), 5), start.Add(4*time.Second)))
+	if d := v.Dump(); d[0].Incarnation != 9 {
+		t.Errorf("incarnation %d", d[0].Incarnation)
+	}
+	wantKinds(t, "restart with a lower number", v.Heard("h000", beat(start.Add(5*time.Second), 4), start.Add(5*time.Second)), HostRestarted)
+	wantKinds(t, "return after a pause", v.Failed("h000", start.Add(6*time.Second)))
+	wantKinds(t, "same life", v.Heard("h000", beat(start.Add(7*time.Second), 4), start.Add(7*time.Second)))
+}
+
+func TestLeavingFromBothSources(t *testing.T) {
+	hs := hosts(1, "a")
+	v := newTestView(hs)
+	b := beat(start, 1)
+	v.Heard("h000", b, start)
+	list := listOf(hs)
+	list[0].Leaving = true
+	wantKinds(t, "listed", v.Listed(list, start), HostLeaving)
+	b.Leaving = true
+	wantKinds(t, "said as well", v.Heard("h000", b, start))
+	list[0].Leaving = false
+	wantKinds(t, "listed as staying, still said", v.Listed(list, start))
+	b.Leaving = false
+	wantKinds(t, "taken back", v.Heard("h000", b, start), HostStaying)
+}
+
+func TestOwnPauseIsNotHeldAgainstOthers(t *testing.T) {
+	v := newTestView(hosts(1, "a"))
+	v.Heard("h000", beat(start, 1), start)
+	v.Next(start)
+	v.Failed("h000", start)
+	v.Failed("h000", start)
+	v.Listed(nil, start)
+	v.Listed(nil, start)
+	now := start.Add(time.Hour)
+	v.Next(now)
+	wantKinds(t, "failure right after the pause", v.Failed("h000", now))
+	now = now.Add(DefaultRemoveAfter)
+	wantKinds(t, "failure long after it", v.Failed("h000", now), HostRemoved)
+}
+
+func TestSubsetIsBoundedStableAndSeesEveryDomain(t *testing.T) {
+	hs := hosts(300, "a", "b", "c")
+	watchers := map[string]int{}
+	for e := range 40 {
+		v := NewView(Settings{Entry: fmt.Sprintf("e%d", e)})
+		v.SetHosts(hs, start)
+		before := watchedOf(v)
+		if len(before) != DefaultSubsetSize {
+			t.Fatalf("%d hosts are watched", len(before))
+		}
+		for name, domain := range before {
+			watchers[name]++
+			watchers["domain "+domain]++
+		}
+		v.SetHosts(hs[1:], start)
+		changed := 0
+		for name := range watchedOf(v) {
+			if _, ok := before[name]; !ok {
+				changed++
+			}
+		}
+		if changed > 1 {
+			t.Errorf("one host went and %d others came into the subset", changed)
+		}
+	}
+	for _, d := range []string{"a", "b", "c"} {
+		if watchers["domain "+d] < 40*DefaultSubsetSize/4 {
+			t.Errorf("domain %s is watched %d times", d, watchers["domain "+d])
+		}
+	}
+}
+
+func watchedOf(v *View) map[string]string {
+	out := map[string]string{}
+	for _, l := range v.Dump() {
+		if l.Watched {
+			out[l.Host] = l.Domain
+		}
+	}
+	return out
+}
+
+// walk runs random events against one view.
+type walk struct {
+	t      *rapid.T
+	view   *View
+	now    time.Time
+	hosts  []Host
+	listed map[string]bool
+}
+
+func (w *walk) answer(host string) {
+	w.view.Heard(host, beat(w.now, uint64(rapid.IntRange(1, 2).Draw(w.t, "incarnation"))), w.now)
+	if got, _ := w.view.State(host); got != Alive {
+		w.t.Fatalf("%v after an answer", got)
+	}
+}
+
+func (w *walk) fail(host string) {
+	before, _ := w.view.State(host)
+	w.view.Failed(host, w.now)
+	if got, _ := w.view.State(host); before == Alive && got != Suspect {
+		w.t.Fatalf("one failure made an alive host %v", got)
+	}
+}
+
+func (w *walk) list() {
+	on := rapid.SliceOfDistinct(rapid.SampledFrom(w.hosts), func(h Host) string { return h.Name }).Draw(w.t, "list")
+	w.view.Listed(listOf(on), w.now)
+	clear(w.listed)
+	for _, h := range on {
+		w.listed[h.Name] = true
+	}
+}
+
+func (w *walk) next() {
+	if _, at, ok := w.view.Next(w.now); !ok && !at.After(w.now) {
+		w.t.Fatal("nothing to send, and no later time to call again")
+	}
+}
+
+func (w *walk) checkRemoved() {
+	for _, h := range w.hosts {
+		if got, _ := w.view.State(h.Name); got == Removed && w.listed[h.Name] {
+			w.t.Fatalf("%s is removed and on the list", h.Name)
+		}
+	}
+}
+
+// TestViewKeepsItsPromises runs any order of events.
+func TestViewKeepsItsPromises(t *testing.T) {
+	hs := hosts(6, "a", "b")
+	rapid.Check(t, func(t *rapid.T) {
+		w := &walk{t: t, view: newTestView(hs), now: start, hosts: hs, listed: map[string]bool{}}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+			host := hs[rapid.IntRange(0, 5).Draw(t, "host")].Name
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				w.answer(host)
+			case 1:
+				w.fail(host)
+			case 2:
+				w.list()
+			case 3:
+				w.next()
+			}
+			w.checkRemoved()
+		}
+	})
+}
