Run calls that may not be repeated under a claim on their key

Cause: two entries could run the same booking, and an entry that died left no trace of it. Change: the entry claims the idempotency key in the table service before it dispatches, names the agent's incarnation, moves the claim only after a proven not-run, and stores the answer; such a call goes on when its caller is gone.

--- a/integration/harness/caller.go
+++ b/integration/harness/caller.go
@@ -158,7 +158,7 @@
 		Version:    resp.Header.Get("X-Tarragonbay-Version"),
 		Session:    resp.Header.Get("X-Session"),
 		RetryAfter: resp.Header.Get("Retry-After"),
-		Replayed:   resp.Header.Get("Idempotency-Replayed") != "",
+		Replayed:   resp.Header.Get("Idempotent-Replayed") != "",
 	}
 	if a.Stream && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		readStream(resp.Body, &r)
@@ -221,12 +221,9 @@
 
 type apiError struct {
 	Error struct {
-		Message string `json:"message"`
-		TBCode  int    `json:"tb_code"`
+		TBCode  string `json:"tb_code"`
 		Outcome string `json:"outcome"`
 	} `json:"error"`
-	TBCode  int    `json:"tb_code"`
-	Outcome string `json:"outcome"`
 }
 
 func (r *Reply) readError(body []byte) {
@@ -234,10 +231,11 @@
 	if json.Unmarshal(body, &e) != nil {
 		return
 	}
-	r.Code, r.Outcome = e.TBCode, e.Outcome
-	if e.Error.TBCode != 0 {
-		r.Code, r.Outcome = e.Error.TBCode, e.Error.Outcome
+	code, err := strconv.Atoi(strings.TrimPrefix(e.Error.TBCode, "TB"))
+	if err == nil {
+		r.Code = code
 	}
+	r.Outcome = e.Error.Outcome
 }
 
 type chunk struct {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"time"
+
+	"github.com/google/uuid"
 
 	"tarragonbay.example/tarragonbay/internal/callerapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/claim"
 	"tarragonbay.example/tarragonbay/internal/entry"
 	"tarragonbay.example/tarragonbay/internal/httpserver"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -16,6 +20,7 @@
 type entryRole struct {
 	daemon *Daemon
 	entry  *entry.Entry
+	claims *claim.Book
 	caller *httpserver.Server
 }
 
@@ -30,17 +35,26 @@
 		return nil, err
 	}
 	s := d.settings
+	linkClient := d.linkClient()
+	claims := claim.NewBook(claim.Options{
+		Table:  d.ports.Table,
+		Settle: entry.Settle(linkClient.Settle),
+		Now:    time.Now,
+		NewID:  uuid.NewString,
+	})
 	e := entry.New(entry.Options{
-		Name:     s.Name,
-		Domain:   s.Domain,
-		Config:   d.follower,
-		Link:     d.linkClient(),
-		Sessions: signer,
-		Copies:   d.copies(),
-		InFlight: s.Limits.InFlight,
-		Queue:    s.Limits.QueueLength,
-		Log:      d.log.Part("entry"),
-		Metrics:  d.metrics,
+		Name:        s.Name,
+		Domain:      s.Domain,
+		Config:      d.follower,
+		Link:        linkClient,
+		Claims:      claims,
+		Incarnation: d.incarnation,
+		Sessions:    signer,
+		Copies:      d.copies(),
+		InFlight:    s.Limits.InFlight,
+		Queue:       s.Limits.QueueLength,
+		Log:         d.log.Part("entry"),
+		Metrics:     d.metrics,
 	})
 	d.dumps.Register("entry", e)
 	handler := callerapi.NewHandler(callerapi.Options{
@@ -55,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return d, d.setRole(&entryRole{daemon: d, entry: e, caller: caller})
+	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, caller: caller})
 }
 
 func (d *Daemon) signer() (*session.Signer, error) {
@@ -72,6 +86,7 @@
 	return []duty{
 		{"entry", r.entry.Run},
 		{"admission", r.entry.Admit},
+		{"claims", r.claims.Run},
 		{"learner", r.entry.Learn},
 		{"ratings", func(ctx context.Context) error { return r.entry.Rate(ctx, r.daemon.ports.Ratings) }},
 		{"callers", r.caller.Run},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,9 @@
 	Link     *link.Client
 	Sessions *session.Signer
 	Copies   Copies
+	Claims   Claims
+	// Incarnation of this process.
+	Incarnation uint64
 	// InFlight and Queue bound what one entry takes.
 	InFlight int
 	Queue    int
@@ -67,10 +70,14 @@
 	link     *link.Client
 	sessions *session.Signer
 	copies   Copies
-	route    route.Settings
-	entries  int
-	log      *zap.Logger
-	now      func() time.Time
+	claims   Claims
+	agents   agentLives
+	// incarnation of this process.
+	incarnation uint64
+	route       route.Settings
+	entries     int
+	log         *zap.Logger
+	now         func() time.Time
 
 	// planMu is held while the planner is replaced.
 	planMu   sync.Mutex
@@ -95,19 +102,21 @@
 		o.Entries = 1
 	}
 	e := &Entry{
-		name:     o.Name,
-		config:   o.Config,
-		link:     o.Link,
-		sessions: o.Sessions,
-		copies:   o.Copies,
-		route:    o.Route,
-		entries:  o.Entries,
-		log:      o.Log,
-		now:      o.Now,
-		picker:   balance.New(balance.Settings{Entry: o.Name, Domain: o.Domain}),
-		retries:  retry.New(retry.Settings{}, o.Now()),
-		shadows:  make(shadowSlots, maxShadows),
-		metrics:  newCounters(o.Metrics),
+		name:        o.Name,
+		config:      o.Config,
+		link:        o.Link,
+		sessions:    o.Sessions,
+		copies:      o.Copies,
+		claims:      o.Claims,
+		incarnation: o.Incarnation,
+		route:       o.Route,
+		entries:     o.Entries,
+		log:         o.Log,
+		now:         o.Now,
+		picker:      balance.New(balance.Settings{Entry: o.Name, Domain: o.Domain}),
+		retries:     retry.New(retry.Settings{}, o.Now()),
+		shadows:     make(shadowSlots, maxShadows),
+		metrics:     newCounters(o.Metrics),
 	}
 	e.learner = newLearner(o.Now, e.useView, o.Metrics)
 	e.limiter = admission.NewLimiter(admission.NewController(admission.Settings{
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -38,6 +38,11 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.metrics.services.Inc(1)
+	if call.Once {
+		// The call goes on when its caller is gone, so that the answer can
+		// be had by the same key.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	r := &serviceRun{entry: e, ctx: ctx, call: call, request: attempt.NewRequest(!call.Once)}
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -103,7 +103,6 @@
 		Target:       balance.Target{Version: s.step.Version},
 		Prefix:       s.call.Prefix,
 		PromptTokens: s.call.PromptTokens,
-		OutputTokens: s.call.MaxTokens,
 		Tried:        s.tried,
 	}, e.now(), e.random())
 	if err != nil {
@@ -174,6 +173,10 @@
 	if concludeErr := req.Conclude(id, ending); concludeErr != nil {
 		failure = result.Wrap(concludeErr, result.Internal, "attempt cannot be closed")
 	}
+	e.agents.heard(choice.Agent, stream.Incarnation())
+	if failure != nil && (failure.Code == result.WrongIncarnation || failure.Code == result.NoUpstream) {
+		e.agents.forget(choice.Agent)
+	}
 	e.config.Saw(choice.Agent, stream.Revision())
 	e.picker.Finished(choice, observation(failure, stream.Load()), e.now())
 	if c := stream.Final().GetCharge(); c != nil {
