Let membership tell the entry which hosts can take work

Cause: the entry learned of a dead or leaving host only from its own attempts. Change: heartbeats and the host list drive the picker, the known incarnations and the copies of charges; attempts report back what they saw of a host; the agent reads the host list itself, so that it refuses work when leaving.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"tarragonbay.example/tarragonbay/internal/agent"
 	"tarragonbay.example/tarragonbay/internal/link"
+	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -42,9 +44,41 @@
 	return []duty{
 		{"agent", r.agent.Run},
 		{"probe", r.agent.Probe},
+		{"hosts", r.watchHosts},
 	}
 }
 
+// hostListEvery is the pause between two reads of the host list.
+const hostListEvery = time.Second
+
+// watchHosts tells the agent what the host list says of its host.
+func (r *agentRole) watchHosts(ctx context.Context) error {
+	tick := time.NewTicker(hostListEvery)
+	defer tick.Stop()
+	for {
+		list, err := r.daemon.ports.Hosts.List(ctx)
+		if err == nil {
+			r.agent.SetLeaving(isLeaving(list, r.daemon.settings.Name))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// isLeaving reports whether the list says that the host leaves. A host that is
+// not on the list is taken to stay: the list lags.
+func isLeaving(list []platform.HostState, name string) bool {
+	for _, h := range list {
+		if h.Name == name {
+			return h.Leaving
+		}
+	}
+	return false
+}
+
 func (r *agentRole) ready() error {
 	_, err := r.daemon.follower.Current()
 	return err
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -12,16 +12,19 @@
 	"tarragonbay.example/tarragonbay/internal/claim"
 	"tarragonbay.example/tarragonbay/internal/entry"
 	"tarragonbay.example/tarragonbay/internal/httpserver"
+	"tarragonbay.example/tarragonbay/internal/membership"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/session"
+	"tarragonbay.example/tarragonbay/internal/telemetry"
 )
 
 // entryRole takes callers' requests.
 type entryRole struct {
-	daemon *Daemon
-	entry  *entry.Entry
-	claims *claim.Book
-	caller *httpserver.Server
+	daemon  *Daemon
+	entry   *entry.Entry
+	claims  *claim.Book
+	members *membership.Runner
+	caller  *httpserver.Server
 }
 
 // NewEntry composes an entry.
@@ -56,7 +59,20 @@
 		Log:         d.log.Part("entry"),
 		Metrics:     d.metrics,
 	})
+	members := membership.NewRunner(membership.Options{
+		Settings: membership.Settings{Entry: s.Name},
+		Reporter: linkClient,
+		Hosts:    d.ports.Hosts,
+		OnEvent:  e.HostChanged,
+		OnReport: e.HostReported,
+		Log:      d.log.Part("members"),
+	})
+	e.SetMembers(members)
 	d.dumps.Register("entry", e)
+	d.dumps.Register("members", telemetry.DumperFunc(func() any {
+		hosts, cost := members.Dump()
+		return membersState{Hosts: hosts, Cost: cost}
+	}))
 	handler := callerapi.NewHandler(callerapi.Options{
 		Router:   e,
 		Set:      func() *catalog.Set { set, _ := d.follower.Set(); return set },
@@ -69,7 +85,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, caller: caller})
+	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, members: members, caller: caller})
+}
+
+// membersState is membership's part of the state dump.
+type membersState struct {
+	Hosts []membership.Line `json:"hosts"`
+	Cost  membership.Stats  `json:"cost"`
 }
 
 func (d *Daemon) signer() (*session.Signer, error) {
@@ -87,6 +109,7 @@
 		{"entry", r.entry.Run},
 		{"admission", r.entry.Admit},
 		{"claims", r.claims.Run},
+		{"members", r.members.Run},
 		{"learner", r.entry.Learn},
 		{"ratings", func(ctx context.Context) error { return r.entry.Rate(ctx, r.daemon.ports.Ratings) }},
 		{"callers", r.caller.Run},
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -18,8 +18,20 @@
 // HandIn implements agent.Charger.
 func (c *counted) HandIn(charges []*linkv1.Charge) int { return len(charges) }
 
+func (d *Daemon) charger() *counted { return &counted{} }
+func (d *Daemon) copies() uncopied  { return uncopied{} }
+
+// uncopied keeps no copies.
+type uncopied struct{}
+
 // Keep implements entry.Copies.
-func (c *counted) Keep(string, *linkv1.Charge) {}
+func (uncopied) Keep(string, *linkv1.Charge) {}
 
-func (d *Daemon) charger() *counted { return &counted{} }
-func (d *Daemon) copies() *counted  { return &counted{} }
+// Durable implements entry.Copies.
+func (uncopied) Durable(string, uint64, uint64) {}
+
+// Alive implements entry.Copies.
+func (uncopied) Alive(string, uint64) {}
+
+// Gone implements entry.Copies.
+func (uncopied) Gone(string) {}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,7 +37,15 @@
 // Copies keeps the charges of answers until the agent says that they are
 // durable. It is implemented by ledger.Copies.
 type Copies interface {
+	// Keep takes the charge of an answer from the agent at the address.
 	Keep(agent string, c *linkv1.Charge)
+	// Durable drops the copies up to the number.
+	Durable(agent string, incarnation, number uint64)
+	// Alive tells the incarnation that an agent has now; the copies of
+	// earlier ones are handed in elsewhere.
+	Alive(agent string, incarnation uint64)
+	// Gone tells that an agent is dead; its copies are handed in elsewhere.
+	Gone(agent string)
 }
 
 // Options configure an Entry.
@@ -82,6 +90,7 @@
 	// planMu is held while the planner is replaced.
 	planMu   sync.Mutex
 	planner  atomic.Pointer[route.Planner]
+	members  Members
 	picker   *balance.Picker
 	limiter  *admission.Limiter
 	retries  *retry.Policy
@@ -128,6 +137,9 @@
 	return e
 }
 
+// SetMembers gives the entry its membership. It is called once, before Run.
+func (e *Entry) SetMembers(m Members) { e.members = m }
+
 // Run follows the configuration until ctx ends.
 func (e *Entry) Run(ctx context.Context) error {
 	if set, _ := e.config.Set(); set != nil {
@@ -145,6 +157,7 @@
 }
 
 func (e *Entry) apply(set *catalog.Set) {
+	e.members.SetCatalog(set)
 	e.picker.Rebuild(set, e.now())
 	e.limiter.Configure(set, 1/float64(e.entries))
 	e.limiter.SetCapacity(slotsOf(set))
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -137,13 +137,14 @@
 	e.picker.Started(choice)
 	msg := r.message(id, choice)
 	msg.AgentIncarnation = incarnation
+	sent := e.now()
 	stream, err := e.link.Attempt(r.ctx, choice.Agent, msg)
 	var answer callerapi.ServiceAnswer
 	if err == nil {
 		answer, err = r.read(stream)
 	}
 	stream.Close()
-	return answer, e.closeAttempt(r.ctx, r.request, id, choice, stream, err)
+	return answer, e.closeAttempt(r.ctx, r.request, id, choice, sent, stream, err)
 }
 
 func (r *serviceRun) message(id string, choice balance.Choice) *linkv1.AttemptRequest {
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -114,13 +114,14 @@
 		return nil, result.From(err)
 	}
 	e.picker.Started(choice)
+	sent := e.now()
 	stream, err := e.link.Attempt(s.ctx, choice.Agent, s.message(id, choice))
 	out := &output{step: s, attemptID: id}
 	if err == nil {
 		err = out.read(stream)
 	}
 	stream.Close()
-	return out, s.close(id, choice, stream, err)
+	return out, s.close(id, choice, sent, stream, err)
 }
 
 func (s *stepRun) message(id string, choice balance.Choice) *linkv1.AttemptRequest {
@@ -146,8 +147,8 @@
 }
 
 // close records the end of the attempt and what it told of the load.
-func (s *stepRun) close(id string, choice balance.Choice, stream *link.Stream, err error) *result.Error {
-	failure := s.entry.closeAttempt(s.ctx, s.request, id, choice, stream, err)
+func (s *stepRun) close(id string, choice balance.Choice, sent time.Time, stream *link.Stream, err error) *result.Error {
+	failure := s.entry.closeAttempt(s.ctx, s.request, id, choice, sent, stream, err)
 	if load := stream.Load(); load != nil {
 		s.queued = int(load.GetQueued())
 	}
@@ -158,7 +159,7 @@
 // closeAttempt records the end of an attempt with every part that learns from
 // it, and returns its failure, if any.
 func (e *Entry) closeAttempt(ctx context.Context, req *attempt.Request, id string, choice balance.Choice,
-	stream *link.Stream, err error) *result.Error {
+	sent time.Time, stream *link.Stream, err error) *result.Error {
 	ending := stream.Ending()
 	var failure *result.Error
 	if err != nil {
@@ -177,6 +178,7 @@
 	if failure != nil && (failure.Code == result.WrongIncarnation || failure.Code == result.NoUpstream) {
 		e.agents.forget(choice.Agent)
 	}
+	e.tellMembers(choice.Host, sent, stream, failure)
 	e.config.Saw(choice.Agent, stream.Revision())
 	e.picker.Finished(choice, observation(failure, stream.Load()), e.now())
 	if c := stream.Final().GetCharge(); c != nil {
@@ -231,12 +233,8 @@
 func observation(failure *result.Error, load *linkv1.Load) balance.Observation {
 	o := balance.Observation{Outcome: balance.Answered}
 	if load != nil {
-		o.Load = &balance.Load{
-			InFlight: int(load.GetInFlight()),
-			Queued:   int(load.GetQueued()),
-			Slots:    int(load.GetSlots()),
-			Leaving:  load.GetLeaving(),
-		}
+		l := loadOf(load)
+		o.Load = &l
 	}
 	if failure == nil {
 		return o
