--- /dev/null
+++ b/internal/lease/bounds_test.go
@@ -0,0 +1,71 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+)
+
+// The bounds of leases, from the target of 320 daemons, 2,000 table reads and
+// several hundred table writes a second.
+const (
+	boundDaemons = 320
+	// boundItems is the work items that have a holder at a time: ledger
+	// partitions, roll-outs and engine orders.
+	boundItems = 20
+	// boundReadsPerItem is rows read a second for one item by all daemons: a
+	// tenth of the 2,000 for all items.
+	boundReadsPerItem = 200.0 / boundItems
+	// boundWritesPerItem is rows written a second for one item: a twentieth
+	// of the several hundred for all items.
+	boundWritesPerItem = 20.0 / boundItems
+)
+
+// TestBoundsSlopeOverDaemons counts the reads and writes of all leases as the
+// number of daemons grows.
+func TestBoundsSlopeOverDaemons(t *testing.T) {
+	for _, n := range []int{8, 40, 160, boundDaemons} {
+		t.Run(fmt.Sprintf("daemons=%d", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkCost(t, n) })
+		})
+	}
+}
+
+func checkCost(t *testing.T, n int) {
+	table := fake.New(fake.Options{}).Table
+	ctx, stop := context.WithCancel(t.Context())
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("d%03d", i))
+	}
+	candidates := func() []string { return names }
+	var done sync.WaitGroup
+	wait := func(ctx context.Context, _ *Held) error { <-ctx.Done(); return nil }
+	for _, name := range names {
+		m := NewManager(Options{Table: table, Name: name, Candidates: candidates})
+		for i := range boundItems {
+			done.Go(func() { _ = m.Run(ctx, fmt.Sprintf("item-%02d", i), wait) })
+		}
+	}
+	time.Sleep(time.Minute)
+	before := table.Usage()
+	const seconds = 600
+	time.Sleep(seconds * time.Second)
+	after := table.Usage()
+	stop()
+	done.Wait()
+	reads := float64(after.Reads-before.Reads) / seconds / boundItems
+	writes := float64(after.Writes-before.Writes) / seconds / boundItems
+	t.Logf("%d daemons: %.2f reads/s and %.2f writes/s an item", n, reads, writes)
+	if reads > boundReadsPerItem {
+		t.Errorf("%.2f reads/s an item, bound %.2f", reads, boundReadsPerItem)
+	}
+	if writes > boundWritesPerItem {
+		t.Errorf("%.2f writes/s an item, bound %.2f", writes, boundWritesPerItem)
+	}
+}
