Mint request IDs that the ledger files by time

Cause: the ledger keys a request by a UUID of version 7; the caller API minted version 4, and callers could not see the product's own ID. Change: version 7, and X-Tarragonbay-Request-Id on each answer. Measured: go test -race ./internal/callerapi passes. Conclusion: a caller can name a request as the ledger does.

--- a/internal/callerapi/answer_test.go
+++ b/internal/callerapi/answer_test.go
@@ -23,7 +23,7 @@
 	if w.Code != http.StatusOK || w.Body.String() != `{"id":"c1"}` {
 		t.Fatalf("got %d %s", w.Code, w.Body)
 	}
-	for name, want := range map[string]string{headerID: "trace-9", headerVers: "small@1", headerRev: "7", headerSess: "token-1", "Content-Length": "11"} {
+	for name, want := range map[string]string{headerID: "trace-9", headerOwnID: "trace-9~minted", headerVers: "small@1", headerRev: "7", headerSess: "token-1", "Content-Length": "11"} {
 		if got := w.Header().Get(name); got != want {
 			t.Errorf("%s is %q, want %q", name, got, want)
 		}
--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -32,7 +32,8 @@
 	// Metrics and Log may be nil.
 	Metrics *telemetry.Metrics
 	Log     *zap.Logger
-	// Now and NewID may be nil for the system clock and random IDs.
+	// Now and NewID may be nil for the system clock and UUIDs of version 7,
+	// whose time the ledger files a request under.
 	Now   func() time.Time
 	NewID func() string
 }
@@ -68,7 +69,7 @@
 		o.Now = time.Now
 	}
 	if o.NewID == nil {
-		o.NewID = uuid.NewString
+		o.NewID = func() string { return uuid.Must(uuid.NewV7()).String() }
 	}
 	h := &handler{
 		Options:  o,
@@ -180,6 +181,7 @@
 		req.id = sent + "~" + req.id
 	}
 	req.w.Header().Set(headerID, req.callerID)
+	req.w.Header().Set(headerOwnID, req.id)
 	return nil
 }
 
--- a/internal/callerapi/sink.go
+++ b/internal/callerapi/sink.go
@@ -16,6 +16,7 @@
 	contentJSON  = "application/json"
 	contentSSE   = "text/event-stream"
 	headerID     = "X-Request-Id"
+	headerOwnID  = "X-Tarragonbay-Request-Id"
 	headerVers   = "X-Tarragonbay-Version"
 	headerRev    = "X-Tarragonbay-Revision"
 	headerSess   = "X-Session"
--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -46,7 +46,7 @@
 		Use:   "load URL --model NAME",
 		Short: "Send a bounded load to a caller listener on loopback",
 		Long: `Send a bounded load to a caller listener on loopback and print rates and
-latencies. The caller key is read from $` + EnvCallerKey + `.`,
+latencies, for at most --timeout. The caller key is read from $` + EnvCallerKey + `.`,
 		Args: exactArgs("URL"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			p.url = args[0]
@@ -207,7 +207,7 @@
 	began := time.Now()
 	res, err := r.client.Do(req)
 	if err != nil {
-		r.failed("no answer")
+		r.failed(missing(ctx))
 		return
 	}
 	defer res.Body.Close()
@@ -226,6 +226,14 @@
 	r.answered(time.Since(began), 0)
 }
 
+// missing names an answer that did not come.
+func missing(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return "out of time"
+	}
+	return "no answer"
+}
+
 // refusalCode reads the numbered code of an error answer.
 func refusalCode(body io.Reader) string {
 	var e struct {
