--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -40,6 +40,26 @@
 	return max(1, float64(r.OutputTokens)+float64(r.PromptTokens)/promptTokensPerOutputToken)
 }
 
+// lane sorts a request by the time its caller gives it, so that short requests
+// do not queue behind long ones of the same organisation.
+func (r *Request) lane(now time.Time) int {
+	if r.Deadline.IsZero() {
+		return len(laneBudgets)
+	}
+	budget := r.Deadline.Sub(now)
+	for i, most := range laneBudgets {
+		if budget <= most {
+			return i
+		}
+	}
+	return len(laneBudgets)
+}
+
+// laneBudgets are the greatest budgets of the lanes but the last.
+var laneBudgets = [...]time.Duration{time.Second, 3 * time.Second, 10 * time.Second, 30 * time.Second}
+
+const lanes = len(laneBudgets) + 1
+
 // Event is the decision about one ticket. Each ticket gets exactly one, unless
 // it is cancelled first.
 type Event struct {
@@ -55,13 +75,21 @@
 	RunTime time.Duration
 	// Busy is set when an agent refused the request for want of a slot.
 	Busy bool
-	// Queued is the queue length that the upstream's load report showed.
+	// Queued and Slots are the queue length and the slots that the load
+	// report with the answer showed.
 	Queued int
+	Slots  int
 	// Late is set when the answer missed its deadline.
 	Late bool
 }
 
-func (f Feedback) congested() bool { return f.Busy || f.Queued > 0 || f.Late }
+// congestedQueue is the queue length, as a share of the slots, from which an
+// upstream counts as congested. A shorter queue keeps its batch full.
+const congestedQueue = 0.25
+
+func (f Feedback) congested() bool {
+	return f.Busy || f.Late || float64(f.Queued) > congestedQueue*float64(f.Slots)
+}
 
 // Settings of a Controller. Zero fields take the defaults.
 type Settings struct {
@@ -117,6 +145,10 @@
 	}
 }
 
+// maxWaitShare is the part of a request's budget that it may spend waiting. A
+// longer wait is refused early, so that its caller can go elsewhere.
+const maxWaitShare = 0.25
+
 // The agent's queue is short: a request that waits long is better refused, so
 // that the entry sends it elsewhere.
 const (
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -18,14 +18,15 @@
 	stopping bool
 
 	next    Ticket
-	running map[Ticket]*flow
+	running map[Ticket]*waiter
 	waiting map[Ticket]*waiter
 }
 
-// waiter is a request in the queue.
+// waiter is a request in the queue, and after it one that runs.
 type waiter struct {
 	ticket   Ticket
 	flow     *flow
+	lane     *lane
 	cost     float64
 	deadline time.Time
 	// giveUp is when the wait is over, whatever the deadline.
@@ -39,7 +40,7 @@
 		settings: s,
 		limit:    newAdaptiveLimit(s),
 		fair:     newFairQueue(),
-		running:  map[Ticket]*flow{},
+		running:  map[Ticket]*waiter{},
 		waiting:  map[Ticket]*waiter{},
 	}
 }
@@ -83,8 +84,8 @@
 		return t, []Event{{Ticket: t, Refused: refusal}}
 	}
 	w := &waiter{
-		ticket: t, flow: f, cost: req.cost(), deadline: req.Deadline,
-		giveUp: now.Add(c.settings.MaxWait),
+		ticket: t, flow: f, lane: f.lane(req.lane(now)), cost: req.cost(),
+		deadline: req.Deadline, giveUp: now.Add(c.settings.MaxWait),
 	}
 	c.fair.push(w)
 	c.waiting[t] = w
@@ -100,12 +101,12 @@
 	if c.stopping {
 		return result.New(result.Stopping, "the process is stopping")
 	}
-	if f.inFlightLimit > 0 && f.running+len(f.queue) >= f.inFlightLimit {
+	if f.inFlightLimit > 0 && f.running+f.waiting >= f.inFlightLimit {
 		e := result.New(result.TooManyInFlight, "organisation %s has %d requests in flight", f.name, f.inFlightLimit)
 		return e.WithRetryAfter(c.drain.Advice(0, now, c.settings.Random()))
 	}
-	if !req.Deadline.IsZero() && now.Add(c.wait(f)+f.runTime.high()).After(req.Deadline) {
-		return c.tooLate(f, now)
+	if wait := c.wait(f, req, now); c.tooLong(f, req, wait, now) {
+		return c.tooLate(wait, now)
 	}
 	if after := f.rates.take(req, now); after > 0 {
 		return result.New(result.RateLimited, "organisation %s is over its rate", f.name).WithRetryAfter(after)
@@ -113,43 +114,56 @@
 	return nil
 }
 
-// wait estimates the time until a new request of the flow would run: its
-// queue over its share of the rate at which requests leave.
-func (c *Controller) wait(f *flow) time.Duration {
+// tooLong reports whether a request that first waits cannot meet its deadline
+// or would spend too much of its time waiting.
+func (c *Controller) tooLong(f *flow, req *Request, wait time.Duration, now time.Time) bool {
+	if req.Deadline.IsZero() {
+		return false
+	}
+	budget := req.Deadline.Sub(now)
+	return wait+f.runTime.long(req.cost()) > budget || float64(wait) > maxWaitShare*float64(budget)
+}
+
+// wait estimates the time until a new request of the flow would run: the work
+// in its lane over the lane's share of the rate at which work is done.
+func (c *Controller) wait(f *flow, req *Request, now time.Time) time.Duration {
 	if len(c.waiting) == 0 && c.limit.room(len(c.running)) {
 		return 0
 	}
-	rate := c.drain.PerSecond() * c.fair.shareOf(f)
+	l := f.lane(req.lane(now))
+	rate := c.drain.PerSecond() * c.fair.shareOf(f) * f.shareOf(l)
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(len(f.queue)+1) / rate * float64(time.Second))
+	return time.Duration((l.cost + req.cost()) / rate * float64(time.Second))
 }
 
-func (c *Controller) tooLate(f *flow, now time.Time) *result.Error {
+// tooLate advises to come back when the queue that stands now has drained.
+func (c *Controller) tooLate(wait time.Duration, now time.Time) *result.Error {
 	e := result.New(result.DeadlineTooClose, "the deadline cannot be met")
-	return e.WithRetryAfter(c.drain.Advice(len(f.queue), now, c.settings.Random()))
+	return e.WithRetryAfter(max(wait, c.drain.Advice(0, now, c.settings.Random())))
 }
 
 func (c *Controller) full(now time.Time) *result.Error {
 	e := result.New(c.settings.FullCode, "%d requests wait already", len(c.waiting)-1)
-	return e.WithRetryAfter(c.drain.Advice(len(c.waiting), now, c.settings.Random()))
+	return e.WithRetryAfter(c.drain.Advice(c.fair.cost, now, c.settings.Random()))
 }
 
 // Release notes the end of a request that was admitted and returns the
 // decisions that it makes possible.
 func (c *Controller) Release(t Ticket, fb Feedback, now time.Time) []Event {
-	f, ok := c.running[t]
+	w, ok := c.running[t]
 	if !ok {
 		return nil
 	}
+	f := w.flow
 	c.limit.released(len(c.running), fb.congested(), now)
 	delete(c.running, t)
 	f.running--
 	if fb.RunTime > 0 {
-		f.runTime.add(fb.RunTime)
+		f.runTime.add(fb.RunTime, w.cost)
 	}
-	c.drain.Left(now)
+	c.drain.Left(w.cost, now)
 	events := c.dispatch(nil, now)
 	c.fair.dropIdle(f)
 	return events
@@ -180,8 +194,8 @@
 
 // expired returns the refusal of a waiter that waits in vain.
 func (c *Controller) expired(w *waiter, now time.Time) *result.Error {
-	if !w.deadline.IsZero() && now.Add(w.flow.runTime.mean).After(w.deadline) {
-		return c.tooLate(w.flow, now)
+	if !w.deadline.IsZero() && now.Add(w.flow.runTime.usual(w.cost)).After(w.deadline) {
+		return c.tooLate(0, now)
 	}
 	if now.After(w.giveUp) {
 		return c.full(now)
@@ -203,7 +217,7 @@
 		c.fair.dispatched(w)
 		delete(c.waiting, w.ticket)
 		w.flow.running++
-		c.running[w.ticket] = w.flow
+		c.running[w.ticket] = w
 		events = append(events, Event{Ticket: w.ticket})
 	}
 	return events
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -33,7 +33,7 @@
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		for j := range reqs {
 			f := c.fair.flow(reqs[j].Organisation, reqs[j].Priority)
-			for len(f.queue) < 3 {
+			for f.waiting < 3 {
 				byTicket[c.next+1] = &reqs[j]
 				_, events := c.Submit(&reqs[j], now)
 				note(events)
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -10,14 +10,16 @@
 
 // fairQueue is start-time fair queueing over the organisations: each is
 // served in proportion to its weight times that of its priority class,
-// counted in tokens asked for.
+// counted in tokens asked for. Inside an organisation the lanes share alike.
 type fairQueue struct {
 	flows map[flowKey]*flow
 	// backlog lists the flows with a queue.
 	backlog []*flow
 	// virtual is the start tag of the last request dispatched.
 	virtual float64
-	orgs    map[string]*organisation
+	// cost is the work in all queues.
+	cost float64
+	orgs map[string]*organisation
 }
 
 // flowKey names a flow: an organisation's requests of one priority class.
@@ -40,13 +42,63 @@
 	key    flowKey
 	name   string
 	weight float64
-	queue  []*waiter
-	// finish is the finish tag of the last request dispatched.
+	lanes  [lanes]lane
+	// virtual is the start tag of the last request dispatched, among the
+	// lanes; finish is the finish tag among the flows.
+	virtual float64
 	finish  float64
 	running int
+	waiting int
 	runTime runTime
 }
 
+// lane is the queue of a flow's requests with like time to answer.
+type lane struct {
+	queue  []*waiter
+	cost   float64
+	finish float64
+}
+
+func (f *flow) lane(i int) *lane { return &f.lanes[i] }
+
+// next returns the waiting lane with the least start tag, the more urgent on
+// a tie; nil when none waits.
+func (f *flow) next() *lane {
+	var best *lane
+	for i := range f.lanes {
+		l := &f.lanes[i]
+		if len(l.queue) == 0 {
+			continue
+		}
+		if best == nil || max(f.virtual, l.finish) < max(f.virtual, best.finish) {
+			best = l
+		}
+	}
+	return best
+}
+
+// shareOf is the lane's part of the flow's rate while those that wait do.
+func (f *flow) shareOf(l *lane) float64 {
+	n := 1
+	for i := range f.lanes {
+		if o := &f.lanes[i]; o != l && len(o.queue) > 0 {
+			n++
+		}
+	}
+	return 1 / float64(n)
+}
+
+// longest is the lane with the most work in its queue.
+func (f *flow) longest() *lane {
+	best := &f.lanes[0]
+	for i := range f.lanes {
+		if f.lanes[i].cost > best.cost {
+			best = &f.lanes[i]
+		}
+	}
+	return best
+}
+
 func newFairQueue() fairQueue {
 	return fairQueue{flows: map[flowKey]*flow{}, orgs: map[string]*organisation{}}
 }
@@ -109,16 +161,19 @@
 // dropIdle forgets an idle flow of an organisation that is not configured, so
 // that the flows stay bounded.
 func (q *fairQueue) dropIdle(f *flow) {
-	if _, known := q.orgs[f.name]; !known && f.running == 0 && len(f.queue) == 0 {
+	if _, known := q.orgs[f.name]; !known && f.running == 0 && f.waiting == 0 {
 		delete(q.flows, f.key)
 	}
 }
 
 func (q *fairQueue) push(w *waiter) {
-	if len(w.flow.queue) == 0 {
+	if w.flow.waiting == 0 {
 		q.backlog = append(q.backlog, w.flow)
 	}
-	w.flow.queue = append(w.flow.queue, w)
+	w.flow.waiting++
+	w.lane.queue = append(w.lane.queue, w)
+	w.lane.cost += w.cost
+	q.cost += w.cost
 }
 
 // start is the start tag of the flow's next request.
@@ -136,7 +191,7 @@
 	if best == nil {
 		return nil
 	}
-	return best.queue[0]
+	return best.next().queue[0]
 }
 
 func (q *fairQueue) before(a, b *flow) bool {
@@ -146,7 +201,7 @@
 	if a.weight != b.weight {
 		return a.weight > b.weight
 	}
-	return a.queue[0].ticket < b.queue[0].ticket
+	return a.next().queue[0].ticket < b.next().queue[0].ticket
 }
 
 // dispatched takes the waiter off its queue and advances the tags.
@@ -154,17 +209,22 @@
 	f := w.flow
 	q.virtual = q.start(f)
 	f.finish = q.virtual + w.cost/f.weight
+	f.virtual = max(f.virtual, w.lane.finish)
+	w.lane.finish = f.virtual + w.cost
 	q.remove(w)
 }
 
 func (q *fairQueue) remove(w *waiter) {
-	f := w.flow
-	i := slices.Index(f.queue, w)
+	f, l := w.flow, w.lane
+	i := slices.Index(l.queue, w)
 	if i < 0 {
 		return
 	}
-	f.queue = slices.Delete(f.queue, i, i+1)
-	if len(f.queue) == 0 {
+	l.queue = slices.Delete(l.queue, i, i+1)
+	l.cost -= w.cost
+	q.cost -= w.cost
+	f.waiting--
+	if f.waiting == 0 {
 		q.backlog = slices.DeleteFunc(q.backlog, func(o *flow) bool { return o == f })
 	}
 }
@@ -173,28 +233,31 @@
 func (q *fairQueue) all() []*waiter {
 	var out []*waiter
 	for _, f := range q.backlog {
-		out = append(out, f.queue...)
+		for i := range f.lanes {
+			out = append(out, f.lanes[i].queue...)
+		}
 	}
 	return out
 }
 
-// overShare returns the newest waiter of the flow whose queue is the longest
-// for its weight, the one to refuse when the queue is full.
+// overShare returns the newest waiter of the longest lane of the flow that
+// waits the most for its weight, the one to refuse when the queue is full.
 func (q *fairQueue) overShare() *waiter {
 	var worst *flow
 	for _, f := range q.backlog {
-		if worst == nil || float64(len(f.queue))/f.weight > float64(len(worst.queue))/worst.weight {
+		if worst == nil || float64(f.waiting)/f.weight > float64(worst.waiting)/worst.weight {
 			worst = f
 		}
 	}
-	return worst.queue[len(worst.queue)-1]
+	l := worst.longest()
+	return l.queue[len(l.queue)-1]
 }
 
 // shareOf is the part of the whole rate that the flow gets while every flow
 // with a queue keeps one.
 func (q *fairQueue) shareOf(f *flow) float64 {
 	total := 0.0
-	if len(f.queue) == 0 {
+	if f.waiting == 0 {
 		total = f.weight
 	}
 	for _, o := range q.backlog {
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -79,30 +79,3 @@
 		l.current = max(l.current, min(l.most, l.capacity, l.current+max(1, l.current*grow)))
 	}
 }
-
-// runTime is the smoothed run time of a flow's requests and its spread.
-type runTime struct {
-	mean      time.Duration
-	deviation time.Duration
-}
-
-const (
-	// runTimeSmoothing is the weight of the newest run time, as a divisor.
-	runTimeSmoothing = 16
-	// runTimeDeviations is how many deviations above the mean count as a
-	// long run.
-	runTimeDeviations = 2
-)
-
-func (r *runTime) add(d time.Duration) {
-	if r.mean == 0 {
-		r.mean = d
-		return
-	}
-	diff := d - r.mean
-	r.mean += diff / runTimeSmoothing
-	r.deviation += (diff.Abs() - r.deviation) / runTimeSmoothing
-}
-
-// high is a long but usual run time.
-func (r *runTime) high() time.Duration { return r.mean + runTimeDeviations*r.deviation }
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -32,7 +32,7 @@
 	for key, f := range c.fair.flows {
 		s.Flows = append(s.Flows, FlowState{
 			Organisation: key.organisation, Priority: key.priority, Weight: f.weight,
-			Running: f.running, Waiting: len(f.queue),
+			Running: f.running, Waiting: f.waiting,
 		})
 	}
 	slices.SortFunc(s.Flows, func(a, b FlowState) int {
@@ -40,3 +40,6 @@
 	})
 	return s
 }
+
+// Counts returns the requests that run and that wait.
+func (c *Controller) Counts() (running, waiting int) { return len(c.running), len(c.waiting) }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -53,29 +53,10 @@
 	Prefix uint64
 	// PromptTokens is the estimated size of the prompt.
 	PromptTokens int
-	// OutputTokens is the estimated size of the answer; 0 when not known.
-	OutputTokens int
 	// Tried holds the upstreams that a retry must avoid.
 	Tried Tried
 }
 
-// work is the request's demand on an engine in output-token units.
-func (r *Request) work() int64 {
-	out := r.OutputTokens
-	if out == 0 {
-		out = defaultOutputTokens
-	}
-	return int64(out + r.PromptTokens/promptTokensPerOutputToken)
-}
-
-const (
-	// defaultOutputTokens stands for an answer of unknown size.
-	defaultOutputTokens = 128
-	// promptTokensPerOutputToken is how many prompt tokens an engine reads in
-	// the time it makes one token of an answer.
-	promptTokensPerOutputToken = 16
-)
-
 // Choice is an upstream picked for one attempt. Hand it to Started when the
 // attempt is sent, and to Finished once after each Started.
 type Choice struct {
@@ -91,7 +72,7 @@
 	Probe bool
 
 	replica *replica
-	work    int64
+	pool    *pool
 }
 
 // Outcome is how an attempt ended, as far as it tells about the upstream.
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -11,35 +11,42 @@
 const (
 	// queueFactor is how much dearer a place in the queue is than a slot of
 	// a running batch.
-	queueFactor = 4.0
+	queueFactor = 2.0
 	// batchTokens is the cost of a full batch in prompt tokens: how much
 	// reading a prompt must save to make a full upstream as good as an idle
 	// one.
-	batchTokens = 1024.0
+	batchTokens = 2048.0
 	// suspectCost keeps work from an upstream whose last attempt failed.
 	suspectCost = 1e9
 )
 
-// consider keeps the upstream when it is cheaper than the one found.
-func (c *candidate) consider(s *search, r *replica, home bool) {
-	if r == nil || (r == c.r && !home) {
+// The part of a prompt that an upstream is expected to read. A second home is
+// dearer than the first, so that a prefix moves only for a good reason and
+// leaves no stale copies behind.
+const (
+	unreadFirstHome  = 0.0
+	unreadSecondHome = 0.5
+	unreadElsewhere  = 1.0
+)
+
+// consider keeps the upstream when it is cheaper than the one found. unread is
+// the part of the prompt that it must read.
+func (c *candidate) consider(s *search, r *replica, unread float64) {
+	if r == nil || (r == c.r && unread == unreadElsewhere) {
 		return
 	}
-	cost, full := s.cost(r, home)
+	cost, full := s.cost(r, unread)
 	if c.r == nil || cost < c.cost {
-		*c = candidate{r: r, affine: home, full: full, cost: cost}
+		*c = candidate{r: r, affine: unread < unreadElsewhere, full: full, cost: cost}
 	}
 }
 
 // cost estimates the time to an answer in prompt tokens: reading what is not
 // cached, sharing the batch, and waiting for a slot.
-func (s *search) cost(r *replica, home bool) (cost float64, full bool) {
+func (s *search) cost(r *replica, unread float64) (cost float64, full bool) {
 	slots := r.capacity(s.now, s.slowStart)
 	load := r.inFlight(s.now)
-	cost = batchTokens * load / slots
-	if !home {
-		cost += float64(s.req.PromptTokens)
-	}
+	cost = batchTokens*load/slots + unread*float64(s.req.PromptTokens)
 	if waiting := load + 1 - slots; waiting > 0 {
 		full = true
 		cost += batchTokens * queueFactor * waiting / slots
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -8,16 +8,19 @@
 
 // health decides when an upstream is ejected and when it may come back.
 //
-// The states: healthy; ejected until a time; half-open after it, when one
-// probe at a time is let through. A good probe makes it healthy again with a
-// slow start, a bad one ejects it for longer.
+// The states: healthy; suspect after a failure, when it is passed over while
+// others are free; ejected until a time after several; half-open after that.
+// A suspect or half-open upstream is let one probe at a time. A good probe
+// makes it healthy again, after an ejection with a slow start; a bad one ejects
+// it for longer.
 type health struct {
 	// until is the end of the ejection in Unix nanoseconds; 0 is healthy.
 	until atomic.Int64
 	// probeUntil is when the probe that is out is given up.
 	probeUntil atomic.Int64
-	// failures counts the failures in a row.
+	// failures counts the failures in a row, failedAt is the last one.
 	failures atomic.Int32
+	failedAt atomic.Int64
 
 	mu sync.Mutex
 	// ejections counts ejections in a row, under mu.
@@ -29,22 +32,28 @@
 	failuresToEject = 3
 	// probeFor is how long a probe may take before another is let through.
 	probeFor = 5 * time.Second
+	// suspectFor is how long an upstream that failed once is passed over, as
+	// far as others are free, before a probe may clear it.
+	suspectFor = 500 * time.Millisecond
 	// maxEjectFor bounds one ejection.
 	maxEjectFor = time.Minute
 	// maxEjectDoublings keeps the doubled time from overflowing.
 	maxEjectDoublings = 8
 )
 
-// halfOpen reports whether only a probe may be sent.
-func (h *health) halfOpen(now int64) bool {
-	until := h.until.Load()
-	return until != 0 && now >= until
+// probeable reports whether a probe may be sent: the ejection is over, or the
+// last failure lies back some time.
+func (h *health) probeable(now int64) bool {
+	if until := h.until.Load(); until != 0 {
+		return now >= until
+	}
+	return h.suspect() && now-h.failedAt.Load() >= int64(suspectFor)
 }
 
 // suspect reports whether the last attempt failed.
 func (h *health) suspect() bool { return h.failures.Load() > 0 }
 
-// takeProbe lets one caller through while the upstream is half-open.
+// takeProbe lets one caller through while the upstream is probeable.
 func (h *health) takeProbe(now int64) bool {
 	out := h.probeUntil.Load()
 	if now < out {
@@ -69,7 +78,9 @@
 
 // failed notes a failure. It reports whether the upstream should be ejected:
 // after several in a row, or after a failed probe.
-func (h *health) failed() bool {
+func (h *health) failed(now int64) bool {
+	h.failedAt.Store(now)
+	h.probeUntil.Store(0)
 	n := h.failures.Add(1)
 	return n >= failuresToEject || h.until.Load() != 0
 }
--- a/internal/balance/home.go
+++ b/internal/balance/home.go
@@ -26,22 +26,25 @@
 	return groups
 }
 
-// homes returns the two upstreams that rank highest for the prefix by
-// rendezvous hashing. Every entry ranks alike, so they agree without a
-// message. Either may be nil.
-func (pl *pool) homes(prefix uint64) (first, second *replica) {
+// homes returns the two upstreams for which may holds that rank highest for the
+// prefix by rendezvous hashing. Every entry ranks alike, so they agree without
+// a message; the prefixes of an upstream that is lost spread over the others.
+// Either may be nil.
+func (pl *pool) homes(prefix uint64, may func(*replica) bool) (first, second *replica) {
 	g := &pl.groups[mix(prefix)%uint64(len(pl.groups))]
 	var firstScore, secondScore uint64
 	one, two := -1, -1
 	for i, h := range g.hashes {
 		score := mix(h ^ prefix)
-		switch {
-		case score > firstScore:
-			two, secondScore = one, firstScore
-			one, firstScore = i, score
-		case score > secondScore:
+		if score <= secondScore || !may(g.members[i]) {
+			continue
+		}
+		if score <= firstScore {
 			two, secondScore = i, score
+			continue
 		}
+		two, secondScore = one, firstScore
+		one, firstScore = i, score
 	}
 	return g.member(one), g.member(two)
 }
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -35,7 +35,7 @@
 	if !ok {
 		return Choice{}, noUpstream(retrySoon)
 	}
-	s := search{req: req, now: now.UnixNano(), rnd: rnd, slowStart: p.settings.SlowStart}
+	s := search{req: req, pool: pl, now: now.UnixNano(), rnd: rnd, slowStart: p.settings.SlowStart}
 	if s.probeDue() {
 		if r := s.probe(pl); r != nil {
 			return s.choice(r, false, true), nil
@@ -71,7 +71,6 @@
 // Started notes that an attempt was sent to the choice.
 func (p *Picker) Started(c Choice) {
 	c.replica.own.Add(1)
-	c.replica.ownWork.Add(c.work)
 }
 
 // Finished notes the end of an attempt that was started. It is called once
@@ -80,7 +79,6 @@
 	at := now.UnixNano()
 	r := c.replica
 	r.own.Add(-1)
-	r.ownWork.Add(-c.work)
 	if o.Load != nil {
 		r.observe(*o.Load, at)
 	}
@@ -90,7 +88,7 @@
 			r.rampFrom.Store(at)
 		}
 	case o.Outcome.failure():
-		if r.health.failed() {
+		if r.health.failed(at) && (o.Outcome != Failed || !c.pool.shareFault()) {
 			p.eject(r, at)
 		}
 	case c.Probe:
@@ -113,6 +111,16 @@
 	}
 }
 
+// HostSilent notes that a host's heartbeats have stopped. Its upstreams are
+// ejected as far as the cap allows, and come back by a probe.
+func (p *Picker) HostSilent(host string, now time.Time) {
+	at := now.UnixNano()
+	for _, r := range p.view.Load().byHost[host] {
+		r.health.failed(at)
+		p.eject(r, at)
+	}
+}
+
 // eject takes the upstream out, unless that would take out more than the
 // allowed share of a target's upstreams.
 func (p *Picker) eject(r *replica, now int64) {
@@ -127,6 +135,22 @@
 	r.health.eject(now, p.settings.EjectFor, spread)
 }
 
+// sharedFault is the share of a target's upstreams with failures from which
+// errors speak against the version and not against a host.
+const sharedFault = 1.0 / 3
+
+// shareFault reports whether so many of the pool's upstreams fail that none of
+// them is an outlier.
+func (pl *pool) shareFault() bool {
+	failing := 0
+	for _, m := range pl.members {
+		if m.health.suspect() {
+			failing++
+		}
+	}
+	return float64(failing) > sharedFault*float64(len(pl.members))
+}
+
 // mayEject reports whether the pool can spare one more upstream.
 func (pl *pool) mayEject(r *replica, share float64) bool {
 	out := 1
--- a/internal/balance/picker_test.go
+++ b/internal/balance/picker_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	r := p.view.Load().byName[upstream]
 	for range times {
-		c := Choice{replica: r}
+		c := Choice{replica: r, pool: p.view.Load().pools[target]}
 		p.Started(c)
 		p.Finished(c, Observation{Outcome: o}, now)
 	}
@@ -148,6 +148,66 @@
 	}
 }
 
+func TestAFaultOfTheVersionEjectsFewHosts(t *testing.T) {
+	p := newPicker(t, 20)
+	for range failuresToEject * 2 {
+		for i := range 20 {
+			fail(t, p, fmt.Sprintf("u%04d", i), Failed, start, 1)
+		}
+	}
+	for _, s := range p.States(start) {
+		if !s.EjectedUntil.IsZero() {
+			t.Fatalf("%s is ejected though all fail alike", s.Upstream)
+		}
+	}
+}
+
+func TestOneFailureIsForgottenAfterAProbe(t *testing.T) {
+	p := newPicker(t, 20)
+	req := Request{Target: target}
+	fail(t, p, "u0000", TimedOut, start, 1)
+	if n := pickMany(t, p, req, start, 500)["u0000"]; n != 0 {
+		t.Fatalf("an upstream that just failed was picked %d times beside sound ones", n)
+	}
+	later := start.Add(suspectFor)
+	if n := pickMany(t, p, req, later, 500)["u0000"]; n != 1 {
+		t.Fatalf("%d probes at a time, want 1", n)
+	}
+	fail(t, p, "u0000", Answered, later, 1)
+	if n := pickMany(t, p, req, later, 500)["u0000"]; n < 10 {
+		t.Fatalf("picked %d of 500 times after a good probe", n)
+	}
+}
+
+func TestPrefixesOfALostUpstreamSpread(t *testing.T) {
+	p := newPicker(t, 20)
+	homeOf := func(prefix uint64) string {
+		c, err := p.Pick(&Request{Target: target, Prefix: prefix, PromptTokens: 4000}, start, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.Upstream
+	}
+	const prefixes = 400
+	before := map[uint64]string{}
+	for i := range uint64(prefixes) {
+		before[i+1] = homeOf(i + 1)
+	}
+	fail(t, p, "u0000", Refused, start, failuresToEject)
+	moved, heirs := 0, map[string]bool{}
+	for prefix, home := range before {
+		now := homeOf(prefix)
+		if home == "u0000" {
+			heirs[now] = true
+		} else if now != home {
+			moved++
+		}
+	}
+	if moved != 0 || len(heirs) < 5 {
+		t.Fatalf("%d prefixes of others moved, the lost ones went to %d upstreams", moved, len(heirs))
+	}
+}
+
 func TestEjectedShareIsCapped(t *testing.T) {
 	p := newPicker(t, 20)
 	for i := range 20 {
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -26,9 +26,8 @@
 	// the agent, else as configured.
 	configuredSlots atomic.Int32
 	slots           atomic.Int32
-	// own counts this entry's requests in flight, ownWork their demand.
-	own     atomic.Int32
-	ownWork atomic.Int64
+	// own counts this entry's requests in flight.
+	own atomic.Int32
 	// others is the load of the other entries in the last report.
 	others   atomic.Int32
 	reportAt atomic.Int64
@@ -55,6 +54,14 @@
 	return r.leavingConfig.Load() || r.leavingAgent.Load() || r.leavingHost.Load()
 }
 
+// staying reports whether the upstream is not leaving.
+func (r *replica) staying() bool { return !r.leaving() }
+
+// sound reports whether the upstream stays and did not fail last.
+func (r *replica) sound() bool {
+	return r.health.until.Load() == 0 && !r.health.suspect() && !r.leaving()
+}
+
 // othersFade is the age at which a report of others' load counts half.
 const othersFade = 2 * time.Second
 
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -5,6 +5,7 @@
 // search is one choice in progress.
 type search struct {
 	req       *Request
+	pool      *pool
 	now       int64
 	rnd       uint64
 	slowStart time.Duration
@@ -14,7 +15,7 @@
 	// maxDraws bounds the random draws for one candidate.
 	maxDraws = 6
 	// probeOneIn is the share of requests that look for an upstream to probe.
-	probeOneIn = 16
+	probeOneIn = 8
 	// minAffinityTokens is the prompt size from which a cached prefix saves
 	// more than a less loaded upstream does.
 	minAffinityTokens = 64
@@ -42,18 +43,15 @@
 // probeDue reports whether this request should look for an upstream to probe.
 func (s *search) probeDue() bool { return s.next()%probeOneIn == 0 }
 
-// probe returns an upstream whose ejection is over and that no other request
-// probes now: a home of the prefix, which may stand outside the subset, or
+// probe returns an upstream that failed before and that no other request
+// probes now: the home of the prefix, which may stand outside the subset, or
 // any of the subset.
 func (s *search) probe(pl *pool) *replica {
 	if s.affinity() {
-		first, second := pl.homes(s.req.Prefix)
+		first, _ := pl.homes(s.req.Prefix, (*replica).staying)
 		if s.mayProbe(first) {
 			return first
 		}
-		if s.mayProbe(second) {
-			return second
-		}
 	}
 	if len(pl.subset) == 0 {
 		return nil
@@ -70,7 +68,7 @@
 
 // mayProbe reports whether this request is the one that probes the upstream.
 func (s *search) mayProbe(r *replica) bool {
-	if r == nil || r.leaving() || !r.health.halfOpen(s.now) {
+	if r == nil || r.leaving() || !r.health.probeable(s.now) {
 		return false
 	}
 	return !s.req.Tried.Has(r.id.Load().name) && r.health.takeProbe(s.now)
@@ -85,16 +83,16 @@
 // the own failure domain, then of the others.
 func (s *search) best(pl *pool) (r *replica, affine bool) {
 	var found candidate
-	found.consider(s, s.draw(pl.near), false)
-	found.consider(s, s.draw(pl.near), false)
+	found.consider(s, s.draw(pl.near), unreadElsewhere)
+	found.consider(s, s.draw(pl.near), unreadElsewhere)
 	if found.r == nil || found.full {
-		found.consider(s, s.draw(pl.away), false)
-		found.consider(s, s.draw(pl.away), false)
+		found.consider(s, s.draw(pl.away), unreadElsewhere)
+		found.consider(s, s.draw(pl.away), unreadElsewhere)
 	}
 	if s.affinity() {
-		first, second := pl.homes(s.req.Prefix)
-		found.consider(s, s.ifUsable(first), true)
-		found.consider(s, s.ifUsable(second), true)
+		first, second := pl.homes(s.req.Prefix, (*replica).sound)
+		found.consider(s, s.ifUsable(first), unreadFirstHome)
+		found.consider(s, s.ifUsable(second), unreadSecondHome)
 	}
 	return found.r, found.affine
 }
@@ -156,6 +154,6 @@
 	return Choice{
 		Upstream: id.name, Host: id.host, Agent: id.agent, Domain: id.domain,
 		Affine: affine, Probe: probe,
-		replica: r, work: s.req.work(),
+		replica: r, pool: s.pool,
 	}
 }
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -45,3 +45,15 @@
 	}
 	return s
 }
+
+// Slots returns the slots of all upstreams that take work now, for the
+// capacity bound of the admission.
+func (p *Picker) Slots() int {
+	total := 0
+	for _, r := range p.view.Load().byName {
+		if !r.leaving() && r.health.until.Load() == 0 {
+			total += int(r.slots.Load())
+		}
+	}
+	return total
+}
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -37,6 +37,8 @@
 	FalseWithdrawals int `json:"falseWithdrawals"`
 	// Goodput is answers within their deadline per second of virtual time.
 	Goodput float64 `json:"goodput"`
+	// GoodTokens is the output tokens of those answers per second.
+	GoodTokens float64 `json:"goodTokens"`
 	// Fairness is the least share of its fair share that an organisation
 	// got, 0 to 1.
 	Fairness float64 `json:"fairness"`
--- a/internal/retry/drain.go
+++ b/internal/retry/drain.go
@@ -3,11 +3,12 @@
 import "time"
 
 // Drain measures how fast a queue empties, for the Retry-After advice of a
-// refusal. It is not safe for concurrent use; its owner guards it.
+// refusal. What it counts, requests or the work in them, is its owner's
+// choice. It is not safe for concurrent use; its owner guards it.
 type Drain struct {
-	// perSecond is the smoothed rate of requests that left.
+	// perSecond is the smoothed rate of what left.
 	perSecond float64
-	left      int
+	left      float64
 	from      time.Time
 }
 
@@ -24,10 +25,10 @@
 	adviceSpread = 0.5
 )
 
-// Left notes that a request left the queue, to run or for good.
-func (d *Drain) Left(now time.Time) {
+// Left notes that the amount has left.
+func (d *Drain) Left(amount float64, now time.Time) {
 	d.roll(now)
-	d.left++
+	d.left += amount
 }
 
 // roll closes the window when it is over.
@@ -40,7 +41,7 @@
 	if age < drainWindow {
 		return
 	}
-	rate := float64(d.left) / age.Seconds()
+	rate := d.left / age.Seconds()
 	if d.perSecond == 0 {
 		d.perSecond = rate
 	}
@@ -49,13 +50,12 @@
 	d.from = now
 }
 
-// Advice returns when to come back, with the given number of requests waiting
-// ahead. rnd is a fresh random number from 0 to 1.
-func (d *Drain) Advice(waiting int, now time.Time, rnd float64) time.Duration {
+// Advice returns when to come back, with the given amount waiting ahead. rnd is a fresh random number from 0 to 1.
+func (d *Drain) Advice(waiting float64, now time.Time, rnd float64) time.Duration {
 	d.roll(now)
 	after := maxAdvice
 	if d.perSecond > 0 {
-		seconds := float64(waiting+1) / d.perSecond
+		seconds := waiting / d.perSecond
 		after = time.Duration(min(seconds, maxAdvice.Seconds()) * float64(time.Second))
 	} else if waiting == 0 {
 		after = minAdvice
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -107,10 +107,10 @@
 func TestAdviceFollowsTheDrainRate(t *testing.T) {
 	var d Drain
 	for i := range 1000 {
-		d.Left(start.Add(time.Duration(i) * 10 * time.Millisecond))
+		d.Left(1, start.Add(time.Duration(i) * 10 * time.Millisecond))
 	}
 	now := start.Add(10 * time.Second)
-	got := d.Advice(299, now, 0)
+	got := d.Advice(300, now, 0)
 	if got < 2900*time.Millisecond || got > 3100*time.Millisecond {
 		t.Fatalf("advice for 300 requests at 100 a second is %v, want 3s", got)
 	}
