Name the fields of a position in JSON

Cause: tarragonctl check -o json printed File, Line and Col in capitals. Change: tags file, line and col. Measured: go test ./cmd/tarragonctl passes. Conclusion: programs read positions like other fields.

--- a/internal/catalog/fault.go
+++ b/internal/catalog/fault.go
@@ -9,9 +9,9 @@
 // Position is where an object or field stands in a file. Line and Col start
 // at 1; zero means unknown.
 type Position struct {
-	File string
-	Line int
-	Col  int
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	Col  int    `json:"col,omitempty"`
 }
 
 // String returns "file:line:col".
