Look for quotes alone when a body is checked; count failures by code

Cause: strings were looked at byte by byte three times; operators could not see which refusals rise. Change: the walk searches for the next quote; tarragonbay_callerapi_failed_NAME_total.

--- a/internal/callerapi/answer_test.go
+++ b/internal/callerapi/answer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/telemetry"
 )
 
 const (
@@ -188,3 +189,17 @@
 		}
 	}
 }
+
+func TestFailuresAreCountedByCode(t *testing.T) {
+	m := telemetry.NewMetrics()
+	cut := result.New(result.AnswerCut, "the upstream went away")
+	h := meteredHandler(t, &fakeRouter{chat: failAfter(cut, chunk1)}, m)
+	send(h, chatCallOf(goodBody))
+	send(h, chatCallOf(streamBody))
+	send(h, chatCallOf("{"))
+	for name, want := range map[string]int64{"failures": 3, "failed_answer_cut": 2, "failed_bad_json": 1, "requests": 3} {
+		if got := m.Counter(part, name).Count(); got != want {
+			t.Errorf("%s is %d, want %d", name, got, want)
+		}
+	}
+}
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -37,10 +37,15 @@
 	}
 	sink := &unarySink{w: req.w, maxBytes: h.Limits.AnswerBytes}
 	err := h.Router.Chat(ctx, call, sink)
-	if re := chatError(ctx, err, sink.written); re != nil && !sink.written {
-		return &fieldError{err: re}
+	re := chatError(ctx, err, sink.written)
+	if re == nil {
+		return nil
 	}
-	return nil
+	if sink.written {
+		h.count(req, re) // the caller stopped reading
+		return nil
+	}
+	return &fieldError{err: re}
 }
 
 // chatError reads how the Router ended. A Router that returns no error without
@@ -108,7 +113,7 @@
 	if !sink.begun {
 		return &fieldError{err: re}
 	}
-	h.failures.Inc(1)
+	h.count(req, re)
 	sink.fail(re, req.callerID)
 	return nil
 }
--- a/internal/callerapi/fixture_test.go
+++ b/internal/callerapi/fixture_test.go
@@ -12,6 +12,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/settings"
+	"tarragonbay.example/tarragonbay/internal/telemetry"
 )
 
 const testConfig = `{
@@ -94,6 +95,10 @@
 var testNow = time.Unix(1_800_000_000, 0)
 
 func testHandler(t testing.TB, r Router) http.Handler {
+	return meteredHandler(t, r, telemetry.NewMetrics())
+}
+
+func meteredHandler(t testing.TB, r Router, m *telemetry.Metrics) http.Handler {
 	set := testSet(t)
 	s := settings.Default(settings.RoleEntry)
 	s.Limits.BodyBytes = 4096
@@ -102,6 +107,7 @@
 		Set:      func() *catalog.Set { return set },
 		Limits:   s.Limits,
 		Timeouts: s.Timeouts,
+		Metrics:  m,
 		Now:      func() time.Time { return testNow },
 		NewID:    func() string { return "minted" },
 	})
--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -119,19 +119,26 @@
 		return
 	}
 	h.Log.Error("Request panicked.", zap.String("request", req.id), zap.Any("panic", v), zap.Stack("stack"))
-	h.failures.Inc(1)
+	failure := result.New(result.Internal, "internal error")
+	h.count(req, failure)
 	if req.w.Header().Get("Content-Type") != "" {
 		panic(http.ErrAbortHandler) // cuts the connection, so the answer is not taken for whole
 	}
 	req.w.extend()
-	writeError(req.w, result.New(result.Internal, "internal error"), "", req.callerID)
+	writeError(req.w, failure, "", req.callerID)
 }
 
-func (h *handler) fail(req *request, e *fieldError) {
+// count records a failure, in all and by its code.
+func (h *handler) count(req *request, e *result.Error) {
 	h.failures.Inc(1)
-	if e.err.Code == result.Internal {
-		h.Log.Error("Request failed.", zap.String("request", req.id), zap.Error(e.err))
+	h.Metrics.Counter(part, "failed_"+e.Code.Info().Name).Inc(1)
+	if e.Code == result.Internal {
+		h.Log.Error("Request failed.", zap.String("request", req.id), zap.Error(e))
 	}
+}
+
+func (h *handler) fail(req *request, e *fieldError) {
+	h.count(req, e.err)
 	req.w.extend()
 	writeError(req.w, e.err, e.param, req.callerID)
 }
--- a/internal/jsonscan/jsonscan.go
+++ b/internal/jsonscan/jsonscan.go
@@ -2,6 +2,8 @@
 // checked and passed on unchanged. It allocates nothing.
 package jsonscan
 
+import "bytes"
+
 // Cursor walks the members of an object or the elements of an array and returns
 // them as slices of the text. The text must be valid JSON, as json.Valid tells;
 // on other text it panics.
@@ -82,12 +84,33 @@
 }
 
 func (c *Cursor) skipString() {
-	for c.pos++; c.data[c.pos] != '"'; c.pos++ {
-		if c.data[c.pos] == '\\' {
-			c.pos++
+	c.pos += stringLength(c.data[c.pos:])
+}
+
+// stringLength returns the length of the string that begins with the quote at
+// the start of data, or that of all data when the string does not end. It
+// looks for quotes alone, which is many times faster than a look at each byte.
+func stringLength(data []byte) int {
+	for end := 1; ; end++ {
+		i := bytes.IndexByte(data[end:], '"')
+		if i < 0 {
+			return len(data)
+		}
+		end += i
+		if !escaped(data[:end]) {
+			return end + 1
 		}
 	}
-	c.pos++
+}
+
+// escaped reports whether the byte after before is escaped: an odd number of
+// backslashes stands in front of it.
+func escaped(before []byte) bool {
+	n := 0
+	for n < len(before) && before[len(before)-1-n] == '\\' {
+		n++
+	}
+	return n%2 == 1
 }
 
 func (c *Cursor) skipNested() {
@@ -121,22 +144,21 @@
 // DepthWithin reports whether no value is nested deeper than limit. It reads
 // any bytes, valid or not, and is called before the text is validated.
 func DepthWithin(data []byte, limit int) bool {
-	depth, quoted := 0, false
-	for i := 0; i < len(data); i++ {
-		switch c := data[i]; {
-		case quoted && c == '\\':
-			i++
-		case c == '"':
-			quoted = !quoted
-		case quoted:
-		case c == '{' || c == '[':
+	depth := 0
+	for i := 0; i < len(data); {
+		switch data[i] {
+		case '"':
+			i += stringLength(data[i:])
+			continue
+		case '{', '[':
 			depth++
 			if depth > limit {
 				return false
 			}
-		case c == '}' || c == ']':
+		case '}', ']':
 			depth--
 		}
+		i++
 	}
 	return true
 }
