Refuse the example's session secret off loopback

Cause: the example passes the check, so its public secret could go into service. Change: one more check, one more row in the table of faults. Conclusion: a copied example works on loopback only.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -157,9 +157,17 @@
 		if len(k.Secret) < minSecretLength {
 			c.add(field+".secret", fmt.Sprintf("must have at least %d characters", minSecretLength))
 		}
+		if k.Secret == exampleSecret && !c.callersOnLoopback() {
+			c.add(field+".secret", "is the example's, which everyone can read; it is taken on loopback only")
+		}
 	}
 }
 
+func (c *checker) callersOnLoopback() bool {
+	addr, err := netip.ParseAddrPort(c.s.Caller.Listen)
+	return err == nil && addr.Addr().IsLoopback()
+}
+
 func (c *checker) limits() {
 	l := c.s.Limits
 	c.positive("limits.bodyBytes", l.BodyBytes)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,7 @@
 		{"half of TLS", `{"role": "entry", "caller": {"tls": {"certFile": "c"}}}`, `caller.tls: needs both`},
 		{"entry without session key", `{"role": "entry"}`, `sessionKeys: an entry needs`},
 		{"short secret", `{"role": "entry", "sessionKeys": [{"name": "k", "secret": "x"}]}`, `sessionKeys[0].secret: must have at least 32`},
+		{"example secret off loopback", `{"role": "entry", "caller": {"listen": "10.0.0.1:1"}, "sessionKeys": [{"name": "k", "secret": "` + exampleSecret + `"}]}`, `sessionKeys[0].secret: is the example's`},
 		{"number for time", `{"role": "agent", "timeouts": {"idle": 3}}`, `timeouts.idle: must be a time such as`},
 		{"negative time", `{"role": "agent", "timeouts": {"idle": "-3s"}}`, `timeouts.idle: must be greater than 0`},
 		{"deadline beyond the records", `{"role": "agent", "timeouts": {"maxRequest": "11m"}}`, `timeouts.maxRequest: must not be longer than 10m0s`},
