--- a/internal/quality/book.go
+++ b/internal/quality/book.go
@@ -16,9 +16,9 @@
 	// HalfLife is the time without a rating in which the weight of the
 	// ratings halves.
 	HalfLife time.Duration
-	// Z is the width of the bounds in standard errors.
+	// Z is the width of the lower bound in standard errors.
 	Z float64
-	// StrictZ is the width of the strict lower bound.
+	// StrictZ is the width of the strict lower bound and the upper bound.
 	StrictZ float64
 	// Fresh is the age of the newest rating up to which the rating service
 	// counts as answering.
--- a/internal/quality/quality_test.go
+++ b/internal/quality/quality_test.go
@@ -87,3 +87,26 @@
 		t.Errorf("after three windows of good ratings the estimate is %+v", e)
 	}
 }
+
+func TestExportedBookIsTakenOver(t *testing.T) {
+	b := NewBook(Settings{})
+	k := Key{Class: "tag", Via: "auto", Version: "small@1"}
+	b.Add(k, Delta{Good: 19, Bad: 1, Kept: 3, Escalated: 1}, epoch)
+	b.Add(k, Answered(2*time.Second, 64), epoch)
+	b.Add(Key{Class: "note", Version: "small@1"}, Rated(true), epoch)
+	other := NewBook(Settings{})
+	other.Import(b.Export())
+	now := epoch.Add(time.Hour)
+	for key, want := range b.View(now).estimates {
+		if got, _ := other.View(now).Get(key); got != want {
+			t.Errorf("%+v is %+v after the import, was %+v", key, got, want)
+		}
+	}
+	if other.View(now).Len() != 2 || other.View(now).Fresh() {
+		t.Error("the import lost a key or the time of the newest rating")
+	}
+	b.Forget("small@1")
+	if b.View(now).Len() != 0 {
+		t.Error("a forgotten version is still known")
+	}
+}
--- a/internal/quality/view.go
+++ b/internal/quality/view.go
@@ -9,9 +9,9 @@
 type Estimate struct {
 	// Ratings is the weight of the ratings behind the bounds.
 	Ratings float64
-	// Mean is the share of good ratings; Low and High are its bounds, and
-	// Strict is a lower bound with more confidence. Without ratings Mean
-	// is 0, Low and Strict are 0 and High is 1.
+	// Mean is the share of good ratings and Low its lower bound. Strict and
+	// High are bounds with more confidence: what lies above High is given
+	// up for long. Without ratings Mean, Low and Strict are 0 and High is 1.
 	Mean, Low, High, Strict float64
 	// Drafts is the weight behind Escalation, the share of drafts that were
 	// handed on to the next step.
@@ -29,13 +29,13 @@
 type ClassEstimate struct {
 	Answers      float64
 	OutputTokens float64
-	Latency      time.Duration
 }
 
 // View is an immutable reading of a Book. It is shared without locks.
 type View struct {
 	estimates map[Key]Estimate
 	classes   map[string]ClassEstimate
+	set       Settings
 	fresh     bool
 }
 
@@ -47,6 +47,7 @@
 	v := &View{
 		estimates: make(map[Key]Estimate, len(b.cells)),
 		classes:   map[string]ClassEstimate{},
+		set:       b.set,
 	}
 	sums := map[string]*cell{}
 	for k, c := range b.cells {
@@ -58,11 +59,10 @@
 		}
 		sum.answers += c.answers
 		sum.outputTokens += c.outputTokens
-		sum.latency += c.latency
 	}
 	for class, c := range sums {
 		e := c.estimate(b.set, now)
-		v.classes[class] = ClassEstimate{Answers: e.Answers, OutputTokens: e.OutputTokens, Latency: e.Latency}
+		v.classes[class] = ClassEstimate{Answers: e.Answers, OutputTokens: e.OutputTokens}
 	}
 	v.fresh = b.newest.IsZero() || now.Sub(b.newest) <= b.set.Fresh
 	return v
@@ -74,6 +74,31 @@
 	return e, ok
 }
 
+// Successor returns the estimate of a version that took over the work of
+// another: its own, filled up with that of its predecessor to the weight most.
+func (v *View) Successor(k Key, predecessor string, most float64) (Estimate, bool) {
+	own, ok := v.Get(k)
+	k.Version = predecessor
+	old, okOld := v.Get(k)
+	switch {
+	case !okOld:
+		return own, ok
+	case !ok:
+		own.High = 1
+	}
+	if own.Answers < old.Answers {
+		own.Answers, own.OutputTokens = old.Answers, old.OutputTokens
+		own.Latency, own.LatencyHigh = old.Latency, old.LatencyHigh
+	}
+	if own.Drafts < old.Drafts {
+		own.Drafts, own.Escalation = old.Drafts, old.Escalation
+	}
+	if weight := min(old.Ratings, most-own.Ratings); weight > 0 {
+		own.rate(own.Mean*own.Ratings+old.Mean*weight, own.Ratings+weight, v.set)
+	}
+	return own, true
+}
+
 // Class returns the means of a class; zero when no answer was seen.
 func (v *View) Class(class string) ClassEstimate { return v.classes[class] }
 
@@ -89,10 +114,7 @@
 	fade := c.fade(s, now)
 	good, n := c.good*fade, (c.good+c.bad)*fade
 	if n > 0 {
-		e.Ratings = n
-		e.Mean = good / n
-		e.Low, e.High = Wilson(good, n, s.Z)
-		e.Strict, _ = Wilson(good, n, s.StrictZ)
+		e.rate(good, n, s)
 	}
 	if drafts := c.kept + c.escalated; drafts > 0 {
 		e.Drafts = drafts
@@ -109,6 +131,14 @@
 	return e
 }
 
+// rate sets the mean and its bounds.
+func (e *Estimate) rate(good, n float64, s Settings) {
+	e.Ratings = n
+	e.Mean = good / n
+	e.Low, _ = Wilson(good, n, s.Z)
+	e.Strict, e.High = Wilson(good, n, s.StrictZ)
+}
+
 func millis(ms float64) time.Duration {
 	return time.Duration(ms * float64(time.Millisecond))
 }
--- a/internal/rollout/baseline.go
+++ b/internal/rollout/baseline.go
@@ -9,24 +9,26 @@
 const (
 	// leastTolerated is the least bad rate that is tolerated of a rating.
 	leastTolerated = 0.01
-	// assumedTolerated is used before anything is known of the class.
-	assumedTolerated = 0.03
 	// enoughRatings is the weight of ratings from which an estimate counts.
 	enoughRatings = 100
 )
 
 // RatingBaseline returns the bad rate that is tolerated of a version: that of
 // the reference with one standard error on top, but never more than the
-// quality target leaves. The reference of a new version is the version it
-// replaces, and of any other its own long run.
-func RatingBaseline(reference quality.Estimate, target float64) float64 {
-	most := max(leastTolerated, 1-target)
-	if reference.Ratings < enoughRatings {
-		return min(assumedTolerated, most)
+// quality target leaves. The reference of a new version is the estimate of the
+// version it replaces, and of any other its own; it should be some time old,
+// so that a version which turns bad does not move it.
+//
+// It reports false when the reference has few ratings or misses the target.
+// Such answers are tries of the choice of version: that they are bad says
+// nothing about a change of the version.
+func RatingBaseline(reference quality.Estimate, target float64) (rate float64, ok bool) {
+	if reference.Ratings < enoughRatings || reference.Mean < target {
+		return 0, false
 	}
 	bad := 1 - reference.Mean
 	bad += math.Sqrt(bad * reference.Mean / reference.Ratings)
-	return min(max(bad, leastTolerated), most)
+	return min(max(bad, leastTolerated), max(leastTolerated, 1-target)), true
 }
 
 // controlMargin is the factor over the rate of the control group.
--- a/internal/rollout/monitor.go
+++ b/internal/rollout/monitor.go
@@ -38,12 +38,24 @@
 
 // Rating counts a rating of an answer that reached a caller.
 func (m *Monitor) Rating(good bool, baseline float64, now time.Time) Verdict {
+	m.count(good)
+	return m.ShadowRating(good, baseline, now)
+}
+
+// Unjudged counts a rating for which there is no baseline: towards the budget,
+// not as evidence.
+func (m *Monitor) Unjudged(good, shadow bool) {
+	if !shadow {
+		m.count(good)
+	}
+}
+
+func (m *Monitor) count(good bool) {
 	if good {
 		m.tally.Good++
 	} else {
 		m.tally.Bad++
 	}
-	return m.ShadowRating(good, baseline, now)
 }
 
 // ShadowRating counts a rating of an answer that reached no caller. It weighs
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -43,20 +43,18 @@
 		org:       org,
 		objective: plan.Objective,
 		left:      timeLeft(plan.Deadline, now),
-		best:      -1,
-		try:       -1,
+		barred:    -1,
 		held:      -1,
+		rnd:       draw(rnd),
 	}
 	if r != nil {
 		c.target = r.target
 	}
-	for i := range options {
-		c.consider(options, i)
-	}
+	c.considerAll(options)
 	if c.best < 0 {
 		return Plan{}, c.refusal()
 	}
-	c.finish(&plan, options, rnd)
+	c.finish(&plan, options)
 	return plan, nil
 }
 
@@ -129,6 +127,17 @@
 	refusedNow
 )
 
+// maxOpen bounds the options among which a try is looked for.
+const maxOpen = 16
+
+// unproven is an option that does not meet the target, by what is known.
+type unproven struct {
+	option int
+	score  score
+	filled [MaxSteps]candidate
+	target float64
+}
+
 // chooser goes through the options of one request.
 type chooser struct {
 	scoring
@@ -145,13 +154,19 @@
 	bestFilled [MaxSteps]candidate
 	bestTarget float64
 
-	try       int
-	tryScore  score
-	tryFilled [MaxSteps]candidate
-	// tryKnown is set when the ratings say that the try misses the target.
-	tryKnown  bool
-	tryTarget float64
+	// open holds the options that do not meet the target yet.
+	open      [maxOpen]unproven
+	openCount int
+
+	// try is the index in open of the option to try, or -1.
+	try        int
+	tryPromise int
+	// trySeen counts the options that promise as much as the try.
+	trySeen uint64
+	rnd     draw
 
+	// barred is a version passed over while a standby is looked for, or -1.
+	barred int
 	// held is a version passed over because it is held back, or -1.
 	held int
 
@@ -180,6 +195,13 @@
 	return rankThird
 }
 
+func (c *chooser) considerAll(options []option) {
+	c.best, c.try, c.openCount = -1, -1, 0
+	for i := range options {
+		c.consider(options, i)
+	}
+}
+
 // consider scores option i and keeps it when it is the best so far.
 func (c *chooser) consider(options []option, i int) {
 	o := &options[i]
@@ -198,8 +220,9 @@
 		c.best, c.bestScore, c.bestRank = i, sc, r
 		c.bestFilled, c.bestTarget = filled, target
 	}
-	if !meets && sc.slow <= c.left {
-		c.considerTry(&sc, i, &filled, target)
+	if !meets && sc.slow <= c.left && c.openCount < maxOpen {
+		c.open[c.openCount] = unproven{option: i, score: sc, filled: filled, target: target}
+		c.openCount++
 	}
 }
 
@@ -213,19 +236,50 @@
 	return likelier(sc, &c.bestScore)
 }
 
-// considerTry keeps the option that is most worth learning about: the
-// cheapest that may meet the target, before one that seems to miss it.
-func (c *chooser) considerTry(sc *score, i int, filled *[MaxSteps]candidate, target float64) {
-	known := sc.high < target
-	if c.try >= 0 && known != c.tryKnown {
-		if known {
-			return
+// The promise of a try, the best first.
+const (
+	promiseLikely = iota // the mean meets the target
+	promiseOpen          // the upper bound does
+	promiseNone          // neither does, but the version may have changed
+)
+
+func promise(sc *score, target float64) int {
+	switch {
+	case sc.mean >= target:
+		return promiseLikely
+	case sc.high >= target:
+		return promiseOpen
+	}
+	return promiseNone
+}
+
+// findTry keeps the most promising option that would beat the best. Of likely
+// ones it takes the one that is closest to its proof, of others one at random,
+// so that none is forgotten.
+func (c *chooser) findTry() {
+	for i := range c.openCount {
+		u := &c.open[i]
+		if u.option == c.best || !better(&u.score, &c.bestScore, c.objective) {
+			continue
+		}
+		if c.promisesMore(u) {
+			c.try, c.tryPromise = i, promise(&u.score, u.target)
 		}
-	} else if c.try >= 0 && !better(sc, &c.tryScore, c.objective) {
-		return
 	}
-	c.try, c.tryScore, c.tryFilled = i, *sc, *filled
-	c.tryKnown, c.tryTarget = known, target
+}
+
+// promisesMore reports whether u takes the place of the try.
+func (c *chooser) promisesMore(u *unproven) bool {
+	pr := promise(&u.score, u.target)
+	if c.try < 0 || pr != c.tryPromise {
+		c.trySeen = 1
+		return c.try < 0 || pr < c.tryPromise
+	}
+	if pr == promiseLikely {
+		return u.score.low > c.open[c.try].score.low
+	}
+	c.trySeen++
+	return c.rnd.below(c.trySeen) == 0
 }
 
 // fill picks a candidate for each stage and reports whether there is one.
@@ -256,7 +310,7 @@
 
 func (c *chooser) usable(i int, named bool) bool {
 	v := &c.planner.versions[i]
-	if !c.org.allowed[i] || (v.reserved && !named) {
+	if !c.org.allowed[i] || (v.reserved && !named) || i == c.barred {
 		return false
 	}
 	if v.state != catalog.VersionActive {
@@ -292,28 +346,31 @@
 }
 
 // finish writes the choice, or the try in its place, into the plan.
-func (c *chooser) finish(plan *Plan, options []option, rnd uint64) {
+func (c *chooser) finish(plan *Plan, options []option) {
 	plan.Target = c.bestTarget
 	plan.Cost, plan.Latency = c.bestScore.cost, c.bestScore.latency
 	plan.Chain = c.chain(&options[c.best], &c.bestFilled)
-	if c.explores(rnd) {
-		c.explore(plan, &options[c.try])
+	if c.explores() {
+		c.explore(plan, options)
+	} else if c.drills() {
+		c.drill(plan, options)
 	}
-	if c.held >= 0 && c.mayShadow() && fraction(rnd) < c.planner.settings.ShadowHeld {
+	if c.held >= 0 && c.mayShadow() && c.rnd.fraction() < c.planner.settings.ShadowHeld {
 		plan.Shadow = single(&c.planner.versions[c.held])
 	}
 }
 
 // explore puts the try beside the choice, or in its place.
-func (c *chooser) explore(plan *Plan, o *option) {
-	chain := c.chain(o, &c.tryFilled)
+func (c *chooser) explore(plan *Plan, options []option) {
+	u := &c.open[c.try]
+	chain := c.chain(&options[u.option], &u.filled)
 	plan.Exploring = true
 	if c.objective == catalog.ObjectiveExposure {
 		plan.Shadow = chain
 		return
 	}
 	plan.Chain = chain
-	plan.Cost, plan.Latency = c.tryScore.cost, c.tryScore.latency
+	plan.Cost, plan.Latency = u.score.cost, u.score.latency
 }
 
 func (c *chooser) chain(o *option, filled *[MaxSteps]candidate) Chain {
@@ -333,30 +390,70 @@
 }
 
 // explores draws whether the request is spent on the try.
-func (c *chooser) explores(rnd uint64) bool {
-	if c.try < 0 || c.try == c.best || !c.planner.estimates.fresh {
+func (c *chooser) explores() bool {
+	if !c.mayTry() {
 		return false
 	}
-	if c.objective == catalog.ObjectiveExposure && !c.mayShadow() {
-		return false
+	c.findTry()
+	return c.try >= 0 && c.rnd.fraction() < c.tryRate()
+}
+
+// drills draws whether the request is spent on a standby.
+func (c *chooser) drills() bool {
+	return c.mayTry() && c.bestRank == rankMeets && c.rnd.fraction() < c.planner.settings.ExploreStandby
+}
+
+// drill looks for a try among what would be left without the first version of
+// the best choice.
+func (c *chooser) drill(plan *Plan, options []option) {
+	held := c.held
+	c.barred = c.bestFilled[0].version
+	c.considerAll(options)
+	c.held = held
+	if c.best < 0 {
+		return
 	}
-	if !better(&c.tryScore, &c.bestScore, c.objective) {
-		return false
+	c.findTry()
+	if c.try >= 0 && c.tryPromise != promiseNone {
+		c.explore(plan, options)
 	}
-	return fraction(rnd) < c.tryRate()
 }
 
-// tryRate returns the share of requests that the try is worth: it falls with
-// what the ratings say of the try.
+// mayTry reports whether tries are made at all. While no ratings come nothing
+// can be learned.
+func (c *chooser) mayTry() bool {
+	if c.objective == catalog.ObjectiveExposure {
+		return c.mayShadow()
+	}
+	return c.planner.estimates.fresh
+}
+
+// tryRate returns the share of requests that the try is worth. A try beside
+// the request costs the callers nothing. One in its place may cost a share of
+// what the best choice has above the target.
 func (c *chooser) tryRate() float64 {
 	s := &c.planner.settings
+	loss := c.bestScore.mean - c.open[c.try].score.mean
 	switch {
-	case c.tryKnown:
+	case c.tryPromise == promiseNone:
 		return s.ExploreKnown
-	case c.tryScore.mean >= c.tryTarget:
-		return s.ExploreLikely
+	case c.objective == catalog.ObjectiveExposure:
+		return s.ExploreShadow * c.worth()
+	case loss <= 0 || c.tryPromise == promiseLikely:
+		return s.ExploreMost
+	}
+	surplus := max(0, c.bestScore.mean-c.bestTarget)
+	return max(s.ExploreKnown, min(s.ExploreMost, s.ExploreSurplus*surplus/loss))
+}
+
+// worth weighs a try beside the request: one that is likely pays when it would
+// save half the cost, any other by what it would save.
+func (c *chooser) worth() float64 {
+	saved := 1 - c.open[c.try].score.cost/c.bestScore.cost
+	if c.tryPromise == promiseLikely {
+		return min(1, 2*saved)
 	}
-	return s.ExploreCold
+	return saved
 }
 
 // step applies the roll-out, if any, to a version.
@@ -371,3 +468,20 @@
 
 // fraction maps a random number to 0 <= x < 1.
 func fraction(rnd uint64) float64 { return float64(rnd>>11) / (1 << 53) }
+
+// draw makes several random numbers out of the one of a plan, by the steps of
+// SplitMix64.
+type draw uint64
+
+func (d *draw) next() uint64 {
+	*d += 0x9e3779b97f4a7c15
+	z := uint64(*d)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (d *draw) fraction() float64 { return fraction(d.next()) }
+
+// below returns a number from 0 to n-1.
+func (d *draw) below(n uint64) uint64 { return d.next() % n }
--- a/internal/route/compile.go
+++ b/internal/route/compile.go
@@ -20,16 +20,21 @@
 	next int
 	// share of the new work that goes to next, 0 to 1.
 	share float64
+	// replacedBy is the new version of a roll-out that is done, or -1, and
+	// replaces is the reverse.
+	replacedBy int
+	replaces   int
 	// reserved is set for the new version of a roll-out that is not done:
 	// it takes work only through the roll-out or by its own name.
 	reserved bool
 }
 
-// candidate is a version that may fill a stage, with the slot of its
-// estimate.
+// candidate is a version that may fill a stage, with the slots of its estimate
+// in the stage and on its own.
 type candidate struct {
 	version int
 	slot    int
+	alone   int
 }
 
 // stage is one step of an option.
@@ -123,6 +128,9 @@
 			output: float64(v.OutputMicros),
 			prior:  orDefault(v.PriorQuality, catalog.DefaultPriorQuality),
 			next:   -1,
+
+			replacedBy: -1,
+			replaces:   -1,
 		})
 	}
 }
@@ -152,8 +160,8 @@
 	case catalog.RolloutAborted:
 		p.versions[to].reserved = true
 	case catalog.RolloutDone:
-		p.versions[from].next = to
-		p.versions[from].share = 1
+		p.versions[from].replacedBy = to
+		p.versions[to].replaces = from
 	default:
 		p.versions[to].reserved = true
 		p.versions[from].next = to
@@ -173,7 +181,7 @@
 			target = orDefault(m.QualityTarget, target)
 		}
 		p.targets[string(name)] = []option{{
-			stages: []stage{{candidates: p.candidates("", p.index[name])}},
+			stages: []stage{{candidates: p.named(p.index[name])}},
 			target: target,
 			named:  true,
 		}}
@@ -195,21 +203,43 @@
 	return option{stages: []stage{{candidates: p.candidates("", version)}}, target: target}
 }
 
-// candidates gives each version a slot for its estimate in the chain.
+// current returns the version that stands in for v: its replacement, as long
+// as that is active.
+func (p *Planner) current(v int) int {
+	next := p.versions[v].replacedBy
+	if next < 0 || p.versions[next].state != catalog.VersionActive {
+		return v
+	}
+	return next
+}
+
+// candidates returns the current version of each for a step.
 func (p *Planner) candidates(via string, versions ...int) []candidate {
 	out := make([]candidate, len(versions))
 	for i, v := range versions {
-		k := slotKey{via, v}
-		slot, ok := p.slots[k]
-		if !ok {
-			slot = len(p.slots)
-			p.slots[k] = slot
-		}
-		out[i] = candidate{version: v, slot: slot}
+		out[i] = p.candidate(via, p.current(v))
 	}
 	return out
 }
 
+// named returns the version itself: a request that names it gets no other.
+func (p *Planner) named(v int) []candidate { return []candidate{p.candidate("", v)} }
+
+func (p *Planner) candidate(via string, v int) candidate {
+	return candidate{version: v, slot: p.slot(via, v), alone: p.slot("", v)}
+}
+
+// slot returns the slot of a version's estimate, a new one for a new key.
+func (p *Planner) slot(via string, v int) int {
+	k := slotKey{via, v}
+	slot, ok := p.slots[k]
+	if !ok {
+		slot = len(p.slots)
+		p.slots[k] = slot
+	}
+	return slot
+}
+
 // cascadeOptions returns every chain that keeps some of the cascade's steps in
 // their order: a step is skipped where it does not pay.
 func (p *Planner) cascadeOptions(set *catalog.Set, name string, c *catalog.Cascade) []option {
--- a/internal/route/estimates.go
+++ b/internal/route/estimates.go
@@ -36,11 +36,15 @@
 	return &out
 }
 
+// successorRatings is the weight up to which a version that took over the work
+// of another is trusted on the ratings of the other.
+const successorRatings = 400
+
 // row lays out the estimates of a class.
 func (p *Planner) row(class string, view *quality.View) []quality.Estimate {
 	row := make([]quality.Estimate, len(p.slots))
 	for k, slot := range p.slots {
-		e, ok := view.Get(quality.Key{Class: class, Via: k.via, Version: string(p.versions[k.version].name)})
+		e, ok := p.estimate(view, class, k)
 		if !ok {
 			e.High = 1
 		}
@@ -48,3 +52,12 @@
 	}
 	return row
 }
+
+func (p *Planner) estimate(view *quality.View, class string, k slotKey) (quality.Estimate, bool) {
+	v := &p.versions[k.version]
+	key := quality.Key{Class: class, Via: k.via, Version: string(v.name)}
+	if v.replaces < 0 {
+		return view.Get(key)
+	}
+	return view.Successor(key, string(p.versions[v.replaces].name), successorRatings)
+}
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
@@ -20,8 +21,12 @@
 
 // score is what is expected of an option for one request.
 type score struct {
+	// mean is the share of good answers; low, high and strict bound it.
 	mean, low, high, strict float64
-	cost                    float64
+	// below, above and rigid are the squared distances of the bounds while
+	// they add up: the errors of the steps are independent.
+	below, above, rigid float64
+	cost                float64
 	// latency is the mean; slow is what all steps take when slow.
 	latency, slow time.Duration
 }
@@ -32,8 +37,8 @@
 	planner *Planner
 	row     []quality.Estimate
 	prompt  float64
-	tokens  float64
-	typical time.Duration
+	// tokens is the length assumed of the answers of a version not seen yet.
+	tokens float64
 }
 
 func (p *Planner) newScoring(req *Request, class int) scoring {
@@ -46,7 +51,6 @@
 	c := p.estimates.classes[class]
 	if c.Answers >= minAnswers {
 		s.tokens = c.OutputTokens
-		s.typical = c.Latency
 	} else if req.MaxTokens > 0 {
 		s.tokens = min(s.tokens, float64(req.MaxTokens))
 	}
@@ -59,33 +63,60 @@
 	reach := 1.0
 	last := len(o.stages) - 1
 	for i := range o.stages {
-		e := &s.row[filled[i].slot]
+		cd := &filled[i]
+		e := &s.row[cd.slot]
 		keep := 1.0
 		if i < last {
 			keep = 1 - escalation(e)
 		}
-		s.addStep(&total, &s.planner.versions[filled[i].version], e, reach, reach*keep)
+		s.addQuality(&total, s.prior(cd.version, i < last), e, reach*keep)
+		s.addRun(&total, cd, reach)
 		reach *= 1 - keep
 	}
+	total.low = total.mean - math.Sqrt(total.below)
+	total.high = total.mean + math.Sqrt(total.above)
+	total.strict = total.mean - math.Sqrt(total.rigid)
 	return total
 }
 
-// addStep adds a step that runs for the share reach of the requests and
-// answers the share answers of them.
-func (s *scoring) addStep(total *score, v *version, e *quality.Estimate, reach, answers float64) {
+func square(x float64) float64 { return x * x }
+
+// prior returns the quality assumed of a version. Of a draft that is kept
+// because it is sure of itself, half the faults are assumed.
+func (s *scoring) prior(version int, draft bool) float64 {
+	prior := s.planner.versions[version].prior
+	if draft {
+		return 1 - (1-prior)/2
+	}
+	return prior
+}
+
+// addQuality adds the quality of a step that answers a share of the requests.
+func (s *scoring) addQuality(total *score, prior float64, e *quality.Estimate, answers float64) {
 	weight := s.planner.settings.PriorWeight
-	total.mean += answers * (e.Mean*e.Ratings + v.prior*weight) / (e.Ratings + weight)
-	total.low += answers * e.Low
-	total.high += answers * e.High
-	total.strict += answers * e.Strict
+	mean := (e.Mean*e.Ratings + prior*weight) / (e.Ratings + weight)
+	total.mean += answers * mean
+	total.below += square(answers * (mean - e.Low))
+	total.above += square(answers * (e.High - mean))
+	total.rigid += square(answers * (mean - e.Strict))
+}
 
-	tokens, latency, slow := s.tokens, s.typical, s.typical
+// addRun adds the cost and latency of a step that runs for the share reach of
+// the requests. A version of which no answer was seen counts as fast, so that
+// it is tried.
+func (s *scoring) addRun(total *score, cd *candidate, reach float64) {
+	e := &s.row[cd.slot]
+	if e.Answers < minAnswers {
+		e = &s.row[cd.alone]
+	}
+	tokens := s.tokens
 	if e.Answers >= minAnswers {
-		tokens, latency, slow = e.OutputTokens, e.Latency, e.LatencyHigh
+		tokens = e.OutputTokens
+		total.latency += time.Duration(reach * float64(e.Latency))
+		total.slow += e.LatencyHigh
 	}
+	v := &s.planner.versions[cd.version]
 	total.cost += reach * (v.input*s.prompt + v.output*tokens)
-	total.latency += time.Duration(reach * float64(latency))
-	total.slow += slow
 }
 
 func escalation(e *quality.Estimate) float64 {
--- a/internal/route/settings.go
+++ b/internal/route/settings.go
@@ -6,12 +6,19 @@
 	// PriorWeight is the number of ratings that a version's prior quality
 	// stands for.
 	PriorWeight float64
-	// ExploreLikely is the share of requests that try an unproven choice
-	// whose mean, with its prior, meets the target.
-	ExploreLikely float64
-	// ExploreCold is the share that tries an unproven choice whose mean
-	// misses the target, while its upper bound does not.
-	ExploreCold float64
+	// ExploreMost is the greatest share of requests that try an unproven
+	// choice.
+	ExploreMost float64
+	// ExploreShadow is the same for tries beside a request, which no caller
+	// sees, for a try that would save half the cost or more.
+	ExploreShadow float64
+	// ExploreSurplus is the share of the quality above the target that
+	// tries may cost the callers.
+	ExploreSurplus float64
+	// ExploreStandby is the share of requests that try what would answer
+	// without the best choice's first version, so that it is proven before
+	// that version is lost.
+	ExploreStandby float64
 	// ExploreKnown is the share that tries a choice again of which the
 	// ratings say that it misses the target.
 	ExploreKnown float64
@@ -25,22 +32,30 @@
 
 // Defaults of Settings.
 const (
-	DefaultPriorWeight   = 4
-	DefaultExploreLikely = 0.3
-	DefaultExploreCold   = 0.05
-	DefaultExploreKnown  = 0.002
-	DefaultShadowHeld    = 0.5
+	DefaultPriorWeight    = 4
+	DefaultExploreMost    = 0.5
+	DefaultExploreShadow  = 1.0
+	DefaultExploreSurplus = 0.5
+	DefaultExploreStandby = 0.02
+	DefaultExploreKnown   = 0.002
+	DefaultShadowHeld     = 0.5
 )
 
 func (s Settings) withDefaults() Settings {
 	if s.PriorWeight <= 0 {
 		s.PriorWeight = DefaultPriorWeight
 	}
-	if s.ExploreLikely == 0 {
-		s.ExploreLikely = DefaultExploreLikely
+	if s.ExploreMost == 0 {
+		s.ExploreMost = DefaultExploreMost
 	}
-	if s.ExploreCold == 0 {
-		s.ExploreCold = DefaultExploreCold
+	if s.ExploreShadow == 0 {
+		s.ExploreShadow = DefaultExploreShadow
+	}
+	if s.ExploreSurplus == 0 {
+		s.ExploreSurplus = DefaultExploreSurplus
+	}
+	if s.ExploreStandby == 0 {
+		s.ExploreStandby = DefaultExploreStandby
 	}
 	if s.ExploreKnown == 0 {
 		s.ExploreKnown = DefaultExploreKnown
