--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -44,7 +44,7 @@
 	listFirst = 2 * time.Second
 	// listBytesPerSecond bounds the reads of the host list; a long list is
 	// read less often.
-	listBytesPerSecond = 1000
+	listBytesPerSecond = 1250
 	// listLineBytes is the size of one line of the host list.
 	listLineBytes = 100
 	// listSpread is the share by which the pause is longer or shorter.
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -25,7 +25,7 @@
 // Defaults of the settings.
 const (
 	DefaultSubsetSize     = 32
-	DefaultBytesPerSecond = 2000
+	DefaultBytesPerSecond = 1750
 	DefaultQuietFirst     = 5 * time.Second
 	DefaultQuietMax       = 20 * time.Second
 	DefaultSuspectPause   = 300 * time.Millisecond
