--- a/internal/publish/follower_test.go
+++ b/internal/publish/follower_test.go
@@ -210,6 +210,28 @@
 	})
 }
 
+// TestFarAheadForeignLineIsRefused has the foreign line run ahead of what is
+// read delta by delta, while the daemon was cut off.
+func TestFarAheadForeignLineIsRefused(t *testing.T) {
+	c := newCluster(t, fake.Options{})
+	c.publish(1)
+	backup := c.platform.Table.Backup()
+	c.publish(2)
+	f := NewFollower(FollowerOptions{Store: c.store, Name: "f"})
+	f.Poll(t.Context())
+	c.platform.Table.Restore(backup)
+	p := NewPublisher(c.store, PublisherOptions{})
+	for i := range maxDeltasBehind + 3 {
+		if _, err := p.Edit(t.Context(), "test", putUpstream(100+i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.Poll(t.Context())
+	if s := f.Status(); s.Revision != 2 || !strings.Contains(s.Trouble, result.HistoryReplaced.String()) {
+		t.Errorf("got %+v", s)
+	}
+}
+
 func TestStalePeerIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, fake.Options{})
