Find commands of the operators' pages that are not run

Cause: the test asked each page for a command, and pages without any have come. Change: a line that begins with a command must stand in a block that is run, on every page; that no page has one is still a failure. Conclusion: as strict, and pages of text may stand beside.

--- a/cmd/tarragonctl/pages_test.go
+++ b/cmd/tarragonctl/pages_test.go
@@ -22,20 +22,26 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
+	ran := 0
 	for _, page := range pages {
 		text, err := os.ReadFile(page)
 		if err != nil {
 			t.Fatal(err)
 		}
-		script := strings.Join(commands(string(text)), "\n") + "\n"
-		if !strings.Contains(script, "exec ") {
-			t.Errorf("%s has no command", page)
+		lines, stray := commands(string(text))
+		for _, line := range stray {
+			t.Errorf("%s: a command stands outside a sh block and is not run: %s", page, line)
 		}
+		ran += len(lines)
+		script := strings.Join(lines, "\n") + "\n"
 		name := strings.TrimSuffix(filepath.Base(page), ".md") + ".txtar"
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(script), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
+	if ran == 0 {
+		t.Fatal("no page has a command")
+	}
 	testscript.Run(t, testscript.Params{
 		Dir: dir,
 		Setup: func(env *testscript.Env) error {
@@ -58,21 +64,22 @@
 	"127.0.0.1:7200", "$DAEMON",
 )
 
-// commands turns the sh blocks of a page into lines of a script.
-func commands(page string) []string {
-	var out []string
+// commands turns the sh blocks of a page into lines of a script. It returns as
+// well the lines that begin with a command elsewhere.
+func commands(page string) (script, stray []string) {
 	inBlock := false
 	for line := range strings.Lines(page) {
 		line = strings.TrimSpace(line)
 		switch {
 		case strings.HasPrefix(line, "```"):
 			inBlock = line == "```sh"
-		case !inBlock || line == "":
-		default:
-			out = append(out, scriptLines(pageAddresses.Replace(line))...)
+		case inBlock && line != "":
+			script = append(script, scriptLines(pageAddresses.Replace(line))...)
+		case strings.HasPrefix(line, "tarragonctl "):
+			stray = append(stray, line)
 		}
 	}
-	return out
+	return script, stray
 }
 
 func scriptLines(line string) []string {
