--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -56,15 +56,19 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for %s", c.Name)
 	}
+	return newServer(c, handler, ln, tlsConfig), nil
+}
+
+// New returns a server without TLS on a listener that is open already.
+func New(c Config, handler http.Handler, ln net.Listener) *Server {
+	return newServer(c, handler, ln, nil)
+}
+
+func newServer(c Config, handler http.Handler, ln net.Listener, tlsConfig *tls.Config) *Server {
 	ln = netutil.LimitListener(ln, c.Connections)
 	if tlsConfig != nil {
 		ln = tls.NewListener(ln, tlsConfig)
 	}
-	return New(c, handler, ln), nil
-}
-
-// New returns a server on a listener that is open already.
-func New(c Config, handler http.Handler, ln net.Listener) *Server {
 	return &Server{
 		config: c,
 		http: &http.Server{
