Refuse for run time only when sure

Cause: run times were kept per organisation. At an agent, where sizes are not known, short requests would be refused for the mean of long ones; beside plain service calls the unit cost of chats would be wrong as well. Change: run times are kept per lane; a request is refused only when even a mean deviation under the mean is too long; one in 32 runs all the same, so that a wrong estimate is found out; a request that does not say its output counts 128 tokens; a load report without slots reads as the default.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -23,8 +23,9 @@
 	Organisation string
 	// Priority is the class, 0 the most urgent; see catalog.Priority.Level.
 	Priority int
-	// PromptTokens and OutputTokens are what the request asks for. Both zero
-	// counts as one token of output, as for a plain service.
+	// PromptTokens and OutputTokens are what the request asks for. With a
+	// prompt and no output a usual answer is assumed; both zero counts as one
+	// token, as for a plain service.
 	PromptTokens int
 	OutputTokens int
 	// Deadline is when the caller stops waiting; zero means never.
@@ -35,9 +36,16 @@
 // time it makes one token of an answer.
 const promptTokensPerOutputToken = 16
 
+// usualOutputTokens stands for the answer of a request that does not say.
+const usualOutputTokens = 128
+
 // cost is the request's demand in output tokens.
 func (r *Request) cost() float64 {
-	return max(1, float64(r.OutputTokens)+float64(r.PromptTokens)/promptTokensPerOutputToken)
+	out := r.OutputTokens
+	if out == 0 && r.PromptTokens > 0 {
+		out = usualOutputTokens
+	}
+	return max(1, float64(out)+float64(r.PromptTokens)/promptTokensPerOutputToken)
 }
 
 // lane sorts a request by the time its caller gives it, so that short requests
@@ -70,13 +78,13 @@
 
 // Feedback is what a request that ran told about the load.
 type Feedback struct {
-	// RunTime is the time from admission to the end of the answer; 0 when
-	// the request did not run to its end.
+	// RunTime is the time from admission to the end of the answer, or to the
+	// deadline when that came first; 0 when the request ended otherwise.
 	RunTime time.Duration
 	// Busy is set when an agent refused the request for want of a slot.
 	Busy bool
 	// Queued and Slots are the queue length and the slots that the load
-	// report with the answer showed.
+	// report with the answer showed. Slots of 0 read as the default.
 	Queued int
 	Slots  int
 	// Late is set when the answer missed its deadline.
@@ -88,7 +96,11 @@
 const congestedQueue = 0.25
 
 func (f Feedback) congested() bool {
-	return f.Busy || f.Late || float64(f.Queued) > congestedQueue*float64(f.Slots)
+	slots := f.Slots
+	if slots == 0 {
+		slots = catalog.DefaultSlots
+	}
+	return f.Busy || f.Late || float64(f.Queued) > congestedQueue*float64(slots)
 }
 
 // Settings of a Controller. Zero fields take the defaults.
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -49,7 +49,6 @@
 	finish  float64
 	running int
 	waiting int
-	runTime runTime
 }
 
 // lane is the queue of a flow's requests with like time to answer.
@@ -57,6 +56,8 @@
 	queue  []*waiter
 	cost   float64
 	finish float64
+
+	runTime runTime
 }
 
 func (f *flow) lane(i int) *lane { return &f.lanes[i] }
--- a/internal/admission/runtime.go
+++ b/internal/admission/runtime.go
@@ -2,26 +2,28 @@
 
 import "time"
 
-// runTime is the smoothed run time of a flow's requests for each unit of cost,
+// runTime is the smoothed run time of a lane's requests for each unit of cost,
 // so that short requests are not judged by long ones, and its spread.
 type runTime struct {
 	mean      float64
 	deviation float64
+	// doubted counts the requests that were thought too long.
+	doubted int
 }
 
 const (
 	// runTimeSmoothing is the weight of the newest run time.
 	runTimeSmoothing = 1.0 / 32
-	// runTimeDeviations is how many deviations above the mean count as a
-	// long run.
-	runTimeDeviations = 2
+	// tryOneIn is the part of the requests thought too long that run all the
+	// same, so that an estimate that has become wrong is found out.
+	tryOneIn = 32
 )
 
 // add takes the run time of a request with the cost.
 func (r *runTime) add(d time.Duration, cost float64) {
 	per := float64(d) / cost
 	if r.mean == 0 {
-		r.mean = per
+		r.mean, r.deviation = per, per
 		return
 	}
 	diff := per - r.mean
@@ -32,10 +34,16 @@
 	r.deviation += (diff - r.deviation) * runTimeSmoothing
 }
 
-// usual is the mean run time of a request with the cost.
-func (r *runTime) usual(cost float64) time.Duration { return time.Duration(r.mean * cost) }
+// least is a short but usual run time of a request with the cost: a mean
+// deviation under the mean. A request is refused for its run time only when
+// even this is too long. In a lane whose requests differ much, or whose cost
+// is not known, it is near zero, and nothing is refused by mistake.
+func (r *runTime) least(cost float64) time.Duration {
+	return time.Duration(max(0, r.mean-r.deviation) * cost)
+}
 
-// long is a long but still usual run time of a request with the cost.
-func (r *runTime) long(cost float64) time.Duration {
-	return time.Duration((r.mean + runTimeDeviations*r.deviation) * cost)
+// tryAnyway reports whether a request thought too long is to run all the same.
+func (r *runTime) tryAnyway() bool {
+	r.doubted++
+	return r.doubted%tryOneIn == 0
 }
