Watch versions, step roll-outs under a lease, and keep the ledger

Cause: nothing acted on ratings and failures while serving, roll-outs had no one to step them, and charges were not kept. Change: watch.Fleet on entries judges ratings and failures, tells host faults from version faults and holds versions back; watch.Host on agents meters a new version's share of unrated answers and quarantines what fails on one host; news rides on attempts and heartbeats. rolloutrun steps each roll-out under its lease and publishes withdrawals. Agents charge into ledger blocks, entries keep copies and hand them in. Measured: go test ./internal/watch: a version always wrong answers at most 4 callers over 7 hosts without ratings; 60 s of failures on one host hold no version, on three hosts they do. go test -race ./integration passes.

--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -334,6 +334,11 @@
 	c.T.Helper()
 	deadline := time.Now().Add(settleTimeout)
 	for !ok() {
+		for _, n := range c.Nodes() {
+			if n.Proc.Crashed() {
+				c.T.Fatalf("%s crashed while waiting for: %s", n.name, what)
+			}
+		}
 		if time.Now().After(deadline) {
 			c.T.Fatalf("not reached in %v: %s", settleTimeout, what)
 		}
--- a/integration/harness/proc.go
+++ b/integration/harness/proc.go
@@ -128,6 +128,16 @@
 	}
 }
 
+// Crashed reports whether the process ended by itself and not well.
+func (p *Proc) Crashed() bool {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode() > 0
+	default:
+		return false
+	}
+}
+
 // PID is the process ID.
 func (p *Proc) PID() int { return p.cmd.Process.Pid }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,9 +17,10 @@
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/publish"
-	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // Configuration is the agent's view of the configuration in force. It is
@@ -47,32 +48,9 @@
 	Order(ctx context.Context, req *linkv1.OrderRequest) (*linkv1.OrderResponse, error)
 }
 
-// Watch judges versions on this host. It may be nil.
-type Watch interface {
-	// Admit is asked right before a version's answer is made. It refuses a
-	// version that is quarantined or whose budget of unrated answers is
-	// spent.
-	Admit(version string, now time.Time) error
-	// Ended takes the end of an answer.
-	Ended(end Ended)
-	// Quarantined lists the versions held back on this host.
-	Quarantined() []string
-}
-
-// Ended is the end of one answer, for the Watch.
-type Ended struct {
-	RequestID string
-	Version   string
-	Class     string
-	// Whole is set when the upstream completed the answer.
-	Whole bool
-	// Code of an answer that is not whole.
-	Code result.Code
-	// Prompt and Answer are set for answers that may be handed in for rating.
-	Prompt  []byte
-	Answer  string
-	Latency time.Duration
-	At      time.Time
+// Sampler hands answers in for rating. It is implemented by watch.Sampler.
+type Sampler interface {
+	Submit(sample platform.Sample)
 }
 
 // Options configure an Agent.
@@ -83,10 +61,13 @@
 	Config      Configuration
 	Charger     Charger
 	Orders      Orders
-	Watch       Watch
-	Timing      link.Timing
-	Log         *zap.Logger
-	Metrics     *telemetry.Metrics
+	Watch       *watch.Host
+	Sampler     Sampler
+	// Marks is where the host remembers which new versions it ran.
+	Marks   platform.Table
+	Timing  link.Timing
+	Log     *zap.Logger
+	Metrics *telemetry.Metrics
 	// MaxJobs bounds the attempts that run or wait at a time.
 	MaxJobs int
 	// Now is the clock; time.Now when nil.
@@ -103,7 +84,9 @@
 	config      Configuration
 	charger     Charger
 	orders      Orders
-	watch       Watch
+	watch       *watch.Host
+	sampler     Sampler
+	marks       platform.Table
 	log         *zap.Logger
 	now         func() time.Time
 
@@ -140,6 +123,8 @@
 		charger:     o.Charger,
 		orders:      o.Orders,
 		watch:       o.Watch,
+		sampler:     o.Sampler,
+		marks:       o.Marks,
 		log:         o.Log,
 		now:         o.Now,
 		registry:    attempt.NewRegistry(o.Incarnation, attempt.DefaultLimits()),
@@ -158,19 +143,28 @@
 // Run follows the configuration until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	if set, _ := a.config.Set(); set != nil {
-		a.hosted.rebuild(set)
+		a.apply(ctx, set)
 	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case state := <-a.config.Updates():
-			a.hosted.rebuild(state.Set)
+			a.apply(ctx, state.Set)
 			a.log.Info("configuration in force", zap.Uint64("revision", state.Revision))
 		}
 	}
 }
 
+// apply takes a new set. New versions on this host give no answer before the
+// table service has told whether the host ran them before.
+func (a *Agent) apply(ctx context.Context, set *catalog.Set) {
+	a.hosted.rebuild(set)
+	for _, v := range a.watch.SetCatalog(set) {
+		go watch.Mark(ctx, a.marks, a.watch, v)
+	}
+}
+
 // Probe asks the upstreams for their state until ctx ends.
 func (a *Agent) Probe(ctx context.Context) error {
 	tick := time.NewTicker(probeEvery)
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -52,10 +52,16 @@
 
 // prepare checks the attempt and makes its job.
 func (a *Agent) prepare(req *linkv1.AttemptRequest) (*job, error) {
+	a.watch.News(req.GetVersion(), req.GetNews())
 	up, err := a.check(req)
 	if err != nil {
 		return nil, err
 	}
+	if watched(req) {
+		if err := a.watch.Check(req.GetVersion(), a.now()); err != nil {
+			return nil, err
+		}
+	}
 	log, err := a.logs.Open(req.GetAttemptId())
 	if err != nil {
 		return nil, result.Wrap(err, result.QueueFull, "the agent cannot hold another answer")
@@ -86,7 +92,7 @@
 	if err := allowed(set, req); err != nil {
 		return nil, err
 	}
-	return up, a.admitVersion(req)
+	return up, nil
 }
 
 // allowed checks the organisation's rights and the version's state.
@@ -116,11 +122,10 @@
 	return nil
 }
 
-func (a *Agent) admitVersion(req *linkv1.AttemptRequest) error {
-	if a.watch == nil || req.GetVersion() == "" {
-		return nil
-	}
-	return a.watch.Admit(req.GetVersion(), a.now())
+// watched reports whether the version's answers are counted: shadows reach no
+// caller, and plain services have no version.
+func watched(req *linkv1.AttemptRequest) bool {
+	return req.GetVersion() != "" && !req.GetShadow()
 }
 
 // stale refuses an attempt on which entry and agent disagree.
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -48,6 +48,7 @@
 // Report implements link.Agent.
 func (a *Agent) Report(_ context.Context, req *linkv1.ReportRequest) (*linkv1.ReportResponse, error) {
 	a.config.SawEnvelope(req.GetEnvelope())
+	a.watch.HoldBack(req.GetHeld(), a.now())
 	leaving := a.leaving.Load() || a.stopping.Load()
 	resp := &linkv1.ReportResponse{
 		Envelope:      a.config.Envelope(),
@@ -61,9 +62,7 @@
 			Healthy: u.healthy.Load(),
 		})
 	}
-	if a.watch != nil {
-		resp.Quarantined = a.watch.Quarantined()
-	}
+	resp.Quarantined = a.watch.Quarantined(a.now())
 	return resp, nil
 }
 
--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -6,6 +6,7 @@
 	"tarragonbay.example/tarragonbay/internal/admission"
 	"tarragonbay.example/tarragonbay/internal/attempt"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // counters are the agent's metrics.
@@ -29,18 +30,19 @@
 
 // State is the agent's part of the state dump.
 type State struct {
-	Host        string          `json:"host"`
-	Incarnation uint64          `json:"incarnation"`
-	Revision    uint64          `json:"revision"`
-	Stopping    bool            `json:"stopping"`
-	Leaving     bool            `json:"leaving"`
-	Running     int             `json:"running"`
-	Attempts    attempt.Counts  `json:"attempts"`
-	Logs        int             `json:"logs"`
-	LogBytes    int64           `json:"logBytes"`
-	Upstreams   []UpstreamState `json:"upstreams"`
-	Quarantined []string        `json:"quarantined,omitempty"`
-	Durable     uint64          `json:"durableCharge"`
+	Host        string            `json:"host"`
+	Incarnation uint64            `json:"incarnation"`
+	Revision    uint64            `json:"revision"`
+	Stopping    bool              `json:"stopping"`
+	Leaving     bool              `json:"leaving"`
+	Running     int               `json:"running"`
+	Attempts    attempt.Counts    `json:"attempts"`
+	Logs        int               `json:"logs"`
+	LogBytes    int64             `json:"logBytes"`
+	Upstreams   []UpstreamState   `json:"upstreams"`
+	Quarantined []string          `json:"quarantined,omitempty"`
+	Metered     []watch.MeterLine `json:"metered,omitempty"`
+	Durable     uint64            `json:"durableCharge"`
 }
 
 // UpstreamState is one upstream in the state dump.
@@ -79,8 +81,7 @@
 			Gate:     u.gate.State(),
 		})
 	}
-	if a.watch != nil {
-		s.Quarantined = a.watch.Quarantined()
-	}
+	s.Quarantined = a.watch.Quarantined(a.now())
+	s.Metered = a.watch.Meters()
 	return s
 }
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -10,8 +10,10 @@
 	"tarragonbay.example/tarragonbay/internal/chat"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/upstream"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // job is one attempt on its way through the agent. It belongs to one
@@ -67,8 +69,17 @@
 	if _, err := a.check(j.req); err != nil {
 		return err
 	}
+	if watched(j.req) {
+		if err := a.watch.Take(j.req.GetVersion(), a.now()); err != nil {
+			return err
+		}
+	}
 	j.dispatched = a.now()
-	return a.registry.Dispatch(j.dispatched, id)
+	err := a.registry.Dispatch(j.dispatched, id)
+	if err != nil && watched(j.req) {
+		a.watch.Return(j.req.GetVersion())
+	}
+	return err
 }
 
 func (j *job) refuse(err error) {
@@ -134,7 +145,7 @@
 
 // keep collects the text of an answer that may be rated.
 func (j *job) keep(data []byte) {
-	if j.agent.watch == nil || j.req.GetVersion() == "" || len(j.answer) > maxRatedBytes {
+	if !j.req.GetRate() || len(j.answer) > maxRatedBytes {
 		return
 	}
 	j.answer = append(j.answer, chat.Text(data)...)
@@ -176,25 +187,39 @@
 	}
 }
 
-// report tells the watch how the answer ended.
+// report tells the watch how the answer ended, and hands it in for rating.
 func (j *job) report(err error) {
-	if j.agent.watch == nil || j.req.GetVersion() == "" {
+	a := j.agent
+	version := j.req.GetVersion()
+	if version == "" {
+		return
+	}
+	if failed, known := versionFailed(err); known {
+		a.watch.Ended(version, failed, a.now())
+	}
+	if err != nil || !j.req.GetRate() {
 		return
 	}
-	end := Ended{
-		RequestID: j.req.GetRequestId(),
-		Version:   j.req.GetVersion(),
+	a.sampler.Submit(platform.Sample{
+		RequestID: watch.SampleID(j.req.GetRequestId(), j.req.GetShadow()),
+		Version:   version,
 		Class:     j.req.GetRequestClass(),
-		Whole:     err == nil,
-		Prompt:    j.req.GetCall().GetBody(),
+		Prompt:    string(j.req.GetCall().GetBody()),
 		Answer:    string(j.answer),
-		Latency:   j.agent.now().Sub(j.dispatched),
-		At:        j.agent.now(),
+	})
+}
+
+// versionFailed reports whether an attempt's end speaks against its version.
+// It does not know for one that the caller or the deadline ended.
+func versionFailed(err error) (failed, known bool) {
+	if err == nil {
+		return false, true
 	}
-	if err != nil {
-		end.Code = result.From(err).Code
+	switch result.From(err).Code {
+	case result.UpstreamFailed, result.AnswerCut, result.OutcomeUnknown:
+		return true, true
 	}
-	j.agent.watch.Ended(end)
+	return false, false
 }
 
 func (j *job) logError(err error) {
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -6,15 +6,20 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/agent"
+	"tarragonbay.example/tarragonbay/internal/ledger"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/telemetry"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // agentRole runs beside the upstreams of one host.
 type agentRole struct {
-	daemon *Daemon
-	agent  *agent.Agent
+	daemon  *Daemon
+	agent   *agent.Agent
+	sampler *watch.Sampler
+	charger *ledger.Charger
 }
 
 // NewAgent composes an agent.
@@ -23,17 +28,23 @@
 	if err != nil {
 		return nil, err
 	}
+	charger := d.newCharger()
+	sampler := watch.NewSampler(d.ports.Ratings)
 	a := agent.New(agent.Options{
 		Host:        d.settings.Name,
 		Incarnation: d.incarnation,
 		Config:      d.follower,
-		Charger:     d.charger(),
+		Charger:     charger,
+		Watch:       watch.NewHost(d.settings.Name),
+		Sampler:     sampler,
+		Marks:       d.ports.Table,
 		Timing:      d.timing(),
 		Log:         d.log.Part("agent"),
 		Metrics:     d.metrics,
 	})
 	d.dumps.Register("agent", a)
-	return d, d.setRole(&agentRole{daemon: d, agent: a})
+	d.dumps.Register("charges", telemetry.DumperFunc(func() any { return charger.Counts() }))
+	return d, d.setRole(&agentRole{daemon: d, agent: a, sampler: sampler, charger: charger})
 }
 
 func (r *agentRole) mount(mux *http.ServeMux) {
@@ -43,6 +54,7 @@
 func (r *agentRole) duties() []duty {
 	return []duty{
 		{"agent", r.agent.Run},
+		{"charges", r.charger.Run},
 		{"probe", r.agent.Probe},
 		{"hosts", r.watchHosts},
 	}
@@ -85,7 +97,9 @@
 }
 
 func (r *agentRole) drain(ctx context.Context) error {
-	if left := r.agent.Stop(ctx); left > 0 {
+	left := r.agent.Stop(ctx)
+	r.sampler.Close()
+	if left > 0 {
 		return result.New(result.Stopping, "%d attempts were cut at the end of the drain time", left)
 	}
 	return nil
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -12,19 +12,27 @@
 	"tarragonbay.example/tarragonbay/internal/claim"
 	"tarragonbay.example/tarragonbay/internal/entry"
 	"tarragonbay.example/tarragonbay/internal/httpserver"
+	"tarragonbay.example/tarragonbay/internal/lease"
+	"tarragonbay.example/tarragonbay/internal/ledger"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/membership"
+	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/rolloutrun"
 	"tarragonbay.example/tarragonbay/internal/session"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
 )
 
 // entryRole takes callers' requests.
 type entryRole struct {
-	daemon  *Daemon
-	entry   *entry.Entry
-	claims  *claim.Book
-	members *membership.Runner
-	caller  *httpserver.Server
+	daemon   *Daemon
+	entry    *entry.Entry
+	claims   *claim.Book
+	members  *membership.Runner
+	copies   *ledger.Copies
+	leases   *lease.Manager
+	rollouts *rolloutrun.Runner
+	caller   *httpserver.Server
 }
 
 // NewEntry composes an entry.
@@ -45,7 +53,11 @@
 		Now:    time.Now,
 		NewID:  uuid.NewString,
 	})
-	e := entry.New(entry.Options{
+	var e *entry.Entry
+	copies := ledger.NewCopies(func(ctx context.Context, charges []*linkv1.Charge) (int, error) {
+		return e.HandIn(ctx, charges)
+	}, ledger.HandInEvery)
+	e = entry.New(entry.Options{
 		Name:        s.Name,
 		Domain:      s.Domain,
 		Config:      d.follower,
@@ -53,7 +65,7 @@
 		Claims:      claims,
 		Incarnation: d.incarnation,
 		Sessions:    signer,
-		Copies:      d.copies(),
+		Copies:      copies,
 		InFlight:    s.Limits.InFlight,
 		Queue:       s.Limits.QueueLength,
 		Log:         d.log.Part("entry"),
@@ -61,7 +73,7 @@
 	})
 	members := membership.NewRunner(membership.Options{
 		Settings: membership.Settings{Entry: s.Name},
-		Reporter: linkClient,
+		Reporter: entry.HeldReporter{Entry: e},
 		Hosts:    d.ports.Hosts,
 		OnEvent:  e.HostChanged,
 		OnReport: e.HostReported,
@@ -73,6 +85,18 @@
 		hosts, cost := members.Dump()
 		return membersState{Hosts: hosts, Cost: cost}
 	}))
+	leases := lease.NewManager(lease.Options{Table: d.ports.Table, Name: s.Name, Log: d.log.Part("lease")})
+	rollouts := rolloutrun.New(rolloutrun.Options{
+		Leases:    leases,
+		Publisher: publish.NewPublisher(publish.Store{Table: d.ports.Table, Objects: d.ports.Objects}, publish.PublisherOptions{}),
+		Evidence:  e.Fleet(),
+		Set:       func() *catalog.Set { set, _ := d.follower.Set(); return set },
+		Now:       time.Now,
+		Log:       d.log.Part("rollout"),
+	})
+	d.dumps.Register("versions", e.Fleet())
+	d.dumps.Register("copies", telemetry.DumperFunc(func() any { return copies.Counts() }))
+	d.dumps.Register("leases", telemetry.DumperFunc(func() any { return leases.Dump() }))
 	handler := callerapi.NewHandler(callerapi.Options{
 		Router:   e,
 		Set:      func() *catalog.Set { set, _ := d.follower.Set(); return set },
@@ -85,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, members: members, caller: caller})
+	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, members: members, copies: copies, leases: leases, rollouts: rollouts, caller: caller})
 }
 
 // membersState is membership's part of the state dump.
@@ -111,6 +135,10 @@
 		{"claims", r.claims.Run},
 		{"members", r.members.Run},
 		{"learner", r.entry.Learn},
+		{"copies", r.copies.Run},
+		{"rollouts", r.rollouts.Run},
+		{"judge", func(ctx context.Context) error { return r.entry.Judge(ctx, r.rollouts) }},
+		{"fold", r.daemon.fold(r.leases)},
 		{"ratings", func(ctx context.Context) error { return r.entry.Rate(ctx, r.daemon.ports.Ratings) }},
 		{"callers", r.caller.Run},
 	}
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -1,37 +1,63 @@
 package daemon
 
 import (
-	"sync/atomic"
+	"context"
+	"time"
 
-	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-)
-
-// counted numbers charges and keeps none.
-type counted struct{ n atomic.Uint64 }
-
-// Charge implements agent.Charger.
-func (c *counted) Charge(charge *linkv1.Charge) { charge.Number = c.n.Add(1) }
-
-// Durable implements agent.Charger.
-func (c *counted) Durable() uint64 { return 0 }
-
-// HandIn implements agent.Charger.
-func (c *counted) HandIn(charges []*linkv1.Charge) int { return len(charges) }
+	"github.com/google/uuid"
+	"go.uber.org/zap"
 
-func (d *Daemon) charger() *counted { return &counted{} }
-func (d *Daemon) copies() uncopied  { return uncopied{} }
-
-// uncopied keeps no copies.
-type uncopied struct{}
-
-// Keep implements entry.Copies.
-func (uncopied) Keep(string, *linkv1.Charge) {}
-
-// Durable implements entry.Copies.
-func (uncopied) Durable(string, uint64, uint64) {}
+	"tarragonbay.example/tarragonbay/internal/lease"
+	"tarragonbay.example/tarragonbay/internal/ledger"
+)
 
-// Alive implements entry.Copies.
-func (uncopied) Alive(string, uint64) {}
+func (d *Daemon) newCharger() *ledger.Charger {
+	return ledger.NewCharger(ledger.ChargerOptions{
+		Agent:       d.settings.Name,
+		Incarnation: d.incarnation,
+		Table:       d.ports.Table,
+		Objects:     d.ports.Objects,
+		Every:       ledger.FlushEvery,
+		NewID:       uuid.NewString,
+	})
+}
+
+// Work of the ledger that one entry does at a time.
+const (
+	foldItem    = "ledger/fold"
+	foldEvery   = time.Minute
+	expireEvery = time.Hour
+)
 
-// Gone implements entry.Copies.
-func (uncopied) Gone(string) {}
+// fold folds the ledger while this entry holds the lease, until ctx ends.
+func (d *Daemon) fold(leases *lease.Manager) func(context.Context) error {
+	folder := ledger.NewFolder(ledger.FolderOptions{
+		Table: d.ports.Table, Objects: d.ports.Objects,
+		Now: time.Now, NewID: uuid.NewString, After: ledger.FoldAfter,
+	})
+	log := d.log.Part("ledger")
+	return func(ctx context.Context) error {
+		return leases.Run(ctx, foldItem, func(ctx context.Context, held *lease.Held) error {
+			expired := time.Time{}
+			for {
+				done, err := folder.Pass(ctx, held.Check)
+				if err != nil {
+					return err
+				}
+				if done.Charges > 0 || done.TooLate > 0 || done.Damaged > 0 {
+					log.Info("ledger folded", zap.Any("pass", done))
+				}
+				if time.Since(expired) > expireEvery {
+					expired = time.Now()
+					if _, err := folder.Expire(ctx, expireEvery); err != nil {
+						return err
+					}
+				}
+				sleep(ctx, foldEvery)
+				if ctx.Err() != nil {
+					return nil
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -146,8 +146,8 @@
 		Deadline:     r.call.Deadline,
 		PromptTokens: r.call.PromptTokens,
 		MaxTokens:    r.call.MaxTokens,
-		Without:      r.without,
-		Held:         e.held.list(e.now()),
+		Without:      append(r.without, e.spent.list(e.now())...),
+		Held:         e.heldVersions(),
 	}, e.now(), e.random())
 }
 
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -60,7 +60,7 @@
 		Running:   e.running.Load(),
 		Admission: e.limiter.State(),
 		Link:      e.link.Counts(),
-		Held:      e.held.list(e.now()),
+		Held:      e.heldVersions(),
 		Estimates: e.learner.view().Len(),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"tarragonbay.example/tarragonbay/internal/route"
 	"tarragonbay.example/tarragonbay/internal/session"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // Configuration is the entry's view of the configuration in force. It is
@@ -39,11 +40,9 @@
 type Copies interface {
 	// Keep takes the charge of an answer from the agent at the address.
 	Keep(agent string, c *linkv1.Charge)
-	// Durable drops the copies up to the number.
-	Durable(agent string, incarnation, number uint64)
-	// Alive tells the incarnation that an agent has now; the copies of
-	// earlier ones are handed in elsewhere.
-	Alive(agent string, incarnation uint64)
+	// Observe tells that the agent has this incarnation, and that its
+	// charges up to the number are durable.
+	Observe(agent string, incarnation, durable uint64)
 	// Gone tells that an agent is dead; its copies are handed in elsewhere.
 	Gone(agent string)
 }
@@ -95,7 +94,9 @@
 	limiter  *admission.Limiter
 	retries  *retry.Policy
 	learner  *learner
-	held     heldVersions
+	fleet    *watch.Fleet
+	held     atomic.Pointer[[]catalog.VersionName]
+	spent    resting
 	shadows  shadowSlots
 	stopping atomic.Bool
 	running  atomic.Int64
@@ -125,6 +126,7 @@
 		picker:      balance.New(balance.Settings{Entry: o.Name, Domain: o.Domain}),
 		retries:     retry.New(retry.Settings{}, o.Now()),
 		shadows:     make(shadowSlots, maxShadows),
+		fleet:       watch.NewFleet(),
 		metrics:     newCounters(o.Metrics),
 	}
 	e.learner = newLearner(o.Now, e.useView, o.Metrics)
@@ -159,6 +161,7 @@
 func (e *Entry) apply(set *catalog.Set) {
 	e.members.SetCatalog(set)
 	e.picker.Rebuild(set, e.now())
+	e.fleet.SetCatalog(set, e.now())
 	e.limiter.Configure(set, 1/float64(e.entries))
 	e.limiter.SetCapacity(slotsOf(set))
 	e.planMu.Lock()
@@ -168,6 +171,7 @@
 
 // useView gives the planner new estimates.
 func (e *Entry) useView(view *quality.View) {
+	e.fleet.SetView(view, e.now())
 	e.planMu.Lock()
 	defer e.planMu.Unlock()
 	if p := e.planner.Load(); p != nil {
@@ -201,6 +205,9 @@
 // Learn folds answers and ratings into the estimates until ctx ends.
 func (e *Entry) Learn(ctx context.Context) error { return e.learner.run(ctx) }
 
+// Fleet returns the watch over all versions.
+func (e *Entry) Fleet() *watch.Fleet { return e.fleet }
+
 // Picker returns the chooser of upstreams, to which membership reports.
 func (e *Entry) Picker() *balance.Picker { return e.picker }
 
--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -1,42 +1,44 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 )
 
-// holdFor is how long an entry leaves a version alone after an agent said
-// that it is quarantined. Agents say so again while it lasts.
-const holdFor = 10 * time.Second
+// spentFor is how long an entry leaves a version alone after an agent said
+// that its budget of unrated answers is spent.
+const spentFor = 250 * time.Millisecond
 
-// heldVersions are the versions that some agent holds back on suspicion.
-type heldVersions struct {
+// resting are the versions that take no work for a moment.
+type resting struct {
 	mu    sync.Mutex
 	until map[catalog.VersionName]time.Time
 }
 
-func (h *heldVersions) hold(v catalog.VersionName, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.until == nil {
-		h.until = map[catalog.VersionName]time.Time{}
+func (r *resting) rest(v catalog.VersionName, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.until == nil {
+		r.until = map[catalog.VersionName]time.Time{}
 	}
-	h.until[v] = now.Add(holdFor)
+	r.until[v] = until
 }
 
-// list returns the held versions; nil when there are none.
-func (h *heldVersions) list(now time.Time) []catalog.VersionName {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// list returns the resting versions, sorted; nil when there are none.
+func (r *resting) list(now time.Time) []catalog.VersionName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var out []catalog.VersionName
-	for v, until := range h.until {
+	for v, until := range r.until {
 		if now.After(until) {
-			delete(h.until, v)
+			delete(r.until, v)
 			continue
 		}
 		out = append(out, v)
 	}
+	slices.Sort(out)
 	return out
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -25,7 +25,7 @@
 	switch ev.Kind {
 	case membership.HostBack, membership.HostRestarted:
 		e.agents.heard(ev.Host.Agent, ev.Incarnation)
-		e.copies.Alive(ev.Host.Agent, ev.Incarnation)
+		e.copies.Observe(ev.Host.Agent, ev.Incarnation, 0)
 	case membership.HostSilent:
 		e.picker.HostSilent(ev.Host.Name, now)
 		e.agents.forget(ev.Host.Agent)
@@ -45,13 +45,10 @@
 	env := r.GetEnvelope()
 	e.agents.heard(host.Agent, env.GetIncarnation())
 	e.config.Saw(host.Agent, env.GetRevision())
-	e.copies.Durable(host.Agent, env.GetIncarnation(), r.GetDurableCharge())
+	e.copies.Observe(host.Agent, env.GetIncarnation(), r.GetDurableCharge())
 	for _, u := range r.GetUpstreams() {
 		e.picker.Observe(u.GetName(), loadOf(u.GetLoad()), now)
 	}
-	for _, v := range r.GetQuarantined() {
-		e.held.hold(catalog.VersionName(v), now)
-	}
 }
 
 func loadOf(l *linkv1.Load) balance.Load {
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -8,6 +8,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // Pace of reading ratings.
@@ -46,7 +47,12 @@
 			return cursor, err
 		}
 		for _, r := range batch {
-			e.learner.rated(quality.ParseKey(r.Class, r.Version), r.Good)
+			key := quality.ParseKey(r.Class, r.Version)
+			e.learner.rated(key, r.Good)
+			e.fleet.Rated(key, r.Good, watch.IsShadow(r.RequestID), e.now())
+		}
+		if len(batch) > 0 {
+			e.refreshHeld()
 		}
 		cursor = next
 		if len(batch) < ratingsBatch {
--- a/internal/entry/shadow.go
+++ b/internal/entry/shadow.go
@@ -89,6 +89,7 @@
 		Priority:     shadowPriority,
 		RequestClass: plan.ShadowKey(i).SampleClass(),
 		Shadow:       true,
+		Rate:         true,
 		Call: &linkv1.Call{
 			Method: http.MethodPost, Path: engineChatPath, ContentType: "application/json",
 			Body: body, Idempotent: true,
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -29,16 +29,18 @@
 	index   int
 	key     quality.Key
 	streams bool
-	body    []byte
-	tried   balance.Tried
-	started time.Time
+	// exploring is set when the choice was made to learn.
+	exploring bool
+	body      []byte
+	tried     balance.Tried
+	started   time.Time
 }
 
 // runStep runs attempts of one step. It reports whether its answer was given
 // to the caller, or false for a draft that the next step replaces.
 func (r *chatRun) runStep(plan *route.Plan, i int) (kept bool, failure *result.Error) {
 	step := plan.Step(i)
-	s := &stepRun{chatRun: r, step: step, index: i, key: plan.Key(i), streams: plan.Streams(i)}
+	s := &stepRun{chatRun: r, step: step, index: i, key: plan.Key(i), streams: plan.Streams(i), exploring: plan.Exploring}
 	last := i == plan.Len()-1
 	body, err := chat.Rewrite(r.call.Body, chat.Upstream{
 		Version:  string(step.Version),
@@ -68,8 +70,8 @@
 		return
 	}
 	r.without = append(r.without, step.Version)
-	if failure.Code == result.Quarantined {
-		r.entry.held.hold(step.Version, r.entry.now())
+	if failure.Code == result.ExposureSpent {
+		r.entry.spent.rest(step.Version, r.entry.now().Add(spentFor))
 	}
 }
 
@@ -135,6 +137,8 @@
 		Priority:     uint32(s.priority),
 		Session:      s.pin != "",
 		RequestClass: s.key.SampleClass(),
+		News:         s.entry.fleet.News(s.step.Version),
+		Rate:         s.rated(),
 		Call: &linkv1.Call{
 			Method:      http.MethodPost,
 			Path:        engineChatPath,
@@ -146,9 +150,19 @@
 	}
 }
 
+// ratedShare is the share of answers handed in for rating.
+const ratedShare = 0.25
+
+// rated reports whether the answer is handed in for rating: all those of a new
+// version and of a try, and a sample of the others.
+func (s *stepRun) rated() bool {
+	return s.step.RollingOut || s.exploring || rand.Float64() < ratedShare
+}
+
 // close records the end of the attempt and what it told of the load.
 func (s *stepRun) close(id string, choice balance.Choice, sent time.Time, stream *link.Stream, err error) *result.Error {
 	failure := s.entry.closeAttempt(s.ctx, s.request, id, choice, sent, stream, err)
+	s.entry.tellFleet(s.step.Version, choice.Host, failure)
 	if load := stream.Load(); load != nil {
 		s.queued = int(load.GetQueued())
 	}
--- /dev/null
+++ b/internal/watch/fleet.go
@@ -0,0 +1,248 @@
+package watch
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/rollout"
+)
+
+// referenceAge is how far the reference estimates of versions lag, so that a
+// version that turns bad does not move its own baseline.
+const referenceAge = 10 * time.Minute
+
+// Fleet follows every version over all hosts. It is safe for concurrent use.
+type Fleet struct {
+	mu       sync.Mutex
+	set      *catalog.Set
+	versions map[catalog.VersionName]*followed
+	// now and before are the newest estimates and those of some time ago.
+	now, before *quality.View
+	beforeAt    time.Time
+}
+
+// followed is one version under watch.
+type followed struct {
+	monitor *rollout.Monitor
+	// replaces is the version whose estimates are the reference of a new
+	// one; empty for a version that is its own reference.
+	replaces catalog.VersionName
+	hosts    map[string]*hostTally
+}
+
+// NewFleet returns a fleet that follows nothing until SetCatalog.
+func NewFleet() *Fleet {
+	return &Fleet{
+		versions: map[catalog.VersionName]*followed{},
+		now:      quality.EmptyView,
+		before:   quality.EmptyView,
+	}
+}
+
+// SetCatalog takes a new revision. Versions that stay keep their evidence; a
+// version that becomes the new one of a roll-out starts its probation.
+func (f *Fleet) SetCatalog(set *catalog.Set, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.set = set
+	fresh := newVersions(set)
+	for name, v := range set.Versions {
+		replaces, isNew := fresh[name]
+		old, known := f.versions[name]
+		if known && (old.replaces == replaces || !isNew) {
+			old.replaces = replaces
+			continue
+		}
+		f.versions[name] = &followed{
+			monitor:  rollout.NewMonitor(rollout.DetectorSettings{}, rollout.NewBudget(v.Exposure), isNew, now),
+			replaces: replaces,
+			hosts:    map[string]*hostTally{},
+		}
+	}
+	for name := range f.versions {
+		if set.Versions[name] == nil {
+			delete(f.versions, name)
+		}
+	}
+}
+
+// newVersions maps the new version of each roll-out that has not ended to the
+// one it replaces.
+func newVersions(set *catalog.Set) map[catalog.VersionName]catalog.VersionName {
+	out := map[catalog.VersionName]catalog.VersionName{}
+	for _, r := range set.Rollouts {
+		if r.State == catalog.RolloutDone || r.State == catalog.RolloutAborted {
+			continue
+		}
+		out[catalog.VersionName(r.To)] = catalog.VersionName(r.From)
+	}
+	return out
+}
+
+// SetView takes new estimates, from which baselines are read.
+func (f *Fleet) SetView(view *quality.View, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = view
+	if f.beforeAt.IsZero() || now.Sub(f.beforeAt) >= referenceAge {
+		f.before = view
+		f.beforeAt = now
+	}
+}
+
+// Rated takes one rating. A shadow's answer reached no caller.
+func (f *Fleet) Rated(key quality.Key, good, shadow bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v, ok := f.versions[catalog.VersionName(key.Version)]
+	if !ok {
+		return
+	}
+	baseline, ok := f.baseline(key, v)
+	switch {
+	case !ok:
+		v.monitor.Unjudged(good, shadow)
+	case shadow:
+		v.monitor.ShadowRating(good, baseline, now)
+	default:
+		v.monitor.Rating(good, baseline, now)
+	}
+}
+
+// baseline returns the bad rate that is tolerated of a version in a class.
+func (f *Fleet) baseline(key quality.Key, v *followed) (float64, bool) {
+	view := f.before
+	if v.replaces != "" {
+		key.Version = string(v.replaces)
+		view = f.now
+	}
+	reference, _ := view.Get(key)
+	target := f.target(key)
+	if rate, ok := rollout.RatingBaseline(reference, target); ok {
+		return rate, true
+	}
+	if v.replaces == "" {
+		return 0, false
+	}
+	// A new version is judged from its first answer, by the target alone
+	// while its predecessor has too few ratings.
+	return 1 - target, true
+}
+
+// target returns the quality target of the key's class and model.
+func (f *Fleet) target(key quality.Key) float64 {
+	for _, r := range f.set.Rules {
+		if r.Class == key.Class && r.QualityTarget > 0 {
+			return r.QualityTarget
+		}
+	}
+	model := f.set.Models[catalog.VersionName(key.Version).Model()]
+	if model == nil || model.QualityTarget == 0 {
+		return catalog.DefaultQualityTarget
+	}
+	return model.QualityTarget
+}
+
+// Lost counts answers of a version whose rating will not come.
+func (f *Fleet) Lost(version string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v, ok := f.versions[catalog.VersionName(version)]; ok {
+		v.monitor.Lost(n)
+	}
+}
+
+// News returns what agents must know of a version, or nil for one that has
+// passed its probation and has no bound.
+func (f *Fleet) News(version catalog.VersionName) *linkv1.VersionNews {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v, ok := f.versions[version]
+	if !ok || v.monitor.Granted() >= rollout.Unlimited {
+		return nil
+	}
+	t := v.monitor.Tally()
+	return &linkv1.VersionNews{
+		Good: uint32(t.Good), Bad: uint32(t.Bad), Lost: uint32(t.Lost), Cleared: t.Cleared,
+	}
+}
+
+// Held lists the versions that must get no work from callers now, sorted.
+func (f *Fleet) Held() []catalog.VersionName {
+	return f.with(func(m *rollout.Monitor) bool { return verdict(m) != rollout.Trusted })
+}
+
+// Convicted lists the versions that must be withdrawn, sorted.
+func (f *Fleet) Convicted() []catalog.VersionName {
+	return f.with(func(m *rollout.Monitor) bool { return m.Verdict() == rollout.Withdraw })
+}
+
+// verdict is the monitor's, but holds a version too that has used up what its
+// ratings grant: only answers that reach no caller can tell more about it.
+func verdict(m *rollout.Monitor) rollout.Verdict {
+	v := m.Verdict()
+	t := m.Tally()
+	if v == rollout.Trusted && !t.Cleared && t.Good+t.Bad+t.Lost >= m.Granted() {
+		return rollout.Hold
+	}
+	return v
+}
+
+func (f *Fleet) with(match func(*rollout.Monitor) bool) []catalog.VersionName {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []catalog.VersionName
+	for name, v := range f.versions {
+		if match(v.monitor) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Observation returns what a roll-out's step depends on.
+func (f *Fleet) Observation(version catalog.VersionName, now time.Time) rollout.Observation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o := rollout.Observation{Now: now, RatingsFresh: f.now.Fresh()}
+	if v, ok := f.versions[version]; ok {
+		o.Verdict = verdict(v.monitor)
+		o.Tally = v.monitor.Tally()
+	}
+	return o
+}
+
+// VersionLine is one version in the state dump.
+type VersionLine struct {
+	Version   catalog.VersionName `json:"version"`
+	Verdict   string              `json:"verdict"`
+	Tally     rollout.Tally       `json:"tally"`
+	Granted   int                 `json:"granted"`
+	Evidence  float64             `json:"evidence"`
+	Suspicion float64             `json:"suspicion"`
+}
+
+// Dump implements telemetry.Dumper.
+func (f *Fleet) Dump() any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []VersionLine
+	for _, name := range slices.Sorted(maps.Keys(f.versions)) {
+		m := f.versions[name].monitor
+		out = append(out, VersionLine{
+			Version:   name,
+			Verdict:   verdict(m).String(),
+			Tally:     m.Tally(),
+			Granted:   m.Granted(),
+			Evidence:  m.Evidence(),
+			Suspicion: m.Suspicion(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,195 @@
+package watch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+var start = time.Unix(1_796_000_000, 0)
+
+// rollingOut returns a set in which hosts run m@1 and, in a roll-out, m@2.
+func rollingOut(t *testing.T, hosts int) *catalog.Set {
+	t.Helper()
+	objects := []catalog.Object{
+		object(catalog.KindModel, "m", `{"qualityTarget":0.9}`),
+		object(catalog.KindVersion, "m@1", `{"inputMicros":1,"outputMicros":1}`),
+		object(catalog.KindVersion, "m@2", `{"inputMicros":1,"outputMicros":1}`),
+		object(catalog.KindRollout, "r", `{"from":"m@1","to":"m@2","stages":[0.5,1]}`),
+	}
+	for i := range hosts {
+		objects = append(objects, object(catalog.KindUpstream, fmt.Sprintf("u%d", i), fmt.Sprintf(
+			`{"host":"h%d","domain":"d","agent":"127.0.0.1:1","address":"127.0.0.1:2","versions":["m@1","m@2"]}`, i)))
+	}
+	set, err := catalog.NewSet(objects)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+func object(kind catalog.Kind, name, spec string) catalog.Object {
+	return catalog.Object{Key: catalog.Key{Kind: kind, Name: name}, Spec: []byte(spec)}
+}
+
+// answers takes as many answers of m@2 as the hosts grant.
+func answers(hosts []*Host) int {
+	n := 0
+	for _, h := range hosts {
+		for h.Take("m@2", start) == nil {
+			n++
+		}
+	}
+	return n
+}
+
+func startHosts(set *catalog.Set, n int, ranBefore bool) []*Host {
+	var hosts []*Host
+	for i := range n {
+		h := NewHost(fmt.Sprintf("h%d", i))
+		for _, v := range h.SetCatalog(set) {
+			h.Marked(v, ranBefore)
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+func TestBadNewVersionIsBoundedOverAllHostsWithoutRatings(t *testing.T) {
+	set := rollingOut(t, 7)
+	fresh := startHosts(set, 7, false)
+	if n := answers(fresh); n != 4 {
+		t.Errorf("%d answers without any rating, want 4", n)
+	}
+	if n := answers(startHosts(set, 7, true)); n != 0 {
+		t.Errorf("restarted hosts granted %d answers again", n)
+	}
+	unmarked := NewHost("h0")
+	unmarked.SetCatalog(set)
+	if err := unmarked.Take("m@2", start); !result.Is(err, result.ExposureSpent) {
+		t.Errorf("a host that does not know its past granted an answer: %v", err)
+	}
+}
+
+func TestWrongVersionIsConvictedWithinItsBudget(t *testing.T) {
+	set := rollingOut(t, 3)
+	fleet := NewFleet()
+	fleet.SetCatalog(set, start)
+	hosts := startHosts(set, 3, false)
+	key := quality.Key{Version: "m@2"}
+	served := 0
+	for round := range 20 {
+		now := start.Add(time.Duration(round) * time.Second)
+		n := answers(hosts)
+		served += n
+		for range n {
+			fleet.Rated(key, false, false, now)
+		}
+		for _, h := range hosts {
+			h.News("m@2", fleet.News("m@2"))
+		}
+	}
+	if served > 10 {
+		t.Errorf("%d answers of a version that is always wrong, want at most 10", served)
+	}
+	if held := fleet.Held(); len(held) != 1 || held[0] != "m@2" {
+		t.Errorf("held versions: %v", held)
+	}
+}
+
+// TestGoodVersionIsCleared lets a version without a predecessor's ratings use
+// up its probation: it is held then, and shadows clear it.
+func TestGoodVersionIsCleared(t *testing.T) {
+	set := rollingOut(t, 3)
+	fleet := NewFleet()
+	fleet.SetCatalog(set, start)
+	hosts := startHosts(set, 3, false)
+	for round := range 40 {
+		now := start.Add(time.Duration(round) * time.Second)
+		for range answers(hosts) {
+			fleet.Rated(quality.Key{Version: "m@2"}, true, false, now)
+		}
+		if len(fleet.Held()) > 0 {
+			fleet.Rated(quality.Key{Version: "m@2"}, true, true, now)
+		}
+		news := fleet.News("m@2")
+		for _, h := range hosts {
+			h.News("m@2", news)
+		}
+		if news == nil {
+			break
+		}
+	}
+	if o := fleet.Observation("m@2", start); !o.Tally.Cleared {
+		t.Errorf("a version that is always right was not cleared: %+v", o)
+	}
+}
+
+func TestFailuresOnOneHostDoNotHoldTheVersion(t *testing.T) {
+	set := rollingOut(t, 3)
+	fleet := NewFleet()
+	fleet.SetCatalog(set, start)
+	for second := range 60 {
+		for range 5 {
+			fleet.Failed("m@1", "h0")
+			fleet.Answered("m@1", "h1")
+			fleet.Answered("m@1", "h2")
+		}
+		fleet.Weigh(start.Add(time.Duration(second) * time.Second))
+	}
+	if held := fleet.Held(); len(held) != 0 {
+		t.Errorf("held %v for the fault of one host", held)
+	}
+	for second := range 60 {
+		for _, host := range []string{"h0", "h1", "h2"} {
+			fleet.Failed("m@1", host)
+			fleet.Answered("m@2", host)
+		}
+		fleet.Weigh(start.Add(time.Duration(60+second) * time.Second))
+	}
+	if held := fleet.Held(); len(held) != 1 || held[0] != "m@1" {
+		t.Errorf("held %v, want the version that fails on every host", held)
+	}
+}
+
+func TestHostQuarantinesAVersionThatFailsBesideOthers(t *testing.T) {
+	h := NewHost("h0")
+	failures := 0
+	for ; failures < 50 && h.Check("m@1", start) == nil; failures++ {
+		h.Ended("m@1", true, start)
+		h.Ended("m@2", false, start)
+	}
+	if failures > 10 {
+		t.Errorf("quarantined after %d failures, want at most 10", failures)
+	}
+	if err := h.Check("m@1", start.Add(quarantineFor)); err != nil {
+		t.Errorf("the version is not tried again: %v", err)
+	}
+	ill := NewHost("h1")
+	for range 50 {
+		ill.Ended("m@1", true, start)
+		ill.Ended("m@2", true, start)
+	}
+	if q := ill.Quarantined(start); len(q) == 2 {
+		t.Errorf("a host that fails with all versions quarantined %v", q)
+	}
+}
+
+func TestMarkTellsWhetherTheHostRanBefore(t *testing.T) {
+	p := fake.New(fake.Options{})
+	set := rollingOut(t, 1)
+	for life, want := range []int{4, 0} {
+		h := NewHost("h0")
+		for _, v := range h.SetCatalog(set) {
+			Mark(t.Context(), p.Table, h, v)
+		}
+		if n := answers([]*Host{h}); n != want {
+			t.Errorf("life %d granted %d answers, want %d", life, n, want)
+		}
+	}
+}
