Test that a returning failure domain is not flooded, measure a rebuild

Cause: both were claimed by design only. Change: a test brings the entry's own domain back under load; BenchmarkRebuild.

--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -68,3 +68,12 @@
 		t.Fatalf("one decision allocates %v times", got)
 	}
 }
+
+// BenchmarkRebuild measures a new revision in which no upstream changed.
+func BenchmarkRebuild(b *testing.B) {
+	p := newPicker(b, 4100)
+	set := fleet(b, 4100)
+	for b.Loop() {
+		p.Rebuild(set, start)
+	}
+}
--- a/internal/balance/picker_test.go
+++ b/internal/balance/picker_test.go
@@ -244,6 +244,44 @@
 	}
 }
 
+// TestReturningDomainIsNotFlooded brings this entry's own failure domain back
+// while 100 requests run: it is idle and near, and still gets few at first.
+func TestReturningDomainIsNotFlooded(t *testing.T) {
+	p := newPicker(t, 21)
+	near := p.view.Load().pools[target].near
+	for _, r := range near {
+		fail(t, p, r.id.Load().name, Refused, start, failuresToEject)
+	}
+	back := start.Add(maxEjectFor)
+	for _, r := range near {
+		fail(t, p, r.id.Load().name, Answered, back, 1)
+	}
+	req := Request{Target: target, PromptTokens: 100}
+	share := func(now time.Time) int {
+		n := 0
+		var sent []Choice
+		for i := range 100 {
+			c, err := p.Pick(&req, now, uint64(i)*7919+3)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Started(c)
+			sent = append(sent, c)
+			if c.Domain == "d0" {
+				n++
+			}
+		}
+		for _, c := range sent {
+			p.Finished(c, Observation{}, now)
+		}
+		return n
+	}
+	first, later := share(back), share(back.Add(DefaultSlowStart))
+	if first > 2*len(near) || later < 50 {
+		t.Fatalf("%d of 100 at once and %d later went to the domain that came back", first, later)
+	}
+}
+
 func TestRebuildKeepsCountsAndHealth(t *testing.T) {
 	p := newPicker(t, 20)
 	c, err := p.Pick(&Request{Target: target}, start, 1)
