--- /dev/null
+++ b/internal/ledger/bench_test.go
@@ -0,0 +1,61 @@
+package ledger
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkFold folds one minute of the target size: 16,000 charges a second
+// from 320 agents, each with one block for every FlushEvery.
+func BenchmarkFold(b *testing.B) {
+	const agents, charges = 320, 16_000 * 60
+	flushes := int(time.Minute / FlushEvery)
+	for b.Loop() {
+		b.StopTimer()
+		store := newBook()
+		n := uint64(0)
+		for i := range agents {
+			c := store.charger(fmt.Sprint("agent-", i), 1)
+			for range flushes {
+				for range charges / agents / flushes {
+					n++
+					ch := charge(mint(n), 0, 1)
+					ch.Organisation = fmt.Sprint("org-", n%10)
+					ch.Version = fmt.Sprint("model@", n%14)
+					c.Charge(ch)
+				}
+				c.Flush(b.Context())
+			}
+		}
+		before := store.Table.Usage()
+		base, peak := heap(), uint64(0)
+		b.StartTimer()
+		got, err := store.folder().Pass(b.Context(), func() error {
+			b.StopTimer()
+			peak = max(peak, heap())
+			b.StartTimer()
+			return nil
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		usage := store.Table.Usage()
+		b.ReportMetric(float64(got.Charges), "charges")
+		b.ReportMetric(float64(peak-base)/(1<<20), "peak-MB")
+		b.ReportMetric(float64(before.Writes), "agent-writes")
+		b.ReportMetric(float64(before.BytesWritten)/float64(n), "bytes/charge")
+		b.ReportMetric(float64(usage.Reads-before.Reads), "fold-reads")
+		b.ReportMetric(float64(usage.Writes-before.Writes), "fold-writes")
+	}
+	b.ReportAllocs()
+}
+
+// heap is the memory that is reachable now.
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
