Let only a host that was listed be removed for missing from the list

Cause: a host that the platform's list never names, by another name or not at all, would be removed after a link cut of 15 s and not be probed again. Change: absence counts only after the list has named the host once. Measured: go test -race ./internal/membership, with that case in TestDeadHostAndCutLink. Conclusion: the list can remove only what it has known.

--- a/internal/membership/host.go
+++ b/internal/membership/host.go
@@ -110,7 +110,9 @@
 	// saidLeaving and listedLeaving are the two sources of leaving.
 	saidLeaving   bool
 	listedLeaving bool
-	// absences counts the reads of the host list in a row that lack the host.
+	// listed is set once the host list has named the host. absences counts the
+	// reads in a row since then that lack it.
+	listed   bool
 	absences int
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -216,7 +216,8 @@
 }
 
 // Listed takes one read of the host list. The list lags, so a host that
-// answers is alive whatever the list says.
+// answers is alive whatever the list says. A host that the list has never named
+// is not removed for missing from it.
 func (v *View) Listed(list []platform.HostState, now time.Time) []Event {
 	byName := make(map[string]platform.HostState, len(list))
 	for _, s := range list {
@@ -226,6 +227,10 @@
 	for _, name := range slices.Sorted(maps.Keys(v.members)) {
 		m := v.members[name]
 		s, listed := byName[name]
+		if !listed && !m.listed {
+			continue
+		}
+		m.listed = true
 		if !listed {
 			m.absences++
 			events = append(events, m.removeIfDead(v.settings.RemoveAfter, now)...)
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -63,17 +63,20 @@
 func TestDeadHostAndCutLink(t *testing.T) {
 	hs := hosts(1, "a")
 	tests := []struct {
-		name string
-		list func(v *View, now time.Time) []Event
-		want State
+		name  string
+		first []Host
+		list  func(v *View, now time.Time) []Event
+		want  State
 	}{
-		{"off the list: dead", func(v *View, now time.Time) []Event { return v.Listed(nil, now) }, Removed},
-		{"on the list: the link is cut", func(v *View, now time.Time) []Event { return v.Listed(listOf(hs), now) }, Silent},
-		{"no list: nothing is removed", func(*View, time.Time) []Event { return nil }, Silent},
+		{"off the list: dead", hs, func(v *View, now time.Time) []Event { return v.Listed(nil, now) }, Removed},
+		{"on the list: the link is cut", hs, func(v *View, now time.Time) []Event { return v.Listed(listOf(hs), now) }, Silent},
+		{"no list: nothing is removed", hs, func(*View, time.Time) []Event { return nil }, Silent},
+		{"never on the list: it says nothing", nil, func(v *View, now time.Time) []Event { return v.Listed(nil, now) }, Silent},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			v := newTestView(hs)
+			v.Listed(listOf(tt.first), start)
 			wantKinds(t, "first answer", v.Heard("h000", beat(start, 1), start), HostBack)
 			now := start.Add(time.Second)
 			wantKinds(t, "first failure", v.Failed("h000", now))
@@ -97,6 +100,7 @@
 
 func TestAnswerBeatsALaggingList(t *testing.T) {
 	v := newTestView(hosts(1, "a"))
+	v.Listed(listOf(hosts(1, "a")), start)
 	now := start
 	for range 10 {
 		now = now.Add(10 * time.Second)
@@ -151,6 +155,7 @@
 
 func TestOwnPauseIsNotHeldAgainstOthers(t *testing.T) {
 	v := newTestView(hosts(1, "a"))
+	v.Listed(listOf(hosts(1, "a")), start)
 	v.Heard("h000", beat(start, 1), start)
 	v.Next(start)
 	v.Failed("h000", start)
