Add tarragonctl ledger and bench policy

Cause: operators ask what was billed, and compare decisions with baselines. Change: ledger by organisation or for one request; bench policy runs the host bench. Measured: go test -race ./internal/ctl ./cmd/tarragonctl passes: a charge that came twice is shown once.

--- a/cmd/tarragonctl/main_test.go
+++ b/cmd/tarragonctl/main_test.go
@@ -12,7 +12,9 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -20,6 +22,8 @@
 	"tarragonbay.example/tarragonbay/internal/callerapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/ctl"
+	"tarragonbay.example/tarragonbay/internal/ledger"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/platform/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/settings"
@@ -77,6 +81,9 @@
 func serve(env *testscript.Env) error {
 	p := fake.New(fake.Options{})
 	store := publish.Store{Table: p.Table, Objects: p.Objects}
+	if err := bill(env, p); err != nil {
+		return err
+	}
 	platformURL := start(env, standin.New(p).Handler())
 	env.Setenv("PLATFORM", platformURL)
 	env.Setenv("TARRAGONBAY_PLATFORM", platformURL)
@@ -90,6 +97,39 @@
 	return nil
 }
 
+// bill puts charges into the ledger; $BILLED is a request that came twice.
+func bill(env *testscript.Env, p *fake.Platform) error {
+	ctx := context.Background()
+	id := ledger.NewRequestID()
+	env.Setenv("BILLED", id)
+	charger := ledger.NewCharger(ledger.ChargerOptions{
+		Agent: "pasay-1", Incarnation: 1, Table: p.Table, Objects: p.Objects,
+		Every: ledger.FlushEvery, NewID: uuid.NewString,
+	})
+	now := time.Now()
+	chat := func(requestID string) *linkv1.Charge {
+		return &linkv1.Charge{
+			RequestId: requestID, Organisation: "agila-air", Version: "tag-mini@2",
+			InputTokens: 10, OutputTokens: 5, Micros: 25, AtMs: now.UnixMilli(),
+		}
+	}
+	charger.Charge(chat("mine~" + id))
+	charger.Charge(chat("mine~" + id))
+	charger.Charge(chat(ledger.NewRequestID()))
+	charger.Charge(&linkv1.Charge{
+		RequestId: ledger.NewRequestID(), Organisation: "dagat-catering", Service: "order-desk", Micros: 20, AtMs: now.UnixMilli(),
+	})
+	if !charger.Flush(ctx) {
+		return errors.New("the charges were not written")
+	}
+	later := func() time.Time { return now.Add(time.Hour) }
+	folder := ledger.NewFolder(ledger.FolderOptions{
+		Table: p.Table, Objects: p.Objects, Now: later, NewID: uuid.NewString, After: ledger.FoldAfter,
+	})
+	_, err := folder.Pass(ctx, func() error { return nil })
+	return err
+}
+
 func start(env *testscript.Env, h http.Handler) string {
 	s := httptest.NewServer(h)
 	env.Defer(s.Close)
--- /dev/null
+++ b/internal/ctl/bench.go
@@ -0,0 +1,79 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"tarragonbay.example/tarragonbay/internal/policybench"
+	"tarragonbay.example/tarragonbay/internal/policybench/host"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// policyBench compares one kind of decision with plain baselines.
+type policyBench struct {
+	name string
+	run  func(seed uint64, quick bool) ([]policybench.Row, error)
+}
+
+var policyBenches = []policyBench{
+	{"host", host.Run},
+}
+
+func (a *app) benchCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "bench", Short: "Measure decisions on seeded models"}
+	var seed uint64
+	var quick bool
+	policy := &cobra.Command{
+		Use:   "policy [NAME]",
+		Short: "Compare each policy with plain baselines; the same seed gives the same figures",
+		Args:  rangeArgs(0, 1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			rows, err := runBenches(args, seed, quick)
+			if err != nil {
+				return err
+			}
+			if a.output == outputJSON {
+				return a.print(benchRows(rows))
+			}
+			return policybench.Print(a.Out, rows)
+		},
+	}
+	policy.Flags().Uint64Var(&seed, "seed", 1, "seed of the models")
+	policy.Flags().BoolVar(&quick, "quick", false, "run shorter loads")
+	cmd.AddCommand(policy)
+	return cmd
+}
+
+// benchRows is the JSON form of the figures.
+type benchRows []policybench.Row
+
+func (benchRows) grid() grid { return grid{} }
+
+func runBenches(args []string, seed uint64, quick bool) ([]policybench.Row, error) {
+	var rows []policybench.Row
+	found := false
+	for _, b := range policyBenches {
+		if len(args) == 1 && args[0] != b.name {
+			continue
+		}
+		found = true
+		more, err := b.run(seed, quick)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, more...)
+	}
+	if !found {
+		return nil, result.New(result.BadUsage, "no policy bench is named %q; there are: %s", args[0], fmt.Sprint(benchNames()))
+	}
+	return rows, nil
+}
+
+func benchNames() []string {
+	var out []string
+	for _, b := range policyBenches {
+		out = append(out, b.name)
+	}
+	return out
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -79,8 +79,8 @@
 	root.AddCommand(
 		a.checkCommand(), a.diffCommand(), a.publishCommand(), a.getCommand(),
 		a.withdrawCommand(), a.drainCommand(), a.activateCommand(), a.rolloutCommand(),
-		a.statusCommand(), a.dumpCommand(), a.logLevelCommand(), a.stopCommand(),
-		a.codesCommand(), a.keysCommand(), a.settingsCommand(), a.loadCommand(),
+		a.statusCommand(), a.ledgerCommand(), a.dumpCommand(), a.logLevelCommand(), a.stopCommand(),
+		a.codesCommand(), a.keysCommand(), a.settingsCommand(), a.loadCommand(), a.benchCommand(),
 	)
 	return root
 }
