Give each version and service a queue and limit of its own

Cause: one adaptive limit for all of an entry's versions shrank for all when a small pool was congested, and requests for idle versions waited. Change: admission.Request.Target; a station for each target with its own fair queue, limit and drain rate, SetTargetCapacity beside the bound over all. Organisations' rates and requests in flight are counted over all targets. Conclusion: the entry is to pass the first step's version as Target and to call SetTargetCapacity; without it all requests share one station as before.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -21,6 +21,10 @@
 // Request is what a decision depends on.
 type Request struct {
 	Organisation string
+	// Target names the version or service that is to run the request. Each
+	// target has its own queue and limit, so that one whose upstreams are
+	// full slows no other. Empty is a target of its own.
+	Target string
 	// Priority is the class, 0 the most urgent; see catalog.Priority.Level.
 	Priority int
 	// PromptTokens and OutputTokens are what the request asks for. With a
@@ -105,9 +109,12 @@
 
 // Settings of a Controller. Zero fields take the defaults.
 type Settings struct {
-	// Limit is the number of requests that may run at a time at first.
+	// Limit is the number of requests of a target that may run at a time at
+	// first.
 	Limit int
-	// MinLimit and MaxLimit bound the adaptive limit. When they are equal, the limit is exact and only SetLimit changes it.
+	// MinLimit and MaxLimit bound the adaptive limit of a target, MaxLimit
+	// also the requests that run over all targets. When they are equal, the
+	// limit is exact and only SetLimit changes it.
 	MinLimit int
 	MaxLimit int
 	// Queue bounds the requests that wait, over all organisations.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -5,51 +5,33 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/result"
-	"tarragonbay.example/tarragonbay/internal/retry"
 )
 
 // Controller is the aggregate that holds the running and waiting requests. It
 // is not safe for concurrent use; see Limiter.
 type Controller struct {
 	settings Settings
-	limit    adaptiveLimit
-	fair     fairQueue
-	drain    retry.Drain
+	orgs     organisations
+	// capacity bounds the running requests over all stations.
+	capacity int
 	stopping bool
 
+	stations map[string]*station
+	// order lists the stations in the order in which they were made.
+	order []*station
+
 	next    Ticket
 	running map[Ticket]*waiter
 	waiting map[Ticket]*waiter
 }
 
-// waiter is a request in the queue, and after it one that runs.
-type waiter struct {
-	ticket   Ticket
-	flow     *flow
-	lane     *lane
-	cost     float64
-	deadline time.Time
-	// giveUp is when the wait is over, whatever the deadline.
-	giveUp time.Time
-	// trial is set when it runs though it is thought too long.
-	trial bool
-}
-
-// least is the least time that the request needs once it runs.
-func (w *waiter) least() time.Duration {
-	if w.trial {
-		return 0
-	}
-	return w.lane.runTime.least(w.cost)
-}
-
 // NewController returns a Controller without organisations.
 func NewController(s Settings) *Controller {
 	s.setDefaults()
 	return &Controller{
 		settings: s,
-		limit:    newAdaptiveLimit(s),
-		fair:     newFairQueue(),
+		capacity: s.MaxLimit,
+		stations: map[string]*station{},
 		running:  map[Ticket]*waiter{},
 		waiting:  map[Ticket]*waiter{},
 	}
@@ -59,111 +41,117 @@
 // each limit that holds at this entry, 0 to 1. It is called with each new
 // revision and whenever the number of entries changes.
 func (c *Controller) Configure(set *catalog.Set, share float64, now time.Time) {
-	c.fair.configure(set.Organisations, c.settings.WeightsOnly, share, now)
+	c.orgs.configure(set.Organisations, c.settings.WeightsOnly, share, now)
+	for _, s := range c.order {
+		s.fair.reconfigure()
+	}
+	c.dropStale(set)
 }
 
-// SetLimit sets the exact number of slots; used by the agent. Requests that
-// run already are not touched.
+// SetLimit sets the exact number of slots of requests without a target; used
+// by the agent. Requests that run already are not touched.
 func (c *Controller) SetLimit(slots int, now time.Time) []Event {
-	c.limit.set(float64(slots))
-	return c.dispatch(nil, now)
+	c.capacity = slots
+	c.station("").limit.set(float64(slots))
+	return c.dispatchAll(nil, now)
+}
+
+// SetCapacity bounds the requests that run at a time, over all targets.
+func (c *Controller) SetCapacity(slots int) {
+	c.capacity = min(max(1, slots), c.settings.MaxLimit)
 }
 
-// SetCapacity tells how many requests all usable upstreams can run at a time.
-// The adaptive limit stays at or under it.
-func (c *Controller) SetCapacity(slots int) { c.limit.setCapacity(float64(slots)) }
+// SetTargetCapacity tells how many requests the usable upstreams of a target
+// can run at a time. The target's limit stays at or under it.
+func (c *Controller) SetTargetCapacity(target string, slots int) {
+	c.station(target).limit.setCapacity(float64(slots))
+}
 
 // Stop refuses everything that waits or comes later. What runs goes on.
 func (c *Controller) Stop() []Event {
 	c.stopping = true
 	var events []Event
-	for _, w := range c.fair.all() {
+	for _, w := range c.all() {
 		events = c.refuse(events, w, result.New(result.Stopping, "the process is stopping"))
 	}
 	return events
 }
 
+// all returns every waiter, station by station.
+func (c *Controller) all() []*waiter {
+	var out []*waiter
+	for _, s := range c.order {
+		out = append(out, s.fair.all()...)
+	}
+	return out
+}
+
 // Submit takes a new request. The ticket's event is among those returned when
 // it is decided at once; otherwise the request waits.
 func (c *Controller) Submit(req *Request, now time.Time) (Ticket, []Event) {
 	c.next++
-	t := c.next
-	f := c.fair.flow(req.Organisation, req.Priority)
-	w := &waiter{
-		ticket: t, flow: f, lane: f.lane(req.lane(now)), cost: req.cost(),
-		deadline: req.Deadline, giveUp: now.Add(c.settings.MaxWait),
-	}
+	w := c.waiter(req, now)
 	if refusal := c.check(w, req, now); refusal != nil {
-		c.fair.dropIdle(f)
-		return t, []Event{{Ticket: t, Refused: refusal}}
+		w.station.fair.dropIdle(w.flow)
+		return w.ticket, []Event{{Ticket: w.ticket, Refused: refusal}}
 	}
-	c.fair.push(w)
-	c.waiting[t] = w
-	events := c.dispatch(nil, now)
+	c.push(w)
+	events := c.dispatch(nil, w.station, now)
 	for len(c.waiting) > c.settings.Queue {
-		events = c.refuse(events, c.fair.overShare(), c.full(now))
+		worst := c.fullest().fair.overShare()
+		events = c.refuse(events, worst, c.full(worst.station, now))
+	}
+	return w.ticket, events
+}
+
+func (c *Controller) waiter(req *Request, now time.Time) *waiter {
+	s := c.station(req.Target)
+	f := s.fair.flow(req.Organisation, req.Priority)
+	return &waiter{
+		ticket: c.next, station: s, org: f.organisation,
+		flow: f, lane: f.lane(req.lane(now)), cost: req.cost(),
+		deadline: req.Deadline, giveUp: now.Add(c.settings.MaxWait),
+	}
+}
+
+// fullest is the station where the most requests wait.
+func (c *Controller) fullest() *station {
+	best := c.order[0]
+	for _, s := range c.order {
+		if s.waiting > best.waiting {
+			best = s
+		}
 	}
-	return t, events
+	return best
 }
 
 // check refuses what must not even wait.
 func (c *Controller) check(w *waiter, req *Request, now time.Time) *result.Error {
-	f := w.flow
 	if c.stopping {
 		return result.New(result.Stopping, "the process is stopping")
 	}
-	if f.inFlightLimit > 0 && f.running+f.waiting >= f.inFlightLimit {
-		e := result.New(result.TooManyInFlight, "organisation %s has %d requests in flight", f.name, f.inFlightLimit)
-		return e.WithRetryAfter(c.drain.Advice(0, now, c.settings.Random()))
+	if limit := w.org.inFlightLimit; limit > 0 && w.org.inFlight >= limit {
+		e := result.New(result.TooManyInFlight, "organisation %s has %d requests in flight", req.Organisation, limit)
+		return e.WithRetryAfter(w.station.drain.Advice(0, now, c.settings.Random()))
 	}
-	if wait := c.wait(w); c.tooLong(w, wait, now) {
-		return c.tooLate(wait, now)
+	if wait := w.wait(); w.tooLong(wait, now) {
+		return c.tooLate(w.station, wait, now)
 	}
-	if after := f.rates.take(req, now); after > 0 {
-		return result.New(result.RateLimited, "organisation %s is over its rate", f.name).WithRetryAfter(after)
+	if after := w.org.rates.take(req, now); after > 0 {
+		return result.New(result.RateLimited, "organisation %s is over its rate", req.Organisation).WithRetryAfter(after)
 	}
 	return nil
 }
 
-// tooLong reports whether a request that first waits cannot meet its deadline
-// or would spend too much of its time waiting.
-func (c *Controller) tooLong(w *waiter, wait time.Duration, now time.Time) bool {
-	if w.deadline.IsZero() {
-		return false
-	}
-	budget := w.deadline.Sub(now)
-	if budget <= 0 || float64(wait) > maxWaitShare*float64(budget) {
-		return true
-	}
-	if wait+w.lane.runTime.least(w.cost) <= budget {
-		return false
-	}
-	w.trial = w.lane.runTime.tryAnyway()
-	return !w.trial
-}
-
-// wait estimates the time until a new request would run: the work in its lane
-// over the lane's share of the rate at which work is done.
-func (c *Controller) wait(w *waiter) time.Duration {
-	if len(c.waiting) == 0 && c.limit.room(len(c.running)) {
-		return 0
-	}
-	rate := c.drain.PerSecond() * c.fair.shareOf(w.flow) * w.flow.shareOf(w.lane)
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration((w.lane.cost + w.cost) / rate * float64(time.Second))
-}
-
 // tooLate advises to come back when the queue that stands now has drained.
-func (c *Controller) tooLate(wait time.Duration, now time.Time) *result.Error {
+func (c *Controller) tooLate(s *station, wait time.Duration, now time.Time) *result.Error {
 	e := result.New(result.DeadlineTooClose, "the deadline cannot be met")
-	return e.WithRetryAfter(max(wait, c.drain.Advice(0, now, c.settings.Random())))
+	return e.WithRetryAfter(max(wait, s.drain.Advice(0, now, c.settings.Random())))
 }
 
-func (c *Controller) full(now time.Time) *result.Error {
+func (c *Controller) full(s *station, now time.Time) *result.Error {
 	e := result.New(c.settings.FullCode, "%d requests wait already", len(c.waiting)-1)
-	return e.WithRetryAfter(c.drain.Advice(c.fair.cost, now, c.settings.Random()))
+	return e.WithRetryAfter(s.drain.Advice(s.fair.cost, now, c.settings.Random()))
 }
 
 // Release notes the end of a request that was admitted and returns the
@@ -173,16 +161,22 @@
 	if !ok {
 		return nil
 	}
-	f := w.flow
-	c.limit.released(len(c.running), fb.congested(), now)
-	delete(c.running, t)
-	f.running--
+	s := w.station
+	s.limit.released(s.running, fb.congested(), now)
 	if fb.RunTime > 0 {
 		w.lane.runTime.add(fb.RunTime, w.cost)
 	}
-	c.drain.Left(w.cost, now)
-	events := c.dispatch(nil, now)
-	c.fair.dropIdle(f)
+	s.drain.Left(w.cost, now)
+	wasFull := len(c.running) >= c.capacity
+	delete(c.running, t)
+	s.running--
+	w.flow.running--
+	w.org.inFlight--
+	events := c.dispatch(nil, s, now)
+	if wasFull {
+		events = c.dispatchAll(events, now)
+	}
+	s.fair.dropIdle(w.flow)
 	return events
 }
 
@@ -201,52 +195,72 @@
 // It is called a few times a second.
 func (c *Controller) Tick(now time.Time) []Event {
 	var events []Event
-	for _, w := range c.fair.all() {
+	for _, w := range c.all() {
 		if refusal := c.expired(w, now); refusal != nil {
 			events = c.refuse(events, w, refusal)
 		}
 	}
-	return c.dispatch(events, now)
+	return c.dispatchAll(events, now)
 }
 
 // expired returns the refusal of a waiter that waits in vain.
 func (c *Controller) expired(w *waiter, now time.Time) *result.Error {
 	if !w.deadline.IsZero() && now.Add(w.least()).After(w.deadline) {
-		return c.tooLate(0, now)
+		return c.tooLate(w.station, 0, now)
 	}
 	if now.After(w.giveUp) {
-		return c.full(now)
+		return c.full(w.station, now)
 	}
 	return nil
 }
 
-// dispatch admits waiting requests in fair order while there is room.
-func (c *Controller) dispatch(events []Event, now time.Time) []Event {
-	for c.limit.room(len(c.running)) {
-		w := c.fair.pick()
-		if w == nil {
-			return events
-		}
+func (c *Controller) dispatchAll(events []Event, now time.Time) []Event {
+	for _, s := range c.order {
+		events = c.dispatch(events, s, now)
+	}
+	return events
+}
+
+// dispatch admits a station's waiting requests in fair order while there is
+// room.
+func (c *Controller) dispatch(events []Event, s *station, now time.Time) []Event {
+	for s.waiting > 0 && s.room() && len(c.running) < c.capacity {
+		w := s.fair.pick()
 		if refusal := c.expired(w, now); refusal != nil {
 			events = c.refuse(events, w, refusal)
 			continue
 		}
-		c.fair.dispatched(w)
-		delete(c.waiting, w.ticket)
-		w.flow.running++
-		c.running[w.ticket] = w
+		c.admit(w)
 		events = append(events, Event{Ticket: w.ticket})
 	}
 	return events
 }
 
+func (c *Controller) push(w *waiter) {
+	w.station.fair.push(w)
+	w.station.waiting++
+	w.org.inFlight++
+	c.waiting[w.ticket] = w
+}
+
+func (c *Controller) admit(w *waiter) {
+	w.station.fair.dispatched(w)
+	w.station.waiting--
+	w.station.running++
+	w.flow.running++
+	delete(c.waiting, w.ticket)
+	c.running[w.ticket] = w
+}
+
 func (c *Controller) refuse(events []Event, w *waiter, refusal *result.Error) []Event {
 	c.remove(w)
 	return append(events, Event{Ticket: w.ticket, Refused: refusal})
 }
 
 func (c *Controller) remove(w *waiter) {
+	w.station.fair.remove(w)
+	w.station.waiting--
+	w.org.inFlight--
 	delete(c.waiting, w.ticket)
-	c.fair.remove(w)
-	c.fair.dropIdle(w.flow)
+	w.station.fair.dropIdle(w.flow)
 }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -32,7 +32,7 @@
 	for i := range releases {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		for j := range reqs {
-			f := c.fair.flow(reqs[j].Organisation, reqs[j].Priority)
+			f := c.station("").fair.flow(reqs[j].Organisation, reqs[j].Priority)
 			for f.waiting < 3 {
 				byTicket[c.next+1] = &reqs[j]
 				_, events := c.Submit(&reqs[j], now)
@@ -200,6 +200,34 @@
 	}
 }
 
+// TestACongestedTargetSlowsNoOther keeps the upstreams of one version busy.
+func TestACongestedTargetSlowsNoOther(t *testing.T) {
+	c := NewController(Settings{Limit: 20, Queue: 50})
+	c.SetTargetCapacity("idle@1", 100)
+	now := start
+	for range 2000 {
+		now = now.Add(5 * time.Millisecond)
+		ticket, events := c.Submit(&Request{Organisation: "a", Target: "full@1"}, now)
+		if len(events) > 0 && events[0].Refused == nil {
+			c.Release(ticket, Feedback{Busy: true}, now)
+		}
+	}
+	for range 60 {
+		c.Submit(&Request{Organisation: "a", Target: "full@1"}, now)
+	}
+	for range 20 {
+		_, events := c.Submit(&Request{Organisation: "b", Target: "idle@1"}, now)
+		if len(events) != 1 || events[0].Refused != nil {
+			t.Fatalf("events are %+v, want the request to run at once", events)
+		}
+	}
+	for _, s := range c.State().Targets {
+		if s.Target == "full@1" && s.Limit >= 20 {
+			t.Fatalf("the limit of the congested version is %v", s.Limit)
+		}
+	}
+}
+
 func TestAdaptiveLimitFollowsCongestion(t *testing.T) {
 	run := func(l *adaptiveLimit, at time.Time, congested bool) time.Time {
 		for range 2000 {
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -1,12 +1,6 @@
 package admission
 
-import (
-	"math"
-	"slices"
-	"time"
-
-	"tarragonbay.example/tarragonbay/internal/catalog"
-)
+import "slices"
 
 // fairQueue is start-time fair queueing over the organisations: each is
 // served in proportion to its weight times that of its priority class,
@@ -19,7 +13,7 @@
 	virtual float64
 	// cost is the work in all queues.
 	cost float64
-	orgs map[string]*organisation
+	orgs *organisations
 }
 
 // flowKey names a flow: an organisation's requests of one priority class.
@@ -28,14 +22,6 @@
 	priority     int
 }
 
-// organisation is what the configuration says about one, and its rates over
-// all classes.
-type organisation struct {
-	weight        float64
-	inFlightLimit int
-	rates         *rates
-}
-
 // flow is the running and waiting requests of one organisation and class.
 type flow struct {
 	*organisation
@@ -100,60 +86,26 @@
 	return best
 }
 
-func newFairQueue() fairQueue {
-	return fairQueue{flows: map[flowKey]*flow{}, orgs: map[string]*organisation{}}
+func newFairQueue(orgs *organisations) fairQueue {
+	return fairQueue{flows: map[flowKey]*flow{}, orgs: orgs}
 }
 
-// configure replaces the organisations. Rates of those that stay keep what
-// they have spent.
-func (q *fairQueue) configure(
-	orgs map[string]*catalog.Organisation, weightsOnly bool, share float64, now time.Time,
-) {
-	next := make(map[string]*organisation, len(orgs))
-	for name, o := range orgs {
-		old, ok := q.orgs[name]
-		if !ok {
-			old = &organisation{rates: newRates()}
-		}
-		old.weight = weightOf(o)
-		limits := o.Limits
-		if weightsOnly {
-			limits = catalog.Limits{}
-		}
-		old.inFlightLimit = shareOfCount(limits.InFlight, share)
-		old.rates.set(limits, share, now)
-		next[name] = old
-	}
-	q.orgs = next
+// reconfigure takes over changed weights.
+func (q *fairQueue) reconfigure() {
 	for key, f := range q.flows {
-		f.organisation = q.organisationOf(key.organisation)
+		f.organisation = q.orgs.get(key.organisation)
 		f.weight = f.organisation.weight * classWeight(key.priority)
 		q.dropIdle(f)
 	}
 }
 
-// shareOfCount returns the entry's part of a count, at least one.
-func shareOfCount(limit int, share float64) int {
-	if limit == 0 {
-		return 0
-	}
-	return max(1, int(math.Ceil(float64(limit)*share)))
-}
-
-func (q *fairQueue) organisationOf(name string) *organisation {
-	if o, ok := q.orgs[name]; ok {
-		return o
-	}
-	return &organisation{weight: catalog.DefaultWeight, rates: newRates()}
-}
-
 // flow returns the flow of the organisation and class, made when missing.
 func (q *fairQueue) flow(name string, priority int) *flow {
 	key := flowKey{name, priority}
 	if f, ok := q.flows[key]; ok {
 		return f
 	}
-	o := q.organisationOf(name)
+	o := q.orgs.get(name)
 	f := &flow{organisation: o, key: key, name: name, weight: o.weight * classWeight(priority)}
 	q.flows[key] = f
 	return f
@@ -162,7 +114,7 @@
 // dropIdle forgets an idle flow of an organisation that is not configured, so
 // that the flows stay bounded.
 func (q *fairQueue) dropIdle(f *flow) {
-	if _, known := q.orgs[f.name]; !known && f.running == 0 && f.waiting == 0 {
+	if !q.orgs.known(f.name) && f.running == 0 && f.waiting == 0 {
 		delete(q.flows, f.key)
 	}
 }
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -130,6 +130,15 @@
 	})
 }
 
+// SetTargetCapacity passes the number of a target's usable slots to the
+// controller.
+func (l *Limiter) SetTargetCapacity(target string, slots int) {
+	l.do(func(c *Controller) []Event {
+		c.SetTargetCapacity(target, slots)
+		return c.Tick(l.now())
+	})
+}
+
 // SetLimit passes the exact number of slots to the controller.
 func (l *Limiter) SetLimit(slots int) {
 	l.do(func(c *Controller) []Event { return c.SetLimit(slots, l.now()) })
--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -51,7 +51,7 @@
 			t.Fatalf("at the stop a waiting caller got %v", err)
 		}
 		second.Release(Feedback{})
-		if s := l.State(); s.Running != 0 || s.Waiting != 0 || len(s.Flows) != 0 {
+		if s := l.State(); s.Running != 0 || s.Waiting != 0 || len(s.Targets[0].Flows) != 0 {
 			t.Fatalf("left behind: %+v", s)
 		}
 	})
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -7,11 +7,21 @@
 
 // State is what a Controller holds, for the state dump.
 type State struct {
-	Limit    float64     `json:"limit"`
-	Running  int         `json:"running"`
-	Waiting  int         `json:"waiting"`
-	Stopping bool        `json:"stopping,omitempty"`
-	Flows    []FlowState `json:"flows"`
+	// Limit is the number of requests that may run now, over all targets.
+	Limit    float64       `json:"limit"`
+	Running  int           `json:"running"`
+	Waiting  int           `json:"waiting"`
+	Stopping bool          `json:"stopping,omitempty"`
+	Targets  []TargetState `json:"targets"`
+}
+
+// TargetState is the queue and limit of one version or service.
+type TargetState struct {
+	Target  string      `json:"target"`
+	Limit   float64     `json:"limit"`
+	Running int         `json:"running"`
+	Waiting int         `json:"waiting"`
+	Flows   []FlowState `json:"flows"`
 }
 
 // FlowState is one organisation's requests of one priority class.
@@ -23,22 +33,45 @@
 	Waiting      int     `json:"waiting"`
 }
 
-// State returns the controller's state, flows sorted by name and class.
+// State returns the controller's state, targets and flows sorted by name.
 func (c *Controller) State() State {
 	s := State{
-		Limit: c.limit.bound(), Running: len(c.running), Waiting: len(c.waiting),
-		Stopping: c.stopping, Flows: []FlowState{},
+		Limit: c.limit(), Running: len(c.running), Waiting: len(c.waiting),
+		Stopping: c.stopping, Targets: []TargetState{},
+	}
+	for _, st := range c.order {
+		s.Targets = append(s.Targets, st.state())
+	}
+	slices.SortFunc(s.Targets, func(a, b TargetState) int { return cmp.Compare(a.Target, b.Target) })
+	return s
+}
+
+func (c *Controller) limit() float64 {
+	sum := 0.0
+	for _, s := range c.order {
+		sum += s.limit.bound()
+	}
+	if len(c.order) == 0 {
+		sum = float64(c.settings.Limit)
+	}
+	return min(sum, float64(c.capacity))
+}
+
+func (s *station) state() TargetState {
+	out := TargetState{
+		Target: s.target, Limit: s.limit.bound(),
+		Running: s.running, Waiting: s.waiting, Flows: []FlowState{},
 	}
-	for key, f := range c.fair.flows {
-		s.Flows = append(s.Flows, FlowState{
+	for key, f := range s.fair.flows {
+		out.Flows = append(out.Flows, FlowState{
 			Organisation: key.organisation, Priority: key.priority, Weight: f.weight,
 			Running: f.running, Waiting: f.waiting,
 		})
 	}
-	slices.SortFunc(s.Flows, func(a, b FlowState) int {
+	slices.SortFunc(out.Flows, func(a, b FlowState) int {
 		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Priority, b.Priority))
 	})
-	return s
+	return out
 }
 
 // Counts returns the requests that run and that wait.
--- a/internal/policybench/host/entry.go
+++ b/internal/policybench/host/entry.go
@@ -82,7 +82,7 @@
 		}
 	}
 	if p, ok := e.picker.(interface{ slots() int }); ok {
-		e.control.SetCapacity(int(slotsPerShare * float64(p.slots()) / entries))
+		e.control.SetTargetCapacity(string(target.Version), int(slotsPerShare*float64(p.slots())/entries))
 	}
 }
 
@@ -102,7 +102,7 @@
 	}
 	c.plan = e.retries.Plan(orgName(req.org), true, epoch.Add(req.deadline()))
 	ticket, events := e.control.Submit(&admission.Request{
-		Organisation: orgName(req.org), Priority: 1,
+		Organisation: orgName(req.org), Priority: 1, Target: string(target.Version),
 		PromptTokens: req.prompt, OutputTokens: req.class.output,
 		Deadline: epoch.Add(req.deadline()),
 	}, e.fleet.now())
