Name the agent's incarnation in every attempt after the first

Cause: an attempt without an incarnation is settled as unknown, and the refusal of a restarted agent was dropped as a frame of another incarnation, so that a true "not run" became unknown. Change: the client remembers the incarnation that each agent last told and names it; the refusal WrongIncarnation is taken from any incarnation. Measured: the new test failed before the change (OutcomeUnknown), go test -race ./internal/link passes after. Conclusion: one refused attempt for each entry after a restart.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -45,6 +45,8 @@
 	fresh  linkv1connect.AgentServiceClient
 	// closeIdle drops the pooled connections that no call uses.
 	closeIdle func()
+	// incarnation is the agent's, as its last frame told it; 0 before one.
+	incarnation atomic.Uint64
 }
 
 type counters struct {
@@ -79,6 +81,10 @@
 	}
 }
 
+// Incarnation returns the incarnation of the agent at an address, as its last
+// frame told it, or 0 before any frame.
+func (c *Client) Incarnation(addr string) uint64 { return c.peer(addr).incarnation.Load() }
+
 // Forget closes the idle connections to an address that is no longer used.
 func (c *Client) Forget(addr string) {
 	c.mu.Lock()
--- a/internal/link/sequencer.go
+++ b/internal/link/sequencer.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/result"
 )
 
 // verdict says what to do with a frame.
@@ -51,7 +52,7 @@
 	if s.incarnation == 0 {
 		s.incarnation = f.GetIncarnation()
 	}
-	if f.GetIncarnation() != s.incarnation {
+	if f.GetIncarnation() != s.incarnation && !s.wrongIncarnation(f) {
 		return crossed
 	}
 	if b := f.GetHeartbeat(); b != nil {
@@ -72,6 +73,12 @@
 	return deliver
 }
 
+// wrongIncarnation reports whether an agent refuses the attempt because it
+// names another incarnation: the one frame that may come from there.
+func (s *sequencer) wrongIncarnation(f *linkv1.Frame) bool {
+	return s.next == 1 && f.GetRefusal().GetCode() == uint32(result.WrongIncarnation)
+}
+
 // fits checks the order of the kinds of frame and counts data.
 func (s *sequencer) fits(f *linkv1.Frame) bool {
 	first := s.next == 1
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -77,8 +77,12 @@
 // connection was made, the agent refused, or Settle said so.
 func (c *Client) Attempt(ctx context.Context, addr string, req *linkv1.AttemptRequest) (*Stream, error) {
 	now := time.Now()
+	p := c.peer(addr)
+	if req.GetAgentIncarnation() == 0 {
+		req.AgentIncarnation = p.incarnation.Load()
+	}
 	s := &Stream{
-		client: c, peer: c.peer(addr), addr: addr, ctx: ctx, nextCtx: ctx, sentAt: now,
+		client: c, peer: p, addr: addr, ctx: ctx, nextCtx: ctx, sentAt: now,
 		named: req.GetAgentIncarnation(),
 		seq:   newSequencer(req.GetAttemptId(), req.GetAgentIncarnation()),
 	}
@@ -181,6 +185,7 @@
 	}
 	switch s.seq.accept(f) {
 	case deliver:
+		s.peer.incarnation.Store(f.GetIncarnation())
 		s.seen, s.tries, s.stray = true, 0, 0
 		return s.take(f)
 	case beat:
--- a/internal/link/stream_test.go
+++ b/internal/link/stream_test.go
@@ -211,6 +211,33 @@
 	}
 }
 
+func TestRestartedAgentRefusesAttemptsForTheEarlierIncarnation(t *testing.T) {
+	r := newRig(t, answer(1))
+	unnamed := func(id string) *linkv1.AttemptRequest {
+		req := request(id)
+		req.AgentIncarnation = 0
+		return req
+	}
+	s, err := r.client.Attempt(t.Context(), r.proxy.addr(), unnamed("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantAnswer(t, s, 1)
+	s.Close()
+	if got := r.client.Incarnation(r.proxy.addr()); got != testIncarnation {
+		t.Errorf("learned incarnation %d", got)
+	}
+	r.swap(newFakeAgent(testIncarnation+1, DefaultTiming(), answer(1)))
+	_, err = r.client.Attempt(t.Context(), r.proxy.addr(), unnamed("b"))
+	want(t, err, result.WrongIncarnation, result.NotRun)
+	s, err = r.client.Attempt(t.Context(), r.proxy.addr(), unnamed("c"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	wantAnswer(t, s, 1)
+}
+
 func TestSlowReaderHoldsTheProducerBack(t *testing.T) {
 	const events = 64
 	block := bytes.Repeat([]byte("x"), MaxFrame/2+1)
