Let a flood make room on full engines; tell a target's usable slots

Cause: the planner could not load a flooded version while every engine was full; the entry had no figure for the bound of one version's admission. Change: Planner orders an unload of the version that can best spare a replica; Picker.TargetSlots. Measured: TestAFloodMakesRoomOnFullEngines: from 6 engines with one version the flooded one gets at least 3, the other keeps its minimum of 2 in 2 domains. Conclusion: ready to be wired.

--- a/internal/balance/picker_test.go
+++ b/internal/balance/picker_test.go
@@ -155,6 +155,9 @@
 			fail(t, p, fmt.Sprintf("u%04d", i), Failed, start, 1)
 		}
 	}
+	if got := p.TargetSlots(target); got != 20*8 {
+		t.Fatalf("%d slots take work, want all", got)
+	}
 	for _, s := range p.States(start) {
 		if !s.EjectedUntil.IsZero() {
 			t.Fatalf("%s is ejected though all fail alike", s.Upstream)
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -57,10 +57,11 @@
 // staying reports whether the upstream is not leaving.
 func (r *replica) staying() bool { return !r.leaving() }
 
-// sound reports whether the upstream stays and did not fail last.
-func (r *replica) sound() bool {
-	return r.health.until.Load() == 0 && !r.health.suspect() && !r.leaving()
-}
+// takesWork reports whether the upstream stays and is not ejected.
+func (r *replica) takesWork() bool { return r.health.until.Load() == 0 && !r.leaving() }
+
+// sound reports whether the upstream takes work and did not fail last.
+func (r *replica) sound() bool { return r.takesWork() && !r.health.suspect() }
 
 // othersFade is the age at which a report of others' load counts half.
 const othersFade = 2 * time.Second
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -34,7 +34,7 @@
 
 // usable reports whether the upstream may take the request at all.
 func (s *search) usable(r *replica) bool {
-	if r.leaving() || r.health.until.Load() != 0 {
+	if !r.takesWork() {
 		return false
 	}
 	return s.req.Tried.n == 0 || !s.req.Tried.Has(r.id.Load().name)
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -46,12 +46,30 @@
 	return s
 }
 
+// TargetSlots returns the slots of the target's upstreams that take work now,
+// for the target's bound in the admission.
+func (p *Picker) TargetSlots(t Target) int {
+	pl, ok := p.view.Load().pools[t]
+	if !ok {
+		return 0
+	}
+	total := 0
+	for _, list := range [][]*replica{pl.members, pl.far} {
+		for _, r := range list {
+			if r.takesWork() {
+				total += int(r.slots.Load())
+			}
+		}
+	}
+	return total
+}
+
 // Slots returns the slots of all upstreams that take work now, for the
 // capacity bound of the admission.
 func (p *Picker) Slots() int {
 	total := 0
 	for _, r := range p.view.Load().byName {
-		if !r.leaving() && r.health.until.Load() == 0 {
+		if r.takesWork() {
 			total += int(r.slots.Load())
 		}
 	}
--- a/internal/order/planner.go
+++ b/internal/order/planner.go
@@ -1,8 +1,6 @@
 package order
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -110,6 +108,7 @@
 	for w.loads > 0 && (w.shortOfMinimum(d) || w.use(d) > highUse) {
 		r := w.bestToLoad(d)
 		if r == nil {
+			p.makeRoom(w, d, now)
 			return
 		}
 		p.order(w, r, Load, d.Version)
@@ -120,6 +119,36 @@
 	}
 }
 
+// makeRoom orders one unload of the version that can best spare a replica on
+// an engine that could serve d. The load follows in a later plan.
+func (p *Planner) makeRoom(w *work, d Demand, now time.Time) {
+	var best spare
+	for _, r := range w.replicas {
+		if !w.free(r) || holds(r, d.Version) || !slices.Contains(r.Serves, d.Version) {
+			continue
+		}
+		for _, v := range r.Loaded {
+			s := spare{replica: r, version: v, use: w.useAfter(v, r)}
+			if s.use < lowUse && now.Sub(p.changed[v]) >= settleFor && (best.replica == nil || s.use < best.use) {
+				best = s
+			}
+		}
+	}
+	if best.replica == nil {
+		return
+	}
+	p.order(w, best.replica, Unload, best.version)
+	p.changed[best.version] = now
+}
+
+// spare is a version that an engine could let go, and the use it would have
+// then.
+type spare struct {
+	replica *Replica
+	version catalog.VersionName
+	use     float64
+}
+
 // shed orders one unload when the version's use has been low for long.
 func (p *Planner) shed(w *work, d Demand, now time.Time) {
 	r := w.bestToUnload(d)
@@ -156,152 +185,3 @@
 		Action: a, Version: v, Fence: p.fence,
 	})
 }
-
-// work is one plan in progress.
-type work struct {
-	replicas []*Replica
-	busy     map[string]bool
-	loads    int
-	orders   []Order
-}
-
-func newWork(in Input) *work {
-	w := &work{busy: map[string]bool{}, loads: in.Loads}
-	for _, r := range in.Replicas {
-		w.replicas = append(w.replicas, &r)
-	}
-	slices.SortFunc(w.replicas, func(a, b *Replica) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	return w
-}
-
-// free reports whether the replica can get an order: it is there, and none is
-// on the way.
-func (w *work) free(r *Replica) bool {
-	return !r.Away && len(r.Loading) == 0 && !w.busy[r.Upstream]
-}
-
-func holds(r *Replica, v catalog.VersionName) bool {
-	return !r.Away && (slices.Contains(r.Loaded, v) || slices.Contains(r.Loading, v))
-}
-
-// slots is the version's part of all replicas' slots: a replica's slots are
-// shared by what it holds.
-func (w *work) slots(v catalog.VersionName) float64 {
-	total := 0.0
-	for _, r := range w.replicas {
-		if holds(r, v) {
-			total += part(r)
-		}
-	}
-	return total
-}
-
-func part(r *Replica) float64 {
-	return float64(r.Slots) / float64(max(1, len(r.Loaded)+len(r.Loading)))
-}
-
-func (w *work) use(d Demand) float64 { return ratio(d.Slots, w.slots(d.Version)) }
-
-func (w *work) useWithout(d Demand, r *Replica) float64 {
-	return ratio(d.Slots, w.slots(d.Version)-part(r))
-}
-
-func ratio(need, slots float64) float64 {
-	if need <= 0 {
-		return 0
-	}
-	if slots <= 0 {
-		return math.Inf(1)
-	}
-	return need / slots
-}
-
-// domains counts the version's replicas in each failure domain.
-func (w *work) domains(v catalog.VersionName) map[string]int {
-	n := map[string]int{}
-	for _, r := range w.replicas {
-		if holds(r, v) {
-			n[r.Domain]++
-		}
-	}
-	return n
-}
-
-func (w *work) shortOfMinimum(d Demand) bool {
-	domains := w.domains(d.Version)
-	total := 0
-	for _, n := range domains {
-		total += n
-	}
-	return total < d.MinReplicas || len(domains) < d.MinDomains
-}
-
-// byNeed sorts the demands: withdrawn ones, those short of their minimum,
-// then by use.
-func (w *work) byNeed(demands []Demand) []Demand {
-	rank := func(d Demand) int {
-		switch {
-		case d.Withdrawn:
-			return 0
-		case w.shortOfMinimum(d):
-			return 1
-		}
-		return 2
-	}
-	out := slices.Clone(demands)
-	slices.SortStableFunc(out, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(w.use(b), w.use(a)))
-	})
-	return out
-}
-
-// bestToLoad returns the replica to load the version on: in the domain with
-// the fewest, then the one that holds the least.
-func (w *work) bestToLoad(d Demand) *Replica {
-	domains := w.domains(d.Version)
-	var best *Replica
-	for _, r := range w.replicas {
-		if !w.free(r) || holds(r, d.Version) || !slices.Contains(r.Serves, d.Version) {
-			continue
-		}
-		if len(r.Loaded) >= r.MaxLoaded {
-			continue
-		}
-		if best == nil || cmp.Or(
-			cmp.Compare(domains[r.Domain], domains[best.Domain]),
-			cmp.Compare(len(r.Loaded), len(best.Loaded)),
-		) < 0 {
-			best = r
-		}
-	}
-	return best
-}
-
-// bestToUnload returns the replica that can let the version go without
-// breaking a minimum: in the domain with the most, the one that holds most.
-func (w *work) bestToUnload(d Demand) *Replica {
-	domains := w.domains(d.Version)
-	total := 0
-	for _, n := range domains {
-		total += n
-	}
-	if total <= max(1, d.MinReplicas) {
-		return nil
-	}
-	var best *Replica
-	for _, r := range w.replicas {
-		if !w.free(r) || !slices.Contains(r.Loaded, d.Version) {
-			continue
-		}
-		if domains[r.Domain] == 1 && len(domains) <= d.MinDomains {
-			continue
-		}
-		if best == nil || cmp.Or(
-			cmp.Compare(domains[r.Domain], domains[best.Domain]),
-			cmp.Compare(len(r.Loaded), len(best.Loaded)),
-		) > 0 {
-			best = r
-		}
-	}
-	return best
-}
--- a/internal/order/planner_test.go
+++ b/internal/order/planner_test.go
@@ -76,6 +76,38 @@
 	}
 }
 
+// TestAFloodMakesRoomOnFullEngines floods b while every engine is full with a.
+func TestAFloodMakesRoomOnFullEngines(t *testing.T) {
+	p := NewPlanner()
+	rs := engines(6, 6)
+	for i := range rs {
+		rs[i].MaxLoaded = 1
+	}
+	demands := []Demand{
+		{Version: "m@a", Slots: 8, MinReplicas: 2, MinDomains: 2},
+		{Version: "m@b", Slots: 100},
+	}
+	for minute := range 30 {
+		now := start.Add(time.Duration(minute) * time.Minute)
+		for _, o := range p.Plan(Input{Replicas: rs, Demands: demands, Loads: 1}, now) {
+			for i := range rs {
+				if rs[i].Upstream != o.Upstream {
+					continue
+				}
+				rs[i].Loaded = nil
+				if o.Action == Load {
+					rs[i].Loaded = []catalog.VersionName{o.Version}
+				}
+			}
+		}
+	}
+	w := newWork(Input{Replicas: rs})
+	a, b := w.slots("m@a"), w.slots("m@b")
+	if a < 16 || b < 24 || a+b != 48 || len(w.domains("m@a")) < 2 {
+		t.Fatalf("a has %v slots over %v, b has %v", a, w.domains("m@a"), b)
+	}
+}
+
 // TestUnloadWaitsAndKeepsTheMinimum lets the demand fall and swing.
 func TestUnloadWaitsAndKeepsTheMinimum(t *testing.T) {
 	p := NewPlanner()
