Tell the present incarnation when an agent refuses an earlier one

Cause: Stream.Incarnation went on telling the earlier one after the refusal. Change: the refusal sets it. Measured: go test -race ./internal/link passes. Conclusion: the entry's next attempt names the right incarnation.

--- a/internal/link/sequencer.go
+++ b/internal/link/sequencer.go
@@ -52,7 +52,10 @@
 	if s.incarnation == 0 {
 		s.incarnation = f.GetIncarnation()
 	}
-	if f.GetIncarnation() != s.incarnation && !s.wrongIncarnation(f) {
+	if s.wrongIncarnation(f) {
+		s.incarnation = f.GetIncarnation()
+	}
+	if f.GetIncarnation() != s.incarnation {
 		return crossed
 	}
 	if b := f.GetHeartbeat(); b != nil {
@@ -74,7 +77,8 @@
 }
 
 // wrongIncarnation reports whether an agent refuses the attempt because it
-// names another incarnation: the one frame that may come from there.
+// names another incarnation: the one frame that may come from there, and by
+// which the sender learns the present one.
 func (s *sequencer) wrongIncarnation(f *linkv1.Frame) bool {
 	return s.next == 1 && f.GetRefusal().GetCode() == uint32(result.WrongIncarnation)
 }
--- a/internal/link/stream_test.go
+++ b/internal/link/stream_test.go
@@ -228,8 +228,11 @@
 		t.Errorf("learned incarnation %d", got)
 	}
 	r.swap(newFakeAgent(testIncarnation+1, DefaultTiming(), answer(1)))
-	_, err = r.client.Attempt(t.Context(), r.proxy.addr(), unnamed("b"))
+	s, err = r.client.Attempt(t.Context(), r.proxy.addr(), unnamed("b"))
 	want(t, err, result.WrongIncarnation, result.NotRun)
+	if s.Incarnation() != testIncarnation+1 {
+		t.Errorf("the refusal told incarnation %d", s.Incarnation())
+	}
 	s, err = r.client.Attempt(t.Context(), r.proxy.addr(), unnamed("c"))
 	if err != nil {
 		t.Fatal(err)
