Do not wait at the end of each command in tests

Cause: the race detector holds each process for a second at its end. Change: the scripts set that wait to 10 ms; a race still fails the command. Conclusion: the operators' commands stay cheap to run.

--- a/cmd/tarragonctl/main_test.go
+++ b/cmd/tarragonctl/main_test.go
@@ -79,6 +79,9 @@
 // follows it at $DAEMON, one that stays behind at $STALE, one with a key at
 // $LOCKED, a caller listener at $CALLER, and at $NOBODY nothing.
 func serve(env *testscript.Env) error {
+	// Each command is a process, which the race detector holds for a second at
+	// its end unless told otherwise. A race still fails the command.
+	env.Setenv("GORACE", "atexit_sleep_ms=10")
 	p := fake.New(fake.Options{})
 	store := publish.Store{Table: p.Table, Objects: p.Objects}
 	if err := bill(env, p); err != nil {
