--- a/internal/policybench/host/bounds_test.go
+++ b/internal/policybench/host/bounds_test.go
@@ -116,12 +116,23 @@
 	}
 }
 
-// TestPrint prints the table in a verbose run.
-func TestPrint(t *testing.T) {
+// TestEveryPolicyRunsUnderEveryLoad also prints the table in a verbose run.
+func TestEveryPolicyRunsUnderEveryLoad(t *testing.T) {
 	rows, err := quickRows()
 	if err != nil {
 		t.Fatal(err)
 	}
+	seen := map[string]bool{}
+	for _, r := range rows {
+		seen[r.Load+"/"+r.Policy] = true
+		if r.Answered+r.Refused+r.DeadlineMisses != r.Requests || r.Answered == 0 {
+			t.Errorf("%s, %s: %d requests, %d answered, %d refused, %d missed",
+				r.Load, r.Policy, r.Requests, r.Answered, r.Refused, r.DeadlineMisses)
+		}
+	}
+	if want := len(scenarios(true)) * len(policies()); len(seen) != want || len(rows) != want {
+		t.Errorf("%d rows, %d of them different, want %d", len(rows), len(seen), want)
+	}
 	if testing.Verbose() {
 		if err := policybench.Print(os.Stdout, rows); err != nil {
 			t.Fatal(err)
