Look to other failure domains when the own one has suspects only

Cause: with one upstream of a target in the own domain, a failure left it chosen while sound ones stood in the others. Change: the search goes on to the other domains when the best so far is suspect.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -29,6 +29,11 @@
 	unreadElsewhere  = 1.0
 )
 
+// good reports whether there is no need to look in other failure domains.
+func (c *candidate) good() bool {
+	return c.r != nil && !c.full && !c.r.health.suspect()
+}
+
 // consider keeps the upstream when it is cheaper than the one found. unread is
 // the part of the prompt that it must read.
 func (c *candidate) consider(s *search, r *replica, unread float64) {
--- a/internal/balance/picker_test.go
+++ b/internal/balance/picker_test.go
@@ -182,6 +182,14 @@
 	}
 }
 
+func TestASuspectInTheOwnDomainIsPassedOver(t *testing.T) {
+	p := newPicker(t, 3)
+	fail(t, p, "u0000", TimedOut, start, 1)
+	if n := pickMany(t, p, Request{Target: target}, start, 100)["u0000"]; n != 0 {
+		t.Fatalf("the only upstream of the own domain was picked %d times after a failure", n)
+	}
+}
+
 func TestPrefixesOfALostUpstreamSpread(t *testing.T) {
 	p := newPicker(t, 20)
 	homeOf := func(prefix uint64) string {
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -85,7 +85,7 @@
 	var found candidate
 	found.consider(s, s.draw(pl.near), unreadElsewhere)
 	found.consider(s, s.draw(pl.near), unreadElsewhere)
-	if found.r == nil || found.full {
+	if !found.good() {
 		found.consider(s, s.draw(pl.away), unreadElsewhere)
 		found.consider(s, s.draw(pl.away), unreadElsewhere)
 	}
