Add tarragonctl export and replace

Cause: a lost store, or one that daemons refuse (TB6008), could be mended by program only. Change: export prints the set in force, of the store or of a daemon's admin listener; replace begins a new history above every daemon's revision, and asks all of them. Conclusion: the daemons must hand their set to the admin API, by adminapi.Options.Config.

--- a/cmd/tarragonctl/main_test.go
+++ b/cmd/tarragonctl/main_test.go
@@ -77,7 +77,7 @@
 
 // serve starts what a script meets: the platform at $PLATFORM, a daemon that
 // follows it at $DAEMON, one that stays behind at $STALE, one with a key at
-// $LOCKED, a caller listener at $CALLER, and at $NOBODY nothing.
+// $LOCKED, an empty platform at $EMPTY, a caller listener at $CALLER, and at $NOBODY nothing.
 func serve(env *testscript.Env) error {
 	// Each command is a process, which the race detector holds for a second at
 	// its end unless told otherwise. A race still fails the command.
@@ -90,6 +90,7 @@
 	platformURL := start(env, standin.New(p).Handler())
 	env.Setenv("PLATFORM", platformURL)
 	env.Setenv("TARRAGONBAY_PLATFORM", platformURL)
+	env.Setenv("EMPTY", start(env, standin.New(fake.New(fake.Options{})).Handler()))
 	env.Setenv("DAEMON", host(start(env, daemon("entry-1", "", store))))
 	env.Setenv("STALE", host(start(env, daemon("agent-9", "", publish.Store{Table: fake.New(fake.Options{}).Table}))))
 	env.Setenv("LOCKED", host(start(env, daemon("entry-2", catalog.HashKey(adminKey), store))))
@@ -158,6 +159,11 @@
 			head, _, _ := store.Head(context.Background()) // an unread head is revision 0
 			return adminapi.Status{Name: name, Role: "entry", Domain: "pasay", Revision: head.Revision, Ready: true, Leaving: leaving.Load()}
 		},
+		Config: func() (*catalog.Set, uint64) {
+			head, _, _ := store.Head(context.Background()) // as above
+			state, _, _ := store.Load(context.Background(), head)
+			return state.Set, state.Revision
+		},
 		Drain: func() { leaving.Store(true) },
 	})
 }
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -22,6 +22,7 @@
 	PathHealth   = "/healthz"
 	PathReady    = "/readyz"
 	PathStatus   = "/status"
+	PathConfig   = "/config"
 	PathMetrics  = "/metrics"
 	PathDump     = "/dump"
 	PathLogLevel = "/loglevel"
@@ -49,7 +50,29 @@
 	Level string `json:"level"`
 }
 
-// Options are what a handler needs. All are required but KeyHash.
+// Config is the configuration in force at one daemon.
+type Config struct {
+	Revision uint64         `json:"revision"`
+	Objects  []ConfigObject `json:"objects"`
+}
+
+// ConfigObject is one object of a configuration.
+type ConfigObject struct {
+	Kind catalog.Kind    `json:"kind"`
+	Name string          `json:"name"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+// Set returns the configuration as a set.
+func (c Config) Set() (*catalog.Set, error) {
+	objects := make([]catalog.Object, 0, len(c.Objects))
+	for _, o := range c.Objects {
+		objects = append(objects, catalog.Object{Key: catalog.Key{Kind: o.Kind, Name: o.Name}, Spec: o.Spec})
+	}
+	return catalog.NewSet(objects)
+}
+
+// Options are what a handler needs. All are required but KeyHash and Config.
 type Options struct {
 	// KeyHash is "sha256:HEX" of the admin key; empty asks for none.
 	KeyHash string
@@ -58,6 +81,9 @@
 	Dumps   *telemetry.Dumps
 	// Status may be called at any time.
 	Status func() Status
+	// Config returns the configuration in force and its revision; the set is
+	// nil before the first.
+	Config func() (*catalog.Set, uint64)
 	// Drain starts a graceful shutdown and returns at once. It may be called
 	// more than once.
 	Drain func()
@@ -80,6 +106,7 @@
 	mux.HandleFunc("GET "+PathHealth, h.health)
 	mux.HandleFunc("GET "+PathReady, h.ready)
 	mux.Handle("GET "+PathStatus, h.keyed(h.status))
+	mux.Handle("GET "+PathConfig, h.keyed(h.config))
 	mux.Handle("GET "+PathMetrics, h.keyed(h.metrics))
 	mux.Handle("GET "+PathDump, h.keyed(h.dump))
 	mux.Handle("GET "+PathLogLevel, h.keyed(h.logLevel))
@@ -133,6 +160,22 @@
 
 func (h *handler) status(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) }
 
+func (h *handler) config(w http.ResponseWriter, _ *http.Request) {
+	var set *catalog.Set
+	var c Config
+	if h.Config != nil {
+		set, c.Revision = h.Config()
+	}
+	if set == nil {
+		writeError(w, result.New(result.NoConfiguration, "the daemon has no configuration yet"))
+		return
+	}
+	for _, o := range set.Objects() {
+		c.Objects = append(c.Objects, ConfigObject{o.Key.Kind, o.Key.Name, o.Spec})
+	}
+	writeJSON(w, c)
+}
+
 func (h *handler) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	_ = h.Metrics.WriteText(w) // an operator who left cannot be told
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -16,6 +16,7 @@
 // daemon is a handler around state that the test changes.
 type daemon struct {
 	status Status
+	set    *catalog.Set
 	drains int
 	addr   string
 }
@@ -34,6 +35,7 @@
 	server := httptest.NewServer(NewHandler(Options{
 		KeyHash: keyHash, Log: log, Metrics: metrics, Dumps: dumps,
 		Status: func() Status { return d.status },
+		Config: func() (*catalog.Set, uint64) { return d.set, d.status.Revision },
 		Drain:  func() { d.drains++ },
 	}))
 	t.Cleanup(server.Close)
@@ -123,3 +125,27 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestConfigComesBackAsTheSameSet(t *testing.T) {
+	d := newDaemon(t, "")
+	c := NewClient(d.addr, "")
+	if _, err := c.Config(context.Background()); !result.Is(err, result.NoConfiguration) {
+		t.Errorf("before the first configuration: %v", err)
+	}
+	set, err := catalog.NewSet([]catalog.Object{
+		{Key: catalog.Key{Kind: catalog.KindModel, Name: "m"}, Spec: []byte(`{"qualityTarget":0.5}`)},
+		{Key: catalog.Key{Kind: catalog.KindVersion, Name: "m@1"}, Spec: []byte(`{"inputMicros":1,"outputMicros":2}`)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.set = set
+	got, err := c.Config(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := got.Set()
+	if err != nil || again.Digest() != set.Digest() || got.Revision != 4 {
+		t.Errorf("revision %d, %v", got.Revision, err)
+	}
+}
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -52,6 +52,13 @@
 	return d, err
 }
 
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (Config, error) {
+	var out Config
+	err := c.do(ctx, http.MethodGet, PathConfig, nil, &out)
+	return out, err
+}
+
 // Metrics copies the metrics text to w.
 func (c *Client) Metrics(ctx context.Context, w io.Writer) error {
 	res, err := c.http.R().SetContext(ctx).Get(PathMetrics)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,7 +77,7 @@
 	flags.StringSliceVar(&a.daemons, "daemon", nil, "admin address of a daemon, IP:port; may be repeated")
 	flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "time for the whole command")
 	root.AddCommand(
-		a.checkCommand(), a.diffCommand(), a.publishCommand(), a.getCommand(),
+		a.checkCommand(), a.diffCommand(), a.publishCommand(), a.getCommand(), a.exportCommand(), a.replaceCommand(),
 		a.withdrawCommand(), a.drainCommand(), a.activateCommand(), a.rolloutCommand(),
 		a.statusCommand(), a.ledgerCommand(), a.dumpCommand(), a.logLevelCommand(), a.stopCommand(),
 		a.codesCommand(), a.keysCommand(), a.settingsCommand(), a.loadCommand(), a.benchCommand(),
