Check that a target's limit holds

Cause: a mutation that ignored the limit of a target passed the tests. Change: the test of the congested target checks what runs against its limit.

--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -222,8 +222,8 @@
 		}
 	}
 	for _, s := range c.State().Targets {
-		if s.Target == "full@1" && s.Limit >= 20 {
-			t.Fatalf("the limit of the congested version is %v", s.Limit)
+		if s.Target == "full@1" && (s.Limit >= 20 || float64(s.Running) >= s.Limit+1) {
+			t.Fatalf("the congested version runs %d requests, its limit is %v", s.Running, s.Limit)
 		}
 	}
 }
