--- a/internal/link/answerlog.go
+++ b/internal/link/answerlog.go
@@ -204,6 +204,9 @@
 	}
 }
 
+// Abandon tells that no reader will come for the rest: the caller is gone.
+func (l *AnswerLog) Abandon() { l.markTaken() }
+
 func (l *AnswerLog) markTaken() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -159,11 +159,11 @@
 	return tryTwice(ctx, c.opts.Timing.Call, p, p.pooled.Report, p.fresh.Report, req)
 }
 
-// HandIn gives the agent charges of one that died.
+// HandIn gives the agent charges of one that died. It is sent once, over a new
+// connection, since the agent answers only when the charges are durable.
 func (c *Client) HandIn(ctx context.Context, addr string, req *linkv1.HandInRequest) (*linkv1.HandInResponse, error) {
 	req.Envelope = c.envelope()
-	p := c.peer(addr)
-	return tryTwice(ctx, c.opts.Timing.Call, p, p.pooled.HandIn, p.fresh.HandIn, req)
+	return try(ctx, c.opts.Timing.Call, c.peer(addr).fresh.HandIn, req)
 }
 
 // Order passes an engine order through the agent's fencing gate. It is sent
