--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -107,7 +107,7 @@
 func TestAdviceFollowsTheDrainRate(t *testing.T) {
 	var d Drain
 	for i := range 1000 {
-		d.Left(1, start.Add(time.Duration(i) * 10 * time.Millisecond))
+		d.Left(1, start.Add(time.Duration(i)*10*time.Millisecond))
 	}
 	now := start.Add(10 * time.Second)
 	got := d.Advice(300, now, 0)
