Hand in every copy of a charge when an entry stops; tell agents what is unwanted

Cause: the history checker found 35 of 412 whole answers unbilled after one agent was killed and restarted: the entry stopped before it had learned of the restart, and its copies went with it. Ruled out: the fold (blocks were whole) and the agent's numbering. Besides, a stopping agent waited its whole drain time, 20 s, for answers whose entry had given up. Change: a stopping entry hands in all copies not known to be durable; attempts that an entry gives up are cancelled in the background, and a stopping agent waits 8 s at most for answers to be taken.

--- a/integration/harness/proc.go
+++ b/integration/harness/proc.go
@@ -138,6 +138,16 @@
 	}
 }
 
+// Ended reports whether the process has ended.
+func (p *Proc) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // PID is the process ID.
 func (p *Proc) PID() int { return p.cmd.Process.Pid }
 
--- a/integration/harness/standin.go
+++ b/integration/harness/standin.go
@@ -117,12 +117,22 @@
 }
 
 func putJSON(t testing.TB, url string, v any) {
+	t.Helper()
+	sendJSON(t, http.MethodPut, url, v)
+}
+
+func postJSON(t testing.TB, url string, v any) {
+	t.Helper()
+	sendJSON(t, http.MethodPost, url, v)
+}
+
+func sendJSON(t testing.TB, method, url string, v any) {
 	t.Helper()
 	data, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
 	}
-	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(string(data)))
+	req, err := http.NewRequest(method, url, strings.NewReader(string(data)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,6 +143,6 @@
 	}
 	resp.Body.Close()
 	if resp.StatusCode >= http.StatusBadRequest {
-		t.Fatalf("PUT %s: %s", url, resp.Status)
+		t.Fatalf("%s %s: %s", method, url, resp.Status)
 	}
 }
--- /dev/null
+++ b/integration/helpers_test.go
@@ -0,0 +1,13 @@
+package integration
+
+import "tarragonbay.example/tarragonbay/internal/platform/fake"
+
+// outage makes the table service and the object store refuse every call.
+func outage() fake.Faults {
+	return fake.Faults{
+		Table:   fake.TableFaults{Outage: true},
+		Objects: fake.ObjectFaults{Outage: true},
+	}
+}
+
+func healthy() fake.Faults { return fake.Faults{} }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -186,20 +186,31 @@
 	}
 }
 
+// unreadFor is how long a stop waits for entries to take the ends of answers:
+// long enough to find a silent connection and resume over a new one.
+const unreadFor = 8 * time.Second
+
 // Stop refuses new attempts from now on and waits until those that run are
-// over, or ctx ends. It returns the number that were left.
+// over and their answers are taken, or ctx ends. An answer that no entry takes
+// in unreadFor belongs to one that died. It returns the number of attempts
+// that were left.
 func (a *Agent) Stop(ctx context.Context) int {
 	a.stopping.Store(true)
 	a.log.Info("stopping", zap.Int("running", a.Running()))
 	tick := time.NewTicker(drainTick)
 	defer tick.Stop()
-	for a.Running() > 0 || a.logs.Unread() > 0 {
+	for a.Running() > 0 {
 		select {
 		case <-ctx.Done():
 			return a.Running()
 		case <-tick.C:
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, unreadFor)
+	defer cancel()
+	for a.logs.Unread() > 0 && ctx.Err() == nil {
+		<-tick.C
+	}
 	return 0
 }
 
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -33,6 +33,9 @@
 	a.config.SawEnvelope(req.GetEnvelope())
 	before := a.registry.Cancel(a.now(), req.GetAttemptId())
 	a.cancel(req.GetAttemptId())
+	if log := a.logs.Find(req.GetAttemptId()); log != nil {
+		log.Abandon()
+	}
 	return &linkv1.CancelResponse{Envelope: a.config.Envelope(), Found: before != attempt.Forgotten}, nil
 }
 
--- a/internal/attempt/request.go
+++ b/internal/attempt/request.go
@@ -37,6 +37,9 @@
 // NewRequest returns a request without attempts.
 func NewRequest(idempotent bool) *Request { return &Request{idempotent: idempotent} }
 
+// Idempotent reports whether the request may run more than once.
+func (r *Request) Idempotent() bool { return r.idempotent }
+
 // MayTry returns nil when another attempt of the present step is allowed. The
 // error carries the outcome to report. Budgets and deadlines are asked of the
 // retry package as well.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/callerapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
@@ -148,10 +149,35 @@
 
 func (r *entryRole) drain(ctx context.Context) error {
 	r.entry.Drain()
-	if left := r.entry.Wait(ctx); left > 0 {
+	left := r.entry.Wait(ctx)
+	r.handInAll(ctx)
+	if left > 0 {
 		return result.New(result.Stopping, "%d requests were cut at the end of the drain time", left)
 	}
 	return nil
 }
 
+// handInTimeout bounds handing in the copies of charges at a stop; handInPause
+// is the pause after a failed try.
+const (
+	handInTimeout = 10 * time.Second
+	handInPause   = 100 * time.Millisecond
+)
+
+// handInAll hands in the copies of all charges that are not known to be
+// durable, since their agents may die after this entry.
+func (r *entryRole) handInAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handInTimeout)
+	defer cancel()
+	r.copies.GoneAll()
+	for r.copies.Counts().Orphans > 0 && ctx.Err() == nil {
+		if !r.copies.HandInOnce(ctx) {
+			sleep(ctx, handInPause)
+		}
+	}
+	if left := r.copies.Counts().Orphans; left > 0 {
+		r.daemon.log.Part("ledger").Warn("copies of charges not handed in", zap.Int("charges", left))
+	}
+}
+
 func (r *entryRole) addresses(a *Addresses) { a.Caller = r.caller.Addr().String() }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/admission"
@@ -94,6 +95,7 @@
 	limiter  *admission.Limiter
 	retries  *retry.Policy
 	learner  *learner
+	cancels  pond.Pool
 	fleet    *watch.Fleet
 	held     atomic.Pointer[[]catalog.VersionName]
 	spent    resting
@@ -127,6 +129,7 @@
 		retries:     retry.New(retry.Settings{}, o.Now()),
 		shadows:     make(shadowSlots, maxShadows),
 		fleet:       watch.NewFleet(),
+		cancels:     pond.NewPool(cancelWorkers, pond.WithQueueSize(cancelQueue), pond.WithNonBlocking(true)),
 		metrics:     newCounters(o.Metrics),
 	}
 	e.learner = newLearner(o.Now, e.useView, o.Metrics)
--- a/internal/entry/handin.go
+++ b/internal/entry/handin.go
@@ -17,6 +17,7 @@
 		if err == nil {
 			return int(resp.GetAccepted()), nil
 		}
+		e.agents.forget(addr)
 		last = err
 	}
 	return 0, last
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -181,8 +181,8 @@
 		if !ending.Whole {
 			ending = attempt.Ending{Outcome: failure.Outcome, Code: failure.Code}
 		}
-		if ctx.Err() != nil || failure.Code == result.CallerGone {
-			e.cancel(ctx, stream)
+		if unwanted(ctx, req, failure) {
+			e.cancel(stream)
 		}
 	}
 	if concludeErr := req.Conclude(id, ending); concludeErr != nil {
@@ -201,17 +201,37 @@
 	return failure
 }
 
-// cancelTimeout bounds telling an agent that the caller is gone.
-const cancelTimeout = 2 * time.Second
+// Bounds of telling agents that an answer is no longer wanted.
+const (
+	cancelTimeout = 2 * time.Second
+	cancelWorkers = 16
+	cancelQueue   = 1024
+)
 
-func (e *Entry) cancel(ctx context.Context, stream *link.Stream) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
-	defer stop()
-	if err := stream.Cancel(ctx); err != nil {
+// cancel tells the agent in the background that nobody waits for the answer.
+// One that is not told finishes in vain: its charge counts once all the same.
+func (e *Entry) cancel(stream *link.Stream) {
+	err := e.cancels.Go(func() {
+		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+		defer stop()
+		if err := stream.Cancel(ctx); err != nil {
+			e.metrics.cancelLost.Inc(1)
+		}
+	})
+	if err != nil {
 		e.metrics.cancelLost.Inc(1)
 	}
 }
 
+// unwanted reports whether an attempt may go on at its agent although its
+// answer is no longer wanted. A call that may not be repeated goes on.
+func unwanted(ctx context.Context, req *attempt.Request, failure *result.Error) bool {
+	if !req.Idempotent() {
+		return false
+	}
+	return ctx.Err() != nil || failure.Code == result.CallerGone || failure.Outcome == result.Unknown
+}
+
 // conclude gives the answer to the caller, or drops a draft.
 func (s *stepRun) conclude(out *output, last bool) (kept bool, failure *result.Error) {
 	e := s.entry
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -142,6 +142,18 @@
 	c.set(agent, nil)
 }
 
+// GoneAll takes every agent for gone, so that all copies are handed in. An
+// entry that stops calls it: charges that their agents write as well count
+// once.
+func (c *Copies) GoneAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for agent, list := range c.kept {
+		c.orphans = append(c.orphans, list...)
+		delete(c.kept, agent)
+	}
+}
+
 func (c *Copies) set(agent string, list []copied) {
 	if len(list) == 0 {
 		delete(c.kept, agent)
