Bound each target's requests by the slots that take work

Cause: all requests shared one adaptive limit, so a version whose upstreams were full slowed the others; the admin API could not show the configuration.

--- a/internal/catalog/objects.go
+++ b/internal/catalog/objects.go
@@ -94,7 +94,8 @@
 	Limits Limits `json:"limits,omitempty"`
 }
 
-// Limits bound one organisation on one entry. Zero means no limit of its own.
+// Limits bound one organisation over the whole deployment; each entry applies
+// its share. Zero means no limit of its own.
 type Limits struct {
 	// RequestsPerSecond is the sustained request rate.
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,6 +225,7 @@
 		Metrics: d.metrics,
 		Dumps:   d.dumps,
 		Status:  d.status,
+		Config:  d.follower.Set,
 		Drain:   d.Drain,
 	}))
 	return err
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -133,6 +133,7 @@
 	return []duty{
 		{"entry", r.entry.Run},
 		{"admission", r.entry.Admit},
+		{"capacity", r.entry.Measure},
 		{"claims", r.claims.Run},
 		{"members", r.members.Run},
 		{"learner", r.entry.Learn},
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -37,7 +37,9 @@
 	request   *attempt.Request
 	retries   *retry.Plan
 	without   []catalog.VersionName
+	// queued and slots are what the last load report showed.
 	queued    int
+	slots     int
 	busy      bool
 	answered  bool
 }
@@ -97,7 +99,7 @@
 		defer cancel()
 		r.ctx = ctx
 	}
-	permit, err := r.entry.limiter.Acquire(r.ctx, r.admission())
+	permit, err := r.entry.limiter.Acquire(r.ctx, r.admission(string(plan.Step(0).Version)))
 	if err != nil {
 		return err
 	}
@@ -106,13 +108,14 @@
 	return err
 }
 
-func (r *chatRun) admission() *admission.Request {
+func (r *chatRun) admission(target string) *admission.Request {
 	org := r.set.Organisations[r.call.Organisation]
 	if org != nil {
 		r.priority = org.Priority.Level()
 	}
 	return &admission.Request{
 		Organisation: r.call.Organisation,
+		Target:       target,
 		Priority:     r.priority,
 		PromptTokens: r.call.PromptTokens,
 		OutputTokens: r.call.MaxTokens,
@@ -121,11 +124,11 @@
 }
 
 func (r *chatRun) feedback(since time.Time) admission.Feedback {
-	fb := admission.Feedback{Busy: r.busy, Queued: r.queued}
-	if r.answered {
-		now := r.entry.now()
+	fb := admission.Feedback{Busy: r.busy, Queued: r.queued, Slots: r.slots}
+	now := r.entry.now()
+	if r.answered || !now.Before(r.call.Deadline) {
 		fb.RunTime = now.Sub(since)
-		fb.Late = now.After(r.call.Deadline)
+		fb.Late = !now.Before(r.call.Deadline)
 	}
 	return fb
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -167,6 +168,7 @@
 	e.fleet.SetCatalog(set, e.now())
 	e.limiter.Configure(set, 1/float64(e.entries))
 	e.limiter.SetCapacity(slotsOf(set))
+	e.setCapacities(set)
 	e.planMu.Lock()
 	defer e.planMu.Unlock()
 	e.planner.Store(route.Compile(set, e.route).With(e.learner.view()))
@@ -195,6 +197,45 @@
 	return n
 }
 
+// capacityHeadroom is how many requests an entry lets run for each slot of its
+// share of a target's upstreams, so that agents have a next one at hand.
+const capacityHeadroom = 1.25
+
+// setCapacities bounds the requests of each version and service by the slots
+// of the upstreams that take work now.
+func (e *Entry) setCapacities(set *catalog.Set) {
+	for v := range set.Versions {
+		e.setCapacity(string(v), balance.Target{Version: v})
+	}
+	for name := range set.Services {
+		e.setCapacity(name, balance.Target{Service: name})
+	}
+}
+
+func (e *Entry) setCapacity(name string, t balance.Target) {
+	slots := capacityHeadroom * float64(e.picker.TargetSlots(t)) / float64(e.entries)
+	e.limiter.SetTargetCapacity(name, max(1, int(math.Ceil(slots))))
+}
+
+// capacityEvery is the pause between two readings of the targets' slots.
+const capacityEvery = time.Second
+
+// Measure keeps the targets' capacities up to date until ctx ends.
+func (e *Entry) Measure(ctx context.Context) error {
+	tick := time.NewTicker(capacityEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			if set, _ := e.config.Set(); set != nil {
+				e.setCapacities(set)
+			}
+		}
+	}
+}
+
 // limiterTick is the pause between two checks of waiting requests.
 const limiterTick = 100 * time.Millisecond
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -58,6 +58,7 @@
 	}
 	permit, err := r.entry.limiter.Acquire(r.ctx, &admission.Request{
 		Organisation: r.call.Organisation,
+		Target:       r.call.Service,
 		Priority:     r.priority,
 		Deadline:     r.call.Deadline,
 	})
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -165,6 +165,7 @@
 	s.entry.tellFleet(s.step.Version, choice.Host, failure)
 	if load := stream.Load(); load != nil {
 		s.queued = int(load.GetQueued())
+		s.slots = int(load.GetSlots())
 	}
 	s.busy = s.busy || (failure != nil && failure.Code == result.UpstreamBusy)
 	return failure
