Give engine orders under a lease and pass them through the agent's gate

Cause: nothing planned or carried out engine orders, so an old holder's order could not be refused. Change: orderrun plans from reports and demand under the lease for orders, within the weight store's rate; the agent learns the highest fencing number from the table service after a restart and gates every order; unloads that only make room are left out. Measured: go test -race ./internal/agent: of three orders with an old, the new and the old fence the engine carried out 1, with and without its own check, at a restarted agent; with the table service out none got through.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/order"
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
@@ -43,11 +44,6 @@
 	HandIn(charges []*linkv1.Charge) int
 }
 
-// Orders passes engine orders through the fencing gate.
-type Orders interface {
-	Order(ctx context.Context, req *linkv1.OrderRequest) (*linkv1.OrderResponse, error)
-}
-
 // Sampler hands answers in for rating. It is implemented by watch.Sampler.
 type Sampler interface {
 	Submit(sample platform.Sample)
@@ -60,10 +56,10 @@
 	Incarnation uint64
 	Config      Configuration
 	Charger     Charger
-	Orders      Orders
 	Watch       *watch.Host
 	Sampler     Sampler
-	// Marks is where the host remembers which new versions it ran.
+	// Marks is the table service, where the host remembers which new versions
+	// it ran and reads the highest fencing numbers.
 	Marks   platform.Table
 	Timing  link.Timing
 	Log     *zap.Logger
@@ -83,7 +79,7 @@
 	incarnation uint64
 	config      Configuration
 	charger     Charger
-	orders      Orders
+	gate        *order.Gate
 	watch       *watch.Host
 	sampler     Sampler
 	marks       platform.Table
@@ -121,7 +117,7 @@
 		incarnation: o.Incarnation,
 		config:      o.Config,
 		charger:     o.Charger,
-		orders:      o.Orders,
+		gate:        order.NewGate(),
 		watch:       o.Watch,
 		sampler:     o.Sampler,
 		marks:       o.Marks,
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -60,9 +60,10 @@
 	}
 	for _, u := range a.hosted.all() {
 		resp.Upstreams = append(resp.Upstreams, &linkv1.UpstreamReport{
-			Name:    u.name,
-			Load:    u.load(leaving),
-			Healthy: u.healthy.Load(),
+			Name:     u.name,
+			Load:     u.load(leaving),
+			Healthy:  u.healthy.Load(),
+			Versions: u.loadedVersions(),
 		})
 	}
 	resp.Quarantined = a.watch.Quarantined(a.now())
@@ -75,12 +76,3 @@
 	n := a.charger.HandIn(req.GetCharges())
 	return &linkv1.HandInResponse{Envelope: a.config.Envelope(), Accepted: uint32(n)}, nil
 }
-
-// Order implements link.Agent.
-func (a *Agent) Order(ctx context.Context, req *linkv1.OrderRequest) (*linkv1.OrderResponse, error) {
-	a.config.SawEnvelope(req.GetEnvelope())
-	if a.orders == nil {
-		return nil, result.New(result.OrderRefused, "this agent takes no orders")
-	}
-	return a.orders.Order(ctx, req)
-}
--- a/internal/agent/hosted.go
+++ b/internal/agent/hosted.go
@@ -26,6 +26,8 @@
 	// healthy is false while the upstream cannot be reached.
 	healthy    atomic.Bool
 	firstToken smoothed
+	// loaded lists the versions that the engine said it holds.
+	loaded atomic.Pointer[[]string]
 	// stop ends the goroutine that ticks the gate.
 	stop context.CancelFunc
 }
@@ -102,6 +104,7 @@
 	up := &hostedUpstream{name: name, config: *u, client: old.client, gate: old.gate, stop: old.stop}
 	up.leaving.Store(old.leaving.Load())
 	up.healthy.Store(old.healthy.Load())
+	up.loaded.Store(old.loaded.Load())
 	up.firstToken.value.Store(old.firstToken.value.Load())
 	up.gate.SetLimit(slots)
 	up.gate.Configure(set, 1)
@@ -130,10 +133,19 @@
 		u.healthy.Store(err == nil)
 		if err == nil {
 			u.leaving.Store(state.Leaving)
+			u.loaded.Store(&state.Versions)
 		}
 	}
 }
 
+// loadedVersions returns the versions that the engine said it holds, or nil.
+func (u *hostedUpstream) loadedVersions() []string {
+	if loaded := u.loaded.Load(); loaded != nil {
+		return *loaded
+	}
+	return nil
+}
+
 // load is what rides on answers and reports.
 func (u *hostedUpstream) load(leaving bool) *linkv1.Load {
 	state := u.gate.State()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -17,6 +17,7 @@
 	"tarragonbay.example/tarragonbay/internal/ledger"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/membership"
+	"tarragonbay.example/tarragonbay/internal/orderrun"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/rolloutrun"
@@ -33,6 +34,7 @@
 	copies   *ledger.Copies
 	leases   *lease.Manager
 	rollouts *rolloutrun.Runner
+	orders   *orderrun.Runner
 	caller   *httpserver.Server
 }
 
@@ -72,13 +74,27 @@
 		Log:         d.log.Part("entry"),
 		Metrics:     d.metrics,
 	})
+	leases := lease.NewManager(lease.Options{Table: d.ports.Table, Name: s.Name, Log: d.log.Part("lease")})
+	orders := orderrun.New(orderrun.Options{
+		Leases:  leases,
+		Sender:  linkClient,
+		Weights: d.ports.Weights,
+		Set:     func() *catalog.Set { set, _ := d.follower.Set(); return set },
+		Demand:  e.Demand,
+		Entries: 1,
+		Now:     time.Now,
+		Log:     d.log.Part("orders"),
+	})
 	members := membership.NewRunner(membership.Options{
 		Settings: membership.Settings{Entry: s.Name},
 		Reporter: entry.HeldReporter{Entry: e},
 		Hosts:    d.ports.Hosts,
 		OnEvent:  e.HostChanged,
-		OnReport: e.HostReported,
-		Log:      d.log.Part("members"),
+		OnReport: func(host membership.Host, resp *linkv1.ReportResponse) {
+			e.HostReported(host, resp)
+			orders.Heard(resp)
+		},
+		Log: d.log.Part("members"),
 	})
 	e.SetMembers(members)
 	d.dumps.Register("entry", e)
@@ -86,7 +102,6 @@
 		hosts, cost := members.Dump()
 		return membersState{Hosts: hosts, Cost: cost}
 	}))
-	leases := lease.NewManager(lease.Options{Table: d.ports.Table, Name: s.Name, Log: d.log.Part("lease")})
 	rollouts := rolloutrun.New(rolloutrun.Options{
 		Leases:    leases,
 		Publisher: publish.NewPublisher(publish.Store{Table: d.ports.Table, Objects: d.ports.Objects}, publish.PublisherOptions{}),
@@ -110,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, members: members, copies: copies, leases: leases, rollouts: rollouts, caller: caller})
+	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, members: members, copies: copies, leases: leases, rollouts: rollouts, orders: orders, caller: caller})
 }
 
 // membersState is membership's part of the state dump.
@@ -138,6 +153,7 @@
 		{"members", r.members.Run},
 		{"learner", r.entry.Learn},
 		{"copies", r.copies.Run},
+		{"orders", r.orders.Run},
 		{"rollouts", r.rollouts.Run},
 		{"judge", func(ctx context.Context) error { return r.entry.Judge(ctx, r.rollouts) }},
 		{"fold", r.daemon.fold(r.leases)},
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -38,10 +38,10 @@
 	retries   *retry.Plan
 	without   []catalog.VersionName
 	// queued and slots are what the last load report showed.
-	queued    int
-	slots     int
-	busy      bool
-	answered  bool
+	queued   int
+	slots    int
+	busy     bool
+	answered bool
 }
 
 // Chat implements callerapi.Router.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -249,6 +249,9 @@
 // Learn folds answers and ratings into the estimates until ctx ends.
 func (e *Entry) Learn(ctx context.Context) error { return e.learner.run(ctx) }
 
+// Demand returns what runs and waits for each version and service.
+func (e *Entry) Demand() []admission.TargetState { return e.limiter.State().Targets }
+
 // Fleet returns the watch over all versions.
 func (e *Entry) Fleet() *watch.Fleet { return e.fleet }
 
