Rewrite chat bodies without decoding them

Cause: the entry decodes each body a second time, token by token, only to set the model and stream fields. Change: chat.Rewrite walks the members with jsonscan after json.Valid. Names written with escapes are still known.

--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -10,6 +10,8 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"tarragonbay.example/tarragonbay/internal/jsonscan"
 )
 
 // Upstream says how a body is rewritten for an engine.
@@ -21,26 +23,18 @@
 	Logprobs bool
 }
 
-// overridden lists the fields that Rewrite sets itself.
-func overridden(key string, u Upstream) bool {
-	switch key {
-	case "model", "stream", "stream_options":
-		return true
-	case "logprobs":
-		return u.Logprobs
-	}
-	return false
-}
-
 // Rewrite returns the body with the model and stream fields set for the
 // engine. All other members are kept as they are. Usage is always asked for,
 // since every request is billed by it.
 func Rewrite(body []byte, u Upstream) ([]byte, error) {
-	dec := json.NewDecoder(bytes.NewReader(body))
-	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+	if !json.Valid(body) {
+		return nil, errors.NotValidf("chat body")
+	}
+	walk, ok := jsonscan.Members(body)
+	if !ok {
 		return nil, errors.NotValidf("chat body")
 	}
-	out := make([]byte, 0, len(body)+len(u.Version)+128)
+	out := make([]byte, 0, len(body)+len(u.Version)+maxAddedBytes)
 	out = append(out, `{"model":`...)
 	out = strconv.AppendQuote(out, u.Version)
 	if u.Stream {
@@ -49,32 +43,47 @@
 	if u.Logprobs {
 		out = append(out, `,"logprobs":true`...)
 	}
-	for dec.More() {
-		name, err := dec.Token()
-		if err != nil {
-			return nil, errors.Trace(err)
+	for {
+		name, value, more := walk.Member()
+		if !more {
+			return append(out, '}'), nil
 		}
-		key, ok := name.(string)
-		if !ok {
-			return nil, errors.NotValidf("chat body")
-		}
-		var value json.RawMessage
-		if err := dec.Decode(&value); err != nil {
-			return nil, errors.Trace(err)
-		}
-		if overridden(key, u) {
+		if overridden(name, u) {
 			continue
 		}
-		quoted, err := json.Marshal(key)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		out = append(out, ',')
-		out = append(out, quoted...)
-		out = append(out, ':')
+		out = append(out, `,"`...)
+		out = append(out, name...)
+		out = append(out, `":`...)
 		out = append(out, value...)
 	}
-	return append(out, '}'), nil
+}
+
+// maxAddedBytes is room for what Rewrite adds beside the version.
+const maxAddedBytes = 128
+
+// overridden reports whether Rewrite sets the field itself. The name is as it
+// stands in the text, where a letter may be written as an escape.
+func overridden(name []byte, u Upstream) bool {
+	if bytes.IndexByte(name, '\\') >= 0 {
+		name = unescape(name)
+	}
+	switch string(name) {
+	case "model", "stream", "stream_options":
+		return true
+	case "logprobs":
+		return u.Logprobs
+	}
+	return false
+}
+
+// unescape returns the name that the text of a valid JSON string stands for.
+func unescape(text []byte) []byte {
+	quoted := append(append([]byte{'"'}, text...), '"')
+	var name string
+	if json.Unmarshal(quoted, &name) != nil {
+		return text
+	}
+	return []byte(name)
 }
 
 // choices is the part of an answer or event that Confidence reads.
--- a/internal/chat/chat_test.go
+++ b/internal/chat/chat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 )
 
@@ -20,6 +21,27 @@
 	}
 }
 
+func TestRewriteKnowsAFieldWrittenWithEscapes(t *testing.T) {
+	out, err := Rewrite([]byte(`{"\u006dodel":"large@1","\u0061":1}`), Upstream{Version: "small@1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := `{"model":"small@1","\u0061":1}`; string(out) != want {
+		t.Errorf("got %s, want %s", out, want)
+	}
+}
+
+func BenchmarkRewrite(b *testing.B) {
+	prompt := strings.Repeat("word ", 4<<10/5)
+	body := []byte(`{"model":"auto","messages":[{"role":"user","content":"` + prompt + `"}],"temperature":0.5}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Rewrite(body, Upstream{Version: "small@1", Stream: true}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func TestRewriteRefusesWhatIsNoObject(t *testing.T) {
 	for _, body := range []string{``, `[]`, `{"a":`, `7`, `{"a" 1}`} {
 		if out, err := Rewrite([]byte(body), Upstream{Version: "m@1"}); err == nil {
