--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,12 +20,14 @@
 	"tarragonbay.example/tarragonbay/internal/adminapi"
 	"tarragonbay.example/tarragonbay/internal/httpserver"
 	"tarragonbay.example/tarragonbay/internal/link"
+	"tarragonbay.example/tarragonbay/internal/membership"
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/platform/client"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
+	"tarragonbay.example/tarragonbay/internal/tlsfiles"
 )
 
 // Ports are the platform's services as one daemon uses them.
@@ -76,10 +78,13 @@
 	metrics     *telemetry.Metrics
 	dumps       *telemetry.Dumps
 	follower    *publish.Follower
-	linkTLS     *tls.Config
-	linkServer  *http.Server
-	linkLn      net.Listener
-	admin       *httpserver.Server
+	// serverTLS and clientTLS are the two ends of mutual TLS between daemons;
+	// nil when it is off.
+	serverTLS  *tls.Config
+	clientTLS  *tls.Config
+	linkServer *http.Server
+	linkLn     net.Listener
+	admin      *httpserver.Server
 
 	drainOnce sync.Once
 	draining  chan struct{}
@@ -116,13 +121,13 @@
 	}
 	d := &Daemon{
 		settings:    s,
-		incarnation: uint64(time.Now().UnixMilli()),
+		incarnation: membership.NewIncarnation(time.Now(), rand.Uint64()),
 		log:         log,
 		metrics:     telemetry.NewMetrics(),
 		dumps:       &telemetry.Dumps{},
 		draining:    make(chan struct{}),
 	}
-	if d.linkTLS, err = linkTLS(s.Link.TLS); err != nil {
+	if err := d.loadTLS(); err != nil {
 		return nil, err
 	}
 	if d.linkLn, err = net.Listen("tcp", s.Link.Listen); err != nil {
@@ -149,16 +154,25 @@
 	return d, nil
 }
 
+func (d *Daemon) loadTLS() (err error) {
+	files := d.settings.Link.TLS
+	if !files.Enabled() {
+		return nil
+	}
+	d.serverTLS, d.clientTLS, err = tlsfiles.Mutual(files.CertFile, files.KeyFile, files.CAFile)
+	return err
+}
+
 // dial returns connections to other daemons for pulling configurations.
 func (d *Daemon) dial() publish.Dial {
 	transport := &http.Transport{
 		DialContext:       (&net.Dialer{Timeout: d.settings.Timeouts.Connect}).DialContext,
-		TLSClientConfig:   d.linkTLS,
+		TLSClientConfig:   d.clientTLS,
 		DisableKeepAlives: true,
 	}
 	httpClient := &http.Client{Transport: transport, Timeout: d.settings.Timeouts.Platform}
 	scheme := "http://"
-	if d.linkTLS != nil {
+	if d.clientTLS != nil {
 		scheme = "https://"
 	}
 	return func(address string) (connect.HTTPClient, string) { return httpClient, scheme + address }
@@ -195,7 +209,7 @@
 		Address:     d.settings.Link.Address(),
 		Incarnation: d.incarnation,
 		Revision:    d.follower.Revision,
-		TLS:         d.linkTLS,
+		TLS:         d.clientTLS,
 		Timing:      d.timing(),
 	})
 }
@@ -214,7 +228,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(publish.NewPeerHandler(d.follower))
 	r.mount(mux)
-	d.linkServer = link.NewHTTPServer(mux, d.linkTLS)
+	d.linkServer = link.NewHTTPServer(mux, d.serverTLS)
 	if d.settings.Admin.Listen == "" {
 		return nil
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/callerapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
@@ -15,11 +14,11 @@
 	"tarragonbay.example/tarragonbay/internal/httpserver"
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/ledger"
+	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/membership"
 	"tarragonbay.example/tarragonbay/internal/orderrun"
 	"tarragonbay.example/tarragonbay/internal/publish"
-	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/rolloutrun"
 	"tarragonbay.example/tarragonbay/internal/session"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
@@ -28,6 +27,7 @@
 // entryRole takes callers' requests.
 type entryRole struct {
 	daemon   *Daemon
+	link     *link.Client
 	entry    *entry.Entry
 	claims   *claim.Book
 	members  *membership.Runner
@@ -44,88 +44,123 @@
 	if err != nil {
 		return nil, err
 	}
-	signer, err := d.signer()
-	if err != nil {
-		return nil, err
-	}
-	s := d.settings
-	linkClient := d.linkClient()
-	claims := claim.NewBook(claim.Options{
+	r := &entryRole{daemon: d, link: d.linkClient()}
+	r.leases = lease.NewManager(lease.Options{Table: d.ports.Table, Name: d.settings.Name, Log: d.log.Part("lease")})
+	r.claims = claim.NewBook(claim.Options{
 		Table:  d.ports.Table,
-		Settle: entry.Settle(linkClient.Settle),
+		Settle: entry.Settle(r.link.Settle),
 		Now:    time.Now,
 		NewID:  uuid.NewString,
 	})
-	var e *entry.Entry
-	copies := ledger.NewCopies(func(ctx context.Context, charges []*linkv1.Charge) (int, error) {
-		return e.HandIn(ctx, charges)
+	r.copies = ledger.NewCopies(func(ctx context.Context, charges []*linkv1.Charge) (int, error) {
+		return r.entry.HandIn(ctx, charges)
 	}, ledger.HandInEvery)
-	e = entry.New(entry.Options{
+	if err := r.composeEntry(); err != nil {
+		return nil, err
+	}
+	r.composeRunners()
+	r.composeMembers()
+	r.registerDumps()
+	if err := r.listen(); err != nil {
+		return nil, err
+	}
+	return d, d.setRole(r)
+}
+
+func (r *entryRole) composeEntry() error {
+	d := r.daemon
+	s := d.settings
+	signer, err := d.signer()
+	if err != nil {
+		return err
+	}
+	r.entry = entry.New(entry.Options{
 		Name:        s.Name,
 		Domain:      s.Domain,
-		Config:      d.follower,
-		Link:        linkClient,
-		Claims:      claims,
 		Incarnation: d.incarnation,
+		Config:      d.follower,
+		Link:        r.link,
+		Claims:      r.claims,
 		Sessions:    signer,
-		Copies:      copies,
+		Copies:      r.copies,
+		Entries:     s.Limits.Entries,
 		InFlight:    s.Limits.InFlight,
 		Queue:       s.Limits.QueueLength,
 		Log:         d.log.Part("entry"),
 		Metrics:     d.metrics,
 	})
-	leases := lease.NewManager(lease.Options{Table: d.ports.Table, Name: s.Name, Log: d.log.Part("lease")})
-	orders := orderrun.New(orderrun.Options{
-		Leases:  leases,
-		Sender:  linkClient,
+	return nil
+}
+
+// set returns the configuration in force, or nil.
+func (d *Daemon) set() *catalog.Set {
+	set, _ := d.follower.Set()
+	return set
+}
+
+func (r *entryRole) composeRunners() {
+	d := r.daemon
+	r.orders = orderrun.New(orderrun.Options{
+		Leases:  r.leases,
+		Sender:  r.link,
 		Weights: d.ports.Weights,
-		Set:     func() *catalog.Set { set, _ := d.follower.Set(); return set },
-		Demand:  e.Demand,
-		Entries: 1,
+		Set:     d.set,
+		Demand:  r.entry.Demand,
+		Entries: d.settings.Limits.Entries,
 		Now:     time.Now,
 		Log:     d.log.Part("orders"),
 	})
-	members := membership.NewRunner(membership.Options{
-		Settings: membership.Settings{Entry: s.Name},
-		Reporter: entry.HeldReporter{Entry: e},
+	store := publish.Store{Table: d.ports.Table, Objects: d.ports.Objects}
+	r.rollouts = rolloutrun.New(rolloutrun.Options{
+		Leases:    r.leases,
+		Publisher: publish.NewPublisher(store, publish.PublisherOptions{}),
+		Evidence:  r.entry.Fleet(),
+		Set:       d.set,
+		Now:       time.Now,
+		Log:       d.log.Part("rollout"),
+	})
+}
+
+func (r *entryRole) composeMembers() {
+	d := r.daemon
+	r.members = membership.NewRunner(membership.Options{
+		Settings: membership.Settings{Entry: d.settings.Name},
+		Reporter: entry.HeldReporter{Entry: r.entry},
 		Hosts:    d.ports.Hosts,
-		OnEvent:  e.HostChanged,
+		OnEvent:  r.entry.HostChanged,
 		OnReport: func(host membership.Host, resp *linkv1.ReportResponse) {
-			e.HostReported(host, resp)
-			orders.Heard(resp)
+			r.entry.HostReported(host, resp)
+			r.orders.Heard(resp)
 		},
 		Log: d.log.Part("members"),
 	})
-	e.SetMembers(members)
-	d.dumps.Register("entry", e)
-	d.dumps.Register("members", telemetry.DumperFunc(func() any {
-		hosts, cost := members.Dump()
+	r.entry.SetMembers(r.members)
+}
+
+func (r *entryRole) registerDumps() {
+	dumps := r.daemon.dumps
+	dumps.Register("entry", r.entry)
+	dumps.Register("versions", r.entry.Fleet())
+	dumps.Register("members", telemetry.DumperFunc(func() any {
+		hosts, cost := r.members.Dump()
 		return membersState{Hosts: hosts, Cost: cost}
 	}))
-	rollouts := rolloutrun.New(rolloutrun.Options{
-		Leases:    leases,
-		Publisher: publish.NewPublisher(publish.Store{Table: d.ports.Table, Objects: d.ports.Objects}, publish.PublisherOptions{}),
-		Evidence:  e.Fleet(),
-		Set:       func() *catalog.Set { set, _ := d.follower.Set(); return set },
-		Now:       time.Now,
-		Log:       d.log.Part("rollout"),
-	})
-	d.dumps.Register("versions", e.Fleet())
-	d.dumps.Register("copies", telemetry.DumperFunc(func() any { return copies.Counts() }))
-	d.dumps.Register("leases", telemetry.DumperFunc(func() any { return leases.Dump() }))
+	dumps.Register("copies", telemetry.DumperFunc(func() any { return r.copies.Counts() }))
+	dumps.Register("leases", telemetry.DumperFunc(func() any { return r.leases.Dump() }))
+}
+
+func (r *entryRole) listen() (err error) {
+	d := r.daemon
 	handler := callerapi.NewHandler(callerapi.Options{
-		Router:   e,
-		Set:      func() *catalog.Set { set, _ := d.follower.Set(); return set },
-		Limits:   s.Limits,
-		Timeouts: s.Timeouts,
+		Router:   r.entry,
+		Set:      d.set,
+		Limits:   d.settings.Limits,
+		Timeouts: d.settings.Timeouts,
 		Metrics:  d.metrics,
 		Log:      d.log.Part("callers"),
 	})
-	caller, err := callerapi.Listen(s, handler)
-	if err != nil {
-		return nil, err
-	}
-	return d, d.setRole(&entryRole{daemon: d, entry: e, claims: claims, members: members, copies: copies, leases: leases, rollouts: rollouts, orders: orders, caller: caller})
+	r.caller, err = callerapi.Listen(d.settings, handler)
+	return err
 }
 
 // membersState is membership's part of the state dump.
@@ -164,37 +199,4 @@
 
 func (r *entryRole) ready() error { return r.entry.Ready() }
 
-func (r *entryRole) drain(ctx context.Context) error {
-	r.entry.Drain()
-	left := r.entry.Wait(ctx)
-	r.handInAll(ctx)
-	if left > 0 {
-		return result.New(result.Stopping, "%d requests were cut at the end of the drain time", left)
-	}
-	return nil
-}
-
-// handInTimeout bounds handing in the copies of charges at a stop; handInPause
-// is the pause after a failed try.
-const (
-	handInTimeout = 10 * time.Second
-	handInPause   = 100 * time.Millisecond
-)
-
-// handInAll hands in the copies of all charges that are not known to be
-// durable, since their agents may die after this entry.
-func (r *entryRole) handInAll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handInTimeout)
-	defer cancel()
-	r.copies.GoneAll()
-	for r.copies.Counts().Orphans > 0 && ctx.Err() == nil {
-		if !r.copies.HandInOnce(ctx) {
-			sleep(ctx, handInPause)
-		}
-	}
-	if left := r.copies.Counts().Orphans; left > 0 {
-		r.daemon.log.Part("ledger").Warn("copies of charges not handed in", zap.Int("charges", left))
-	}
-}
-
 func (r *entryRole) addresses(a *Addresses) { a.Caller = r.caller.Addr().String() }
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -42,8 +42,9 @@
 // of ratings as well, so that a suspect version gets no work from then on.
 func (e *Entry) refreshHeld() {
 	held := e.fleet.Held()
-	before := e.held.Swap(&held)
-	if before == nil || !slices.Equal(*before, held) {
+	before := e.heldVersions()
+	e.held.Store(&held)
+	if !slices.Equal(before, held) {
 		e.log.Warn("versions held back", zap.Any("versions", held))
 	}
 }
--- /dev/null
+++ b/internal/rolloutrun/runner_test.go
@@ -0,0 +1,234 @@
+package rolloutrun
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/lease"
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/publish"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/rollout"
+)
+
+// evidence answers every question alike; a test changes it.
+type evidence struct {
+	mu   sync.Mutex
+	seen rollout.Observation
+}
+
+func (e *evidence) set(o rollout.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = o
+}
+
+func (e *evidence) Observation(_ catalog.VersionName, now time.Time) rollout.Observation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := e.seen
+	o.Now = now
+	return o
+}
+
+func object(t *testing.T, kind catalog.Kind, name string, v any) catalog.Object {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	spec, err := catalog.Canonical(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return catalog.Object{Key: catalog.Key{Kind: kind, Name: name}, Spec: spec}
+}
+
+// site is a platform with one roll-out in force, and what reads it.
+type site struct {
+	platform  *fake.Platform
+	publisher *publish.Publisher
+	evidence  *evidence
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{platform: fake.New(fake.Options{}), evidence: &evidence{}}
+	s.publisher = publish.NewPublisher(s.store(), publish.PublisherOptions{})
+	set, err := catalog.NewSet([]catalog.Object{
+		object(t, catalog.KindModel, "m", catalog.Model{}),
+		object(t, catalog.KindVersion, "m@1", catalog.Version{}),
+		object(t, catalog.KindVersion, "m@2", catalog.Version{}),
+		object(t, catalog.KindRollout, "r", catalog.Rollout{From: "m@1", To: "m@2", Stages: []float64{0.1, 0.5, 1}}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.publisher.Publish(t.Context(), publish.Change{Author: "test", Want: set}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (s *site) store() publish.Store {
+	return publish.Store{Table: s.platform.Table, Objects: s.platform.Objects}
+}
+
+// set reads the configuration in the store.
+func (s *site) set() *catalog.Set {
+	head, found, err := s.store().Head(context.Background())
+	if err != nil || !found {
+		return nil
+	}
+	state, _, err := s.store().Load(context.Background(), head)
+	if err != nil {
+		return nil
+	}
+	return state.Set
+}
+
+func (s *site) runner(name string) *Runner {
+	return New(Options{
+		Leases:    lease.NewManager(lease.Options{Table: s.platform.Table, Name: name}),
+		Publisher: publish.NewPublisher(s.store(), publish.PublisherOptions{}),
+		Evidence:  s.evidence, Set: s.set, Now: time.Now, Log: zap.NewNop(),
+	})
+}
+
+// good is evidence that lets each stage go on.
+func good(rated int) rollout.Observation {
+	return rollout.Observation{RatingsFresh: true, Tally: rollout.Tally{Good: rated, Cleared: true}}
+}
+
+func TestRolloutGoesOnAfterItsHolderIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		first, stopFirst := context.WithCancel(t.Context())
+		go func() { _ = s.runner("first").Run(first) }()
+		time.Sleep(10 * time.Second)
+		s.evidence.set(good(40))
+		time.Sleep(30 * time.Second)
+		if got := s.set().Rollouts["r"].Stage; got != 1 {
+			t.Errorf("stage %d after 40 ratings, want 1: a stage needs ratings of its own", got)
+		}
+		stopFirst()
+		second, stopSecond := context.WithCancel(t.Context())
+		defer stopSecond()
+		go func() { _ = s.runner("second").Run(second) }()
+		for rated := 80; rated <= 160; rated += 40 {
+			time.Sleep(30 * time.Second)
+			s.evidence.set(good(rated))
+		}
+		time.Sleep(30 * time.Second)
+		if got := s.set().Rollouts["r"]; got.State != catalog.RolloutDone || got.Stage != 2 {
+			t.Errorf("the roll-out stands at %+v, want done", got)
+		}
+		stopSecond()
+		synctest.Wait()
+	})
+}
+
+func TestConvictedVersionIsWithdrawnInTheSameRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = s.runner("first").Run(ctx) }()
+		s.evidence.set(rollout.Observation{Verdict: rollout.Withdraw})
+		time.Sleep(30 * time.Second)
+		set := s.set()
+		if set.Rollouts["r"].State != catalog.RolloutAborted || set.Versions["m@2"].State != catalog.VersionWithdrawn {
+			t.Errorf("roll-out %+v, version %+v", set.Rollouts["r"], set.Versions["m@2"])
+		}
+		head, _, err := s.store().Head(ctx)
+		if err != nil || head.Revision != 2 {
+			t.Errorf("revision %d, %v, want 2", head.Revision, err)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+func TestOperatorsPauseStands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = s.runner("first").Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		_, err := s.publisher.Edit(ctx, "operator", func(current publish.State) (catalog.Delta, error) {
+			paused := *current.Set.Rollouts["r"]
+			paused.State = catalog.RolloutPaused
+			return catalog.Delta{Puts: []catalog.Object{object(t, catalog.KindRollout, "r", paused)}}, nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.evidence.set(good(500))
+		time.Sleep(time.Minute)
+		if got := s.set().Rollouts["r"]; got.State != catalog.RolloutPaused || got.Stage != 0 {
+			t.Errorf("the roll-out went on to %+v after an operator paused it", got)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+// TestFrozenHolderPublishesNothing lets a second holder take the lease while
+// the first stands still right before it publishes.
+func TestFrozenHolderPublishesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.evidence.set(good(40))
+		old := takeLease(t, s, "first")
+		time.Sleep(time.Minute)
+		takeLease(t, s, "second")
+		err := s.runner("first").publish(t.Context(), rollout.New("r", &catalog.Rollout{
+			From: "m@1", To: "m@2", Stages: []float64{0.1, 0.5, 1}, Stage: 2,
+		}, time.Now()), "", old)
+		if !result.Is(err, result.LeaseLost) {
+			t.Errorf("got %v, want the lease to be lost", err)
+		}
+		if got := s.set().Rollouts["r"].Stage; got != 0 {
+			t.Errorf("the old holder moved the roll-out to stage %d", got)
+		}
+	})
+}
+
+// takeLease takes the roll-out's lease, waiting until an earlier one lapses,
+// and never renews it.
+func takeLease(t *testing.T, s *site, name string) *lease.Held {
+	t.Helper()
+	m := lease.NewManager(lease.Options{Table: s.platform.Table, Name: name})
+	for range 100 {
+		held, err := m.Try(t.Context(), Item("r"))
+		if err == nil {
+			return held
+		}
+		time.Sleep(time.Second)
+	}
+	t.Fatalf("%s cannot take the lease", name)
+	return nil
+}
+
+func TestWithdrawIsIdempotent(t *testing.T) {
+	s := newSite(t)
+	for range 2 {
+		if err := s.runner("first").Withdraw(t.Context(), "m@2"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	head, _, err := s.store().Head(t.Context())
+	if err != nil || head.Revision != 2 {
+		t.Errorf("revision %d, %v, want 2: the second withdrawal changes nothing", head.Revision, err)
+	}
+	set := s.set()
+	if set.Versions["m@2"].State != catalog.VersionWithdrawn || set.Rollouts["r"].State != catalog.RolloutAborted {
+		t.Errorf("version %+v, roll-out %+v", set.Versions["m@2"], set.Rollouts["r"])
+	}
+}
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -46,6 +46,7 @@
 	Connections:  10_000,
 	InFlight:     4_096,
 	QueueLength:  1_024,
+	Entries:      1,
 }
 
 var defaultTimeouts = Timeouts{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,7 @@
 	NestingDepth int   `json:"nestingDepth" doc:"Deepest nesting of a JSON body." unit:"levels"`
 	Connections  int   `json:"connections" doc:"Open caller connections." unit:"connections"`
 	InFlight     int   `json:"inFlight" doc:"Requests that run at a time." unit:"requests"`
+	Entries      int   `json:"entries" doc:"Number of entries behind the balancer; each applies its share of an organisation's limits. Entries only." unit:"entries"`
 	QueueLength  int   `json:"queueLength" doc:"Requests that wait at a time." unit:"requests"`
 }
 
