Let entries that do not know one another look at leases less often

Cause: leases are taken by entries, which have no list of one another, so each looked every 2 s: 13 reads/s an item at 27 entries by arithmetic, bound 10. Asking the daemons during a wait ran five times a second however long it took. Change: without candidates each looks every 4 s; the wait slows to once a second.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -25,7 +25,8 @@
 	Duration time.Duration
 	// Candidates lists the daemons that may take items. A few of them watch
 	// each item closely and the others seldom, so that reads do not grow with
-	// the number of daemons. Nil makes every daemon watch closely.
+	// the number of daemons. Nil is for a few dozen daemons that do not know
+	// one another: all watch at the same middling pace.
 	Candidates func() []string
 	Log        *zap.Logger
 }
@@ -34,8 +35,10 @@
 const (
 	// closeWatchers is how many candidates watch an item closely.
 	closeWatchers = 3
-	// closePause and farPause are the mean pauses between two looks.
+	// closePause, equalPause and farPause are the mean pauses between two
+	// looks of a close watcher, of one among equals, and of the others.
 	closePause = 2 * time.Second
+	equalPause = 4 * time.Second
 	farPause   = time.Minute
 	// spread is the share by which each pause is longer or shorter.
 	spread = 0.25
@@ -83,7 +86,10 @@
 
 // pause returns the time until the next look at an item.
 func (m *Manager) pause(item string) time.Duration {
-	if m.watchesClosely(item) {
+	switch {
+	case m.options.Candidates == nil:
+		return jitter(equalPause)
+	case m.watchesClosely(item):
 		return jitter(closePause)
 	}
 	return jitter(farPause)
@@ -91,9 +97,6 @@
 
 // watchesClosely ranks the candidates by rendezvous hashing.
 func (m *Manager) watchesClosely(item string) bool {
-	if m.options.Candidates == nil {
-		return true
-	}
 	names := m.options.Candidates()
 	if !slices.Contains(names, m.options.Name) {
 		return len(names) == 0
--- a/internal/publish/wait.go
+++ b/internal/publish/wait.go
@@ -18,7 +18,10 @@
 const (
 	askConcurrency = 32
 	askTimeout     = time.Second
-	askPause       = 200 * time.Millisecond
+	// firstAskPause and maxAskPause are the first and the longest pause
+	// between two rounds.
+	firstAskPause = 200 * time.Millisecond
+	maxAskPause   = time.Second
 )
 
 // DaemonRevision is what one daemon has in force.
@@ -101,12 +104,12 @@
 	for i, a := range addresses {
 		missing[i].Address = a
 	}
-	for {
+	for pause := firstAskPause; ; pause = min(2*pause, maxAskPause) {
 		missing = stillMissing(ctx, peers, missing, revision)
 		if len(missing) == 0 {
 			return nil
 		}
-		if !sleep(ctx, askPause) {
+		if !sleep(ctx, pause) {
 			return &NotInForceError{Revision: revision, Daemons: missing}
 		}
 	}
