--- a/internal/quality/book.go
+++ b/internal/quality/book.go
@@ -27,11 +27,11 @@
 
 // Defaults of Settings.
 const (
-	DefaultWindow       = 2000
+	DefaultWindow       = 800
 	DefaultAnswerWindow = 200
 	DefaultHalfLife     = 7 * 24 * time.Hour
 	DefaultZ            = 1.645
-	DefaultStrictZ      = 2.576
+	DefaultStrictZ      = 2.326
 	DefaultFresh        = 10 * time.Minute
 )
 
--- a/internal/rollout/baseline.go
+++ b/internal/rollout/baseline.go
@@ -9,12 +9,14 @@
 const (
 	// leastTolerated is the least bad rate that is tolerated of a rating.
 	leastTolerated = 0.01
+	// baselineMargin is in standard errors.
+	baselineMargin = 1.0
 	// enoughRatings is the weight of ratings from which an estimate counts.
 	enoughRatings = 100
 )
 
 // RatingBaseline returns the bad rate that is tolerated of a version: that of
-// the reference with one standard error on top, but never more than the
+// the reference with a margin for its error, but never more than the
 // quality target leaves. The reference of a new version is the estimate of the
 // version it replaces, and of any other its own; it should be some time old,
 // so that a version which turns bad does not move it.
@@ -27,7 +29,7 @@
 		return 0, false
 	}
 	bad := 1 - reference.Mean
-	bad += math.Sqrt(bad * reference.Mean / reference.Ratings)
+	bad += baselineMargin * math.Sqrt(bad*reference.Mean/reference.Ratings)
 	return min(max(bad, leastTolerated), max(leastTolerated, 1-target)), true
 }
 
--- a/internal/rollout/detector.go
+++ b/internal/rollout/detector.go
@@ -57,7 +57,7 @@
 // Defaults of DetectorSettings.
 const (
 	DefaultFalseWithdrawals = 1.0 / 2000
-	DefaultHoldLevel        = 5.0
+	DefaultHoldLevel        = 4.5
 )
 
 const (
@@ -71,7 +71,7 @@
 	wide  = 0.3
 	gross = 0.95
 	// releaseShare is the share of the hold level at which a hold ends.
-	releaseShare = 0.2
+	releaseShare = 0.4
 	// maxBaseline keeps the alternatives above the baseline.
 	maxBaseline = 0.5
 	minBaseline = 0.005
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -51,6 +51,9 @@
 	// Lost counts answers whose rating will not come although the rating
 	// service answers. They count as rated once the version is cleared.
 	Lost int `json:"lost,omitempty"`
+	// Unserved counts answers that reached no caller: drafts that were
+	// handed on and attempts that failed.
+	Unserved int `json:"unserved,omitempty"`
 	// Cleared is set when the version has passed its probation.
 	Cleared bool `json:"cleared,omitempty"`
 }
@@ -61,12 +64,12 @@
 // Granted returns how many answers the version may have given in all.
 func (b Budget) Granted(t Tally) int {
 	if !t.Cleared {
-		return min(b.Start+b.PerGood*t.Good, b.Probation)
+		return min(b.Start+b.PerGood*t.Good, b.Probation) + t.Unserved
 	}
 	if b.Unrated == 0 {
 		return Unlimited
 	}
-	return t.rated() + b.Unrated
+	return t.rated() + b.Unrated + t.Unserved
 }
 
 // Share returns the part of a grant that falls to the agent of the rank, from
--- a/internal/rollout/monitor.go
+++ b/internal/rollout/monitor.go
@@ -72,6 +72,9 @@
 	return m.Verdict()
 }
 
+// Unserved counts answers that reached no caller.
+func (m *Monitor) Unserved(n int) { m.tally.Unserved += n }
+
 // Lost counts answers whose rating will not come.
 func (m *Monitor) Lost(n int) { m.tally.Lost += n }
 
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -127,17 +127,6 @@
 	refusedNow
 )
 
-// maxOpen bounds the options among which a try is looked for.
-const maxOpen = 16
-
-// unproven is an option that does not meet the target, by what is known.
-type unproven struct {
-	option int
-	score  score
-	filled [MaxSteps]candidate
-	target float64
-}
-
 // chooser goes through the options of one request.
 type chooser struct {
 	scoring
@@ -159,16 +148,17 @@
 	openCount int
 
 	// try is the index in open of the option to try, or -1.
-	try        int
-	tryPromise int
-	// trySeen counts the options that promise as much as the try.
-	trySeen uint64
-	rnd     draw
+	try int
+	rnd draw
 
 	// barred is a version passed over while a standby is looked for, or -1.
 	barred int
-	// held is a version passed over because it is held back, or -1.
-	held int
+	// held is a version passed over because it is held back, or -1, of the
+	// heldSeen that were.
+	held     int
+	heldSeen uint64
+	// lowestTarget is the least target of the options.
+	lowestTarget float64
 
 	reasons refused
 }
@@ -197,6 +187,10 @@
 
 func (c *chooser) considerAll(options []option) {
 	c.best, c.try, c.openCount = -1, -1, 0
+	c.lowestTarget = 1
+	for i := range options {
+		c.lowestTarget = min(c.lowestTarget, orDefault(c.target, options[i].target))
+	}
 	for i := range options {
 		c.consider(options, i)
 	}
@@ -236,52 +230,6 @@
 	return likelier(sc, &c.bestScore)
 }
 
-// The promise of a try, the best first.
-const (
-	promiseLikely = iota // the mean meets the target
-	promiseOpen          // the upper bound does
-	promiseNone          // neither does, but the version may have changed
-)
-
-func promise(sc *score, target float64) int {
-	switch {
-	case sc.mean >= target:
-		return promiseLikely
-	case sc.high >= target:
-		return promiseOpen
-	}
-	return promiseNone
-}
-
-// findTry keeps the most promising option that would beat the best. Of likely
-// ones it takes the one that is closest to its proof, of others one at random,
-// so that none is forgotten.
-func (c *chooser) findTry() {
-	for i := range c.openCount {
-		u := &c.open[i]
-		if u.option == c.best || !better(&u.score, &c.bestScore, c.objective) {
-			continue
-		}
-		if c.promisesMore(u) {
-			c.try, c.tryPromise = i, promise(&u.score, u.target)
-		}
-	}
-}
-
-// promisesMore reports whether u takes the place of the try.
-func (c *chooser) promisesMore(u *unproven) bool {
-	pr := promise(&u.score, u.target)
-	if c.try < 0 || pr != c.tryPromise {
-		c.trySeen = 1
-		return c.try < 0 || pr < c.tryPromise
-	}
-	if pr == promiseLikely {
-		return u.score.low > c.open[c.try].score.low
-	}
-	c.trySeen++
-	return c.rnd.below(c.trySeen) == 0
-}
-
 // fill picks a candidate for each stage and reports whether there is one.
 func (c *chooser) fill(o *option, filled *[MaxSteps]candidate) bool {
 	for i := range o.stages {
@@ -321,7 +269,7 @@
 		return false
 	}
 	if slices.Contains(c.req.Held, v.name) {
-		c.held = i
+		c.noteHeld(i)
 		c.reasons |= refusedNow
 		return false
 	}
@@ -332,6 +280,19 @@
 	return true
 }
 
+// noteHeld keeps one of the held versions, drawn at random. A class for which
+// the version is known to miss the target says nothing about a change of it.
+func (c *chooser) noteHeld(i int) {
+	e := &c.row[c.planner.versions[i].alone]
+	if e.Ratings >= minJudged && e.Mean < c.lowestTarget {
+		return
+	}
+	c.heldSeen++
+	if c.rnd.below(c.heldSeen) == 0 {
+		c.held = i
+	}
+}
+
 func (c *chooser) refusal() error {
 	target := c.req.Target
 	switch {
@@ -360,19 +321,6 @@
 	}
 }
 
-// explore puts the try beside the choice, or in its place.
-func (c *chooser) explore(plan *Plan, options []option) {
-	u := &c.open[c.try]
-	chain := c.chain(&options[u.option], &u.filled)
-	plan.Exploring = true
-	if c.objective == catalog.ObjectiveExposure {
-		plan.Shadow = chain
-		return
-	}
-	plan.Chain = chain
-	plan.Cost, plan.Latency = u.score.cost, u.score.latency
-}
-
 func (c *chooser) chain(o *option, filled *[MaxSteps]candidate) Chain {
 	out := Chain{count: len(o.stages)}
 	for i := range o.stages {
@@ -389,73 +337,6 @@
 	return c.planner.settings.Shadow && c.planner.estimates.fresh
 }
 
-// explores draws whether the request is spent on the try.
-func (c *chooser) explores() bool {
-	if !c.mayTry() {
-		return false
-	}
-	c.findTry()
-	return c.try >= 0 && c.rnd.fraction() < c.tryRate()
-}
-
-// drills draws whether the request is spent on a standby.
-func (c *chooser) drills() bool {
-	return c.mayTry() && c.bestRank == rankMeets && c.rnd.fraction() < c.planner.settings.ExploreStandby
-}
-
-// drill looks for a try among what would be left without the first version of
-// the best choice.
-func (c *chooser) drill(plan *Plan, options []option) {
-	held := c.held
-	c.barred = c.bestFilled[0].version
-	c.considerAll(options)
-	c.held = held
-	if c.best < 0 {
-		return
-	}
-	c.findTry()
-	if c.try >= 0 && c.tryPromise != promiseNone {
-		c.explore(plan, options)
-	}
-}
-
-// mayTry reports whether tries are made at all. While no ratings come nothing
-// can be learned.
-func (c *chooser) mayTry() bool {
-	if c.objective == catalog.ObjectiveExposure {
-		return c.mayShadow()
-	}
-	return c.planner.estimates.fresh
-}
-
-// tryRate returns the share of requests that the try is worth. A try beside
-// the request costs the callers nothing. One in its place may cost a share of
-// what the best choice has above the target.
-func (c *chooser) tryRate() float64 {
-	s := &c.planner.settings
-	loss := c.bestScore.mean - c.open[c.try].score.mean
-	switch {
-	case c.tryPromise == promiseNone:
-		return s.ExploreKnown
-	case c.objective == catalog.ObjectiveExposure:
-		return s.ExploreShadow * c.worth()
-	case loss <= 0 || c.tryPromise == promiseLikely:
-		return s.ExploreMost
-	}
-	surplus := max(0, c.bestScore.mean-c.bestTarget)
-	return max(s.ExploreKnown, min(s.ExploreMost, s.ExploreSurplus*surplus/loss))
-}
-
-// worth weighs a try beside the request: one that is likely pays when it would
-// save half the cost, any other by what it would save.
-func (c *chooser) worth() float64 {
-	saved := 1 - c.open[c.try].score.cost/c.bestScore.cost
-	if c.tryPromise == promiseLikely {
-		return min(1, 2*saved)
-	}
-	return saved
-}
-
 // step applies the roll-out, if any, to a version.
 func (c *chooser) step(i int, o *option) Step {
 	v := &c.planner.versions[i]
--- a/internal/route/compile.go
+++ b/internal/route/compile.go
@@ -16,6 +16,8 @@
 	input  float64
 	output float64
 	prior  float64
+	// alone is the slot of its estimate as a single version.
+	alone int
 	// next is the new version of a roll-out away from this one, or -1.
 	next int
 	// share of the new work that goes to next, 0 to 1.
@@ -128,6 +130,7 @@
 			output: float64(v.OutputMicros),
 			prior:  orDefault(v.PriorQuality, catalog.DefaultPriorQuality),
 			next:   -1,
+			alone:  p.slot("", i),
 
 			replacedBy: -1,
 			replaces:   -1,
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -8,25 +8,30 @@
 	"tarragonbay.example/tarragonbay/internal/quality"
 )
 
-// Values assumed of an answer before any was seen.
+// Values assumed of an answer before any was seen. The escalation is on the
+// low side, so that a chain is tried.
 const (
 	assumedOutputTokens = 256
-	assumedEscalation   = 0.5
+	assumedEscalation   = 0.2
 	// minAnswers is the weight of answers from which a version's own means
 	// replace those of its class.
 	minAnswers = 10
 	// minDrafts is the same for its escalation.
 	minDrafts = 10
+	// minJudged is the weight of ratings from which a version is known to
+	// meet or miss a target.
+	minJudged = 100
 )
 
 // score is what is expected of an option for one request.
 type score struct {
-	// mean is the share of good answers; low, high and strict bound it.
-	mean, low, high, strict float64
-	// below, above and rigid are the squared distances of the bounds while
-	// they add up: the errors of the steps are independent.
-	below, above, rigid float64
-	cost                float64
+	// mean is the share of good answers; low and strict bound it.
+	mean, low, strict float64
+	// below and rigid are the squared distances of the bounds, and variance
+	// that of the mean, while they add up: the errors of the steps are
+	// independent.
+	below, rigid, variance float64
+	cost                   float64
 	// latency is the mean; slow is what all steps take when slow.
 	latency, slow time.Duration
 }
@@ -74,11 +79,28 @@
 		reach *= 1 - keep
 	}
 	total.low = total.mean - math.Sqrt(total.below)
-	total.high = total.mean + math.Sqrt(total.above)
 	total.strict = total.mean - math.Sqrt(total.rigid)
 	return total
 }
 
+// chance returns the probability that the true quality meets the target, by
+// the logistic approximation of the normal distribution. The deviation is
+// taken wide, because a look at each rating would give up options that had an
+// unlucky start.
+func (sc *score) chance(target float64) float64 {
+	deviation := math.Sqrt(sc.variance)
+	if deviation == 0 {
+		return 0
+	}
+	return 1 / (1 + math.Exp(-logisticSlope*(sc.mean-target)/(wideDeviation*deviation)))
+}
+
+const (
+	// logisticSlope fits the logistic curve to the normal distribution.
+	logisticSlope = 1.702
+	wideDeviation = 1.5
+)
+
 func square(x float64) float64 { return x * x }
 
 // prior returns the quality assumed of a version. Of a draft that is kept
@@ -97,7 +119,7 @@
 	mean := (e.Mean*e.Ratings + prior*weight) / (e.Ratings + weight)
 	total.mean += answers * mean
 	total.below += square(answers * (mean - e.Low))
-	total.above += square(answers * (e.High - mean))
+	total.variance += square(answers) * mean * (1 - mean) / (e.Ratings + weight + 1)
 	total.rigid += square(answers * (mean - e.Strict))
 }
 
--- a/internal/route/settings.go
+++ b/internal/route/settings.go
@@ -7,10 +7,11 @@
 	// stands for.
 	PriorWeight float64
 	// ExploreMost is the greatest share of requests that try an unproven
-	// choice.
+	// choice in place of the best.
 	ExploreMost float64
 	// ExploreShadow is the same for tries beside a request, which no caller
-	// sees, for a try that would save half the cost or more.
+	// sees, for a likely try that would save half the cost or more. They
+	// cost extra, so they fade with the chance to meet the target.
 	ExploreShadow float64
 	// ExploreSurplus is the share of the quality above the target that
 	// tries may cost the callers.
@@ -37,8 +38,8 @@
 	DefaultExploreShadow  = 1.0
 	DefaultExploreSurplus = 0.5
 	DefaultExploreStandby = 0.02
-	DefaultExploreKnown   = 0.002
-	DefaultShadowHeld     = 0.5
+	DefaultExploreKnown   = 0.005
+	DefaultShadowHeld     = 1.0
 )
 
 func (s Settings) withDefaults() Settings {
