Tell a host what the host list says of it

Cause: with 320 hosts a daemon can read the list only every 24 s within its bytes, and a host that leaves by the list's word alone must take no new work after 3 s. Change: ListWatch reads at a bounded rate, spread over the daemons; up to 64 of them tell the host's agent what is new. The Runner of an entry uses it.

--- /dev/null
+++ b/internal/membership/listwatch.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/platform"
+)
+
+// The pace of reading the host list.
+const (
+	// listFirst is the least pause between two reads of the host list.
+	listFirst = 2 * time.Second
+	// listBytesPerSecond bounds the reads of the host list; a long list is
+	// read less often.
+	listBytesPerSecond = 1250
+	// listLineBytes is the size of one line of the host list.
+	listLineBytes = 100
+	// listSpread is the share by which the pause is longer or shorter.
+	listSpread = 0.25
+	// listTellers is how many daemons tell a host what the list says of it.
+	// Their reads are spread over the pause, so that the first comes soon.
+	listTellers = 64
+	// tellPause is the pause between two hosts that are told.
+	tellPause = 50 * time.Millisecond
+)
+
+// ListOptions configure a ListWatch.
+type ListOptions struct {
+	// Self is the name of this daemon.
+	Self  string
+	Hosts platform.Hosts
+	// OnRead takes each read; bytes is what it took.
+	OnRead func(list []platform.HostState, bytes int, err error)
+	// Tell passes on to a host's agent what the list has just begun to say of
+	// it. Nil tells nobody.
+	Tell func(ctx context.Context, host string, leaving bool)
+	// Rand returns numbers from 0 up to 1; rand.Float64 when nil.
+	Rand func() float64
+}
+
+// ListWatch reads the host list at a rate that is bounded in bytes. A daemon
+// with a long list sees a change late, so each host is told by those who see
+// it first.
+type ListWatch struct {
+	options ListOptions
+	// leaving is what the last list said of each host; nil before the first.
+	leaving map[string]bool
+}
+
+// NewListWatch returns a watch that has read nothing.
+func NewListWatch(o ListOptions) *ListWatch {
+	if o.Rand == nil {
+		o.Rand = rand.Float64
+	}
+	if o.OnRead == nil {
+		o.OnRead = func([]platform.HostState, int, error) {}
+	}
+	return &ListWatch{options: o}
+}
+
+// Run reads the list until the context ends.
+func (w *ListWatch) Run(ctx context.Context) error {
+	first := true
+	for {
+		list, err := w.options.Hosts.List(ctx)
+		bytes := listLineBytes*len(list) + wireOverhead
+		w.options.OnRead(list, bytes, err)
+		if err == nil {
+			w.tell(ctx, w.news(list))
+		}
+		if !sleep(ctx, w.pause(bytes, first)) {
+			return nil
+		}
+		first = false
+	}
+}
+
+// pause returns the time to the next read. The first one is anything up to a
+// whole pause, so that daemons that start together read at different times.
+func (w *ListWatch) pause(bytes int, first bool) time.Duration {
+	pause := max(listFirst, time.Duration(float64(bytes)/listBytesPerSecond*float64(time.Second)))
+	if first {
+		return time.Duration(float64(pause) * w.options.Rand())
+	}
+	spread := 1 + listSpread*(2*w.options.Rand()-1)
+	return time.Duration(float64(pause) * spread)
+}
+
+// news returns the hosts of which the list says something else than before
+// and which this daemon is to tell. What the first list says is no news.
+func (w *ListWatch) news(list []platform.HostState) []platform.HostState {
+	before := w.leaving
+	w.leaving = make(map[string]bool, len(list))
+	var out []platform.HostState
+	for _, h := range list {
+		w.leaving[h.Name] = h.Leaving
+		was, known := before[h.Name]
+		changed := was != h.Leaving && (known || h.Leaving)
+		if before != nil && changed && w.tells(list, h.Name) {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.HostState) int {
+		return cmp.Compare(rank(w.options.Self, a.Name), rank(w.options.Self, b.Name))
+	})
+	return out
+}
+
+// tells reports whether this daemon is among those that tell the host.
+func (w *ListWatch) tells(list []platform.HostState, host string) bool {
+	mine := rank(w.options.Self, host)
+	lower := 0
+	for _, h := range list {
+		if rank(h.Name, host) < mine {
+			lower++
+		}
+	}
+	return lower < listTellers
+}
+
+func (w *ListWatch) tell(ctx context.Context, news []platform.HostState) {
+	if w.options.Tell == nil {
+		return
+	}
+	for _, h := range news {
+		w.options.Tell(ctx, h.Name, h.Leaving)
+		if !sleep(ctx, tellPause) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/listwatch_test.go
@@ -0,0 +1,117 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+)
+
+const (
+	// boundTold is the time until the first daemon tells a host of the list:
+	// the 3 s in which a leaving upstream gets no new work, less half a second
+	// for the message and the answer that refuses.
+	boundTold = 2500 * time.Millisecond
+	// boundListBytes is bytes a second for the host list at an agent: a
+	// quarter of the 6 KB.
+	boundListBytes = 1536
+)
+
+// told is who was told what, and when.
+type told struct {
+	mu    sync.Mutex
+	first map[string]time.Time
+	count map[string]int
+	bytes map[string]int
+}
+
+func (o *told) tell(host string, leaving bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	key := fmt.Sprintf("%s %v", host, leaving)
+	if o.count[key] == 0 {
+		o.first[key] = time.Now()
+	}
+	o.count[key]++
+}
+
+// TestBoundsHostIsToldOfTheList lets hosts leave one after the other by the
+// list's word alone, at today's sizes and at the target.
+func TestBoundsHostIsToldOfTheList(t *testing.T) {
+	for _, daemons := range []int{16, 26, 320} {
+		t.Run(fmt.Sprintf("daemons=%d", daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkTold(t, daemons) })
+		})
+	}
+}
+
+func checkTold(t *testing.T, daemons int) {
+	const seconds = 300
+	p := fake.New(fake.Options{})
+	name := func(i int) string { return fmt.Sprintf("h%03d", i) }
+	for i := range daemons {
+		p.Hosts.Put(platform.HostState{Name: name(i)})
+	}
+	out := &told{first: map[string]time.Time{}, count: map[string]int{}, bytes: map[string]int{}}
+	ctx, stop := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	for i := range daemons {
+		w := NewListWatch(ListOptions{
+			Self:  name(i),
+			Hosts: p.Hosts,
+			Rand:  seeded(uint64(i)),
+			OnRead: func(_ []platform.HostState, bytes int, _ error) {
+				out.mu.Lock()
+				defer out.mu.Unlock()
+				out.bytes[name(i)] += bytes
+			},
+			Tell: func(_ context.Context, host string, leaving bool) { out.tell(host, leaving) },
+		})
+		done.Go(func() { _ = w.Run(ctx) })
+	}
+	time.Sleep(time.Minute)
+	out.mu.Lock()
+	clear(out.bytes) // the reads at the start are not part of the rate
+	out.mu.Unlock()
+	changed := map[string]time.Time{}
+	for i := range 10 {
+		p.Hosts.Put(platform.HostState{Name: name(i), Leaving: true})
+		changed[name(i)+" true"] = time.Now()
+		time.Sleep(7 * time.Second)
+	}
+	time.Sleep((seconds - 70) * time.Second)
+	stop()
+	done.Wait()
+	var latest time.Duration
+	most := 0
+	for key, at := range changed {
+		if out.count[key] == 0 {
+			t.Errorf("%s: nobody was told", key)
+			continue
+		}
+		latest = max(latest, out.first[key].Sub(at))
+		most = max(most, out.count[key])
+	}
+	bytes := 0
+	for _, b := range out.bytes {
+		bytes = max(bytes, b)
+	}
+	t.Logf("%d daemons: told within %v, %d times at most, %d B/s at the busiest", daemons, latest, most, bytes/seconds)
+	if latest > boundTold {
+		t.Errorf("told after %v, bound %v", latest, boundTold)
+	}
+	if bytes/seconds > boundListBytes {
+		t.Errorf("%d B/s, bound %d", bytes/seconds, boundListBytes)
+	}
+	if len(out.count) != len(changed) || most > listTellers {
+		t.Errorf("%d kinds of news for %d changes, one told %d times", len(out.count), len(changed), most)
+	}
+}
+
+func seeded(seed uint64) func() float64 { return rand.New(rand.NewPCG(seed, 7)).Float64 }
--- a/internal/membership/next.go
+++ b/internal/membership/next.go
@@ -124,6 +124,15 @@
 	return out
 }
 
+// Host returns a host that the configuration names.
+func (v *View) Host(name string) (Host, bool) {
+	m := v.members[name]
+	if m == nil {
+		return Host{}, false
+	}
+	return m.host, true
+}
+
 // State returns what is believed of a host, and false for one that the
 // configuration does not name.
 func (v *View) State(host string) (State, bool) {
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -40,15 +39,6 @@
 	maxProbes = 8
 	// wireOverhead is the bytes of HTTP around one heartbeat.
 	wireOverhead = 400
-	// listFirst is the least pause between two reads of the host list.
-	listFirst = 2 * time.Second
-	// listBytesPerSecond bounds the reads of the host list; a long list is
-	// read less often.
-	listBytesPerSecond = 1250
-	// listLineBytes is the size of one line of the host list.
-	listLineBytes = 100
-	// listSpread is the share by which the pause is longer or shorter.
-	listSpread = 0.25
 )
 
 // Runner keeps a View up to date. It is safe for concurrent use.
@@ -71,6 +61,8 @@
 	// Bytes of heartbeats and of reads of the host list, both ways.
 	Bytes     uint64 `json:"bytes"`
 	ListReads uint64 `json:"listReads"`
+	// Told counts the hosts that were told of the host list.
+	Told uint64 `json:"told"`
 	// ListError is why the host list could not be read last; empty when it
 	// could.
 	ListError string `json:"listError,omitempty"`
@@ -162,7 +154,7 @@
 	var duties sync.WaitGroup
 	defer duties.Wait()
 	if r.options.Hosts != nil {
-		duties.Go(func() { r.runList(ctx) })
+		duties.Go(func() { _ = r.listWatch().Run(ctx) })
 	}
 	for {
 		probe, at, ok := r.next()
@@ -247,32 +239,44 @@
 	return before == nil || !proto.Equal(before, body)
 }
 
-// runList reads the host list, a long one less often.
-func (r *Runner) runList(ctx context.Context) {
-	for {
-		list, err := r.options.Hosts.List(ctx)
-		bytes := listLineBytes*len(list) + wireOverhead
-		r.count(func(s *Stats) {
-			s.ListReads++
-			s.Bytes += uint64(bytes)
-			s.ListError = ""
-			if err != nil {
-				s.ListError = err.Error()
-			}
-		})
-		if err == nil {
-			r.apply(func(v *View, now time.Time) []Event { return v.Listed(list, now) })
-		}
-		if !sleep(ctx, listPause(bytes)) {
-			return
+// listWatch returns the duty that reads the host list.
+func (r *Runner) listWatch() *ListWatch {
+	return NewListWatch(ListOptions{
+		Self:   r.options.Settings.Entry,
+		Hosts:  r.options.Hosts,
+		OnRead: r.listed,
+		Tell:   r.tell,
+	})
+}
+
+// listed takes one read of the host list.
+func (r *Runner) listed(list []platform.HostState, bytes int, err error) {
+	r.count(func(s *Stats) {
+		s.ListReads++
+		s.Bytes += uint64(bytes)
+		s.ListError = ""
+		if err != nil {
+			s.ListError = err.Error()
 		}
+	})
+	if err == nil {
+		r.apply(func(v *View, now time.Time) []Event { return v.Listed(list, now) })
 	}
 }
 
-func listPause(bytes int) time.Duration {
-	pause := max(listFirst, time.Duration(float64(bytes)/listBytesPerSecond*float64(time.Second)))
-	spread := 1 + listSpread*(2*rand.Float64()-1)
-	return time.Duration(float64(pause) * spread)
+// tell passes news of the host list on to a host that the configuration names.
+func (r *Runner) tell(ctx context.Context, host string, leaving bool) {
+	r.mu.Lock()
+	h, known := r.view.Host(host)
+	r.mu.Unlock()
+	if !known {
+		return
+	}
+	req := &linkv1.ReportRequest{HostLeaving: &leaving}
+	if _, err := r.options.Reporter.Report(ctx, h.Agent, req); err != nil {
+		r.options.Log.Info("membership: a host was not told of the host list", zap.String("host", host), zap.Error(err))
+	}
+	r.count(func(s *Stats) { s.Told++; s.Bytes += firstBeatBytes })
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
