--- a/internal/policybench/version/bounds_test.go
+++ b/internal/policybench/version/bounds_test.go
@@ -7,6 +7,7 @@
 	"github.com/alitto/pond/v2"
 
 	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/rollout"
 )
 
 // boundsSeed is the seed of the runs behind the bounds.
@@ -168,6 +169,25 @@
 	return 0
 }
 
+// TestRolloutsEndWhereTheyShould follows each roll-out to its end: that of a
+// good version goes on after nobody stepped it for an hour, that of a bad one
+// is aborted.
+func TestRolloutsEndWhereTheyShould(t *testing.T) {
+	for _, g := range groups(t) {
+		p := g[policyProduct]
+		if !p.load.rollout {
+			continue
+		}
+		t.Logf("%s: %s at stage %d by %s", g.name(), p.rollout.Status, p.rollout.Stage, p.rollout.Reason)
+		switch {
+		case p.load.wrong >= 0.2 && !p.rollout.Withdraws():
+			t.Errorf("%s: the roll-out of the bad version is %s", g.name(), p.rollout.Status)
+		case p.load.wrong == 0 && p.rollout.Status != rollout.Done:
+			t.Errorf("%s: the roll-out is %s at stage %d", g.name(), p.rollout.Status, p.rollout.Stage)
+		}
+	}
+}
+
 // TestSameSeedSameFigures runs a flood and a bad version twice.
 func TestSameSeedSameFigures(t *testing.T) {
 	for _, l := range []load{
--- a/internal/policybench/version/product.go
+++ b/internal/policybench/version/product.go
@@ -209,8 +209,7 @@
 	now := p.run.time()
 	p.book.Add(k, quality.Rated(good), now)
 	v := p.version(catalog.VersionName(k.Version))
-	reference, _ := p.reference.Get(p.referenceKey(k, v))
-	baseline, ok := rollout.RatingBaseline(reference, p.run.site.classes[class].target)
+	baseline, ok := p.baseline(k, v, p.run.site.classes[class].target)
 	m := p.monitors[v]
 	switch {
 	case !ok:
@@ -223,12 +222,15 @@
 	p.afterRating(v)
 }
 
-// referenceKey is that of the replaced version for the new one.
-func (p *product) referenceKey(k quality.Key, version int) quality.Key {
-	if version == fresh {
-		k.Version = string(p.run.site.models[cheap].name)
+// baseline returns the bad rate that is tolerated of a version.
+func (p *product) baseline(k quality.Key, version int, target float64) (rate float64, ok bool) {
+	if version != fresh {
+		reference, _ := p.reference.Get(k)
+		return rollout.RatingBaseline(reference, target)
 	}
-	return k
+	k.Version = string(p.run.site.models[cheap].name)
+	reference, _ := p.reference.Get(k)
+	return rollout.NewVersionBaseline(reference, target)
 }
 
 // afterRating acts on the verdict and renews the budget.
--- a/internal/policybench/version/run.go
+++ b/internal/policybench/version/run.go
@@ -46,6 +46,8 @@
 	falseWithdrawals            int
 	cost                        float64
 	latency                     *hdrhistogram.Histogram
+	// rollout is how the roll-out ended; the zero value without one.
+	rollout rollout.State
 	// good and byClass count good answers and answers of each class.
 	good, byClass []int
 }
@@ -85,6 +87,7 @@
 		r.after(r.load.warm+r.load.rolloutAt, r.beginRollout)
 	}
 	r.runUntil(r.load.warm + r.load.length)
+	r.figures.rollout = r.rollout
 }
 
 func (r *run) everySecond() {
--- a/internal/rollout/baseline.go
+++ b/internal/rollout/baseline.go
@@ -33,6 +33,18 @@
 	return min(max(bad, leastTolerated), max(leastTolerated, 1-target)), true
 }
 
+// NewVersionBaseline is RatingBaseline for the new version of a roll-out, with
+// the version it replaces as the reference. While that has few ratings the new
+// version is judged by the quality target alone, so that it is never without
+// a judge. It reports false only where the reference is known to miss the
+// target.
+func NewVersionBaseline(reference quality.Estimate, target float64) (rate float64, ok bool) {
+	if reference.Ratings < enoughRatings {
+		return max(leastTolerated, 1-target), true
+	}
+	return RatingBaseline(reference, target)
+}
+
 // controlMargin is the factor over the rate of the control group.
 const controlMargin = 1.5
 
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -310,7 +310,7 @@
 func (c *chooser) finish(plan *Plan, options []option) {
 	plan.Target = c.bestTarget
 	plan.Cost, plan.Latency = c.bestScore.cost, c.bestScore.latency
-	plan.Chain = c.chain(&options[c.best], &c.bestFilled)
+	plan.Chain = c.chain(&options[c.best], &c.bestFilled, true)
 	if c.explores() {
 		c.explore(plan, options)
 	} else if c.drills() {
@@ -321,10 +321,12 @@
 	}
 }
 
-func (c *chooser) chain(o *option, filled *[MaxSteps]candidate) Chain {
+// chain fills the steps. Roll-outs apply to choices, not to tries, whose bad
+// answers would speak against the new version.
+func (c *chooser) chain(o *option, filled *[MaxSteps]candidate, rollOut bool) Chain {
 	out := Chain{count: len(o.stages)}
 	for i := range o.stages {
-		out.steps[i] = c.step(filled[i].version, o)
+		out.steps[i] = c.step(filled[i].version, rollOut && !o.named)
 		out.steps[i].Via = o.stages[i].via
 		out.steps[i].Escalate = o.stages[i].escalate
 	}
@@ -338,13 +340,12 @@
 }
 
 // step applies the roll-out, if any, to a version.
-func (c *chooser) step(i int, o *option) Step {
+func (c *chooser) step(i int, rollOut bool) Step {
 	v := &c.planner.versions[i]
-	if v.next < 0 || o.named || fraction(c.req.Sticky) >= v.share || !c.usable(v.next, true) {
-		return Step{Version: v.name, RollingOut: v.reserved}
+	if rollOut && v.next >= 0 && fraction(c.req.Sticky) < v.share && c.usable(v.next, true) {
+		v = &c.planner.versions[v.next]
 	}
-	next := &c.planner.versions[v.next]
-	return Step{Version: next.name, RollingOut: next.reserved}
+	return Step{Version: v.name, RollingOut: v.reserved}
 }
 
 // fraction maps a random number to 0 <= x < 1.
--- a/internal/route/try.go
+++ b/internal/route/try.go
@@ -48,7 +48,7 @@
 // explore puts the try beside the choice, or in its place.
 func (c *chooser) explore(plan *Plan, options []option) {
 	u := &c.open[c.try]
-	chain := c.chain(&options[u.option], &u.filled)
+	chain := c.chain(&options[u.option], &u.filled, false)
 	plan.Exploring = true
 	if c.objective == catalog.ObjectiveExposure {
 		plan.Shadow = chain
