--- /dev/null
+++ b/integration/bench/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package bench
+
+const raceEnabled = true
