--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -170,6 +170,9 @@
 		a.charger.Charge(final.Charge)
 	}
 	j.report(err)
+	if err != nil && j.events == 0 && watched(j.req) {
+		a.watch.Return(j.req.GetVersion())
+	}
 	if err != nil {
 		a.metrics.failed.Inc(1)
 		j.logError(j.log.Fail(final, result.From(err)))
--- a/internal/ctl/bench.go
+++ b/internal/ctl/bench.go
@@ -7,6 +7,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/policybench"
 	"tarragonbay.example/tarragonbay/internal/policybench/host"
+	"tarragonbay.example/tarragonbay/internal/policybench/version"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -17,6 +18,7 @@
 }
 
 var policyBenches = []policyBench{
+	{"version", version.Run},
 	{"host", host.Run},
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -20,6 +20,7 @@
 	"tarragonbay.example/tarragonbay/internal/orderrun"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/rolloutrun"
+	"tarragonbay.example/tarragonbay/internal/route"
 	"tarragonbay.example/tarragonbay/internal/session"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
 )
@@ -83,6 +84,7 @@
 		Claims:      r.claims,
 		Sessions:    signer,
 		Copies:      r.copies,
+		Route:       route.Settings{Shadow: true},
 		Entries:     s.Limits.Entries,
 		InFlight:    s.Limits.InFlight,
 		Queue:       s.Limits.QueueLength,
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -114,24 +114,17 @@
 	}
 }
 
-// baseline returns the bad rate that is tolerated of a version in a class.
+// baseline returns the bad rate that is tolerated of a version in a class. The
+// reference of a new version is the one it replaces.
 func (f *Fleet) baseline(key quality.Key, v *followed) (float64, bool) {
-	view := f.before
-	if v.replaces != "" {
-		key.Version = string(v.replaces)
-		view = f.now
-	}
-	reference, _ := view.Get(key)
 	target := f.target(key)
-	if rate, ok := rollout.RatingBaseline(reference, target); ok {
-		return rate, true
-	}
 	if v.replaces == "" {
-		return 0, false
+		reference, _ := f.before.Get(key)
+		return rollout.RatingBaseline(reference, target)
 	}
-	// A new version is judged from its first answer, by the target alone
-	// while its predecessor has too few ratings.
-	return 1 - target, true
+	key.Version = string(v.replaces)
+	reference, _ := f.before.Get(key)
+	return rollout.NewVersionBaseline(reference, target)
 }
 
 // target returns the quality target of the key's class and model.
