--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -34,6 +34,8 @@
 	ChecksFence bool
 	// Edit changes the objects before they are published.
 	Edit func(o *Objects)
+	// LinkTLS turns mutual TLS between daemons on.
+	LinkTLS bool
 	// TableReads and TableWrites limit the table service, a second.
 	TableReads, TableWrites float64
 }
@@ -136,6 +138,7 @@
 	Faults atomic.Int64
 
 	dir       string
+	certs     *Certs
 	publisher *publish.Publisher
 }
 
@@ -146,6 +149,10 @@
 		spec.Versions = []string{"small@1"}
 	}
 	c := &Cluster{T: t, History: &history.Memory{}, dir: t.TempDir()}
+	if spec.LinkTLS {
+		certs := NewCerts(t, c.dir)
+		c.certs = &certs
+	}
 	c.Platform = startStandin(t, "platform", standinSpec{
 		Kind: "platform", Limits: platformOptions{Reads: spec.TableReads, Writes: spec.TableWrites},
 	})
@@ -248,7 +255,7 @@
 		"role":   n.role,
 		"name":   n.name,
 		"domain": domain,
-		"link":   map[string]any{"listen": "127.0.0.1:0"},
+		"link":   c.linkSettings(),
 		"admin":  map[string]any{"listen": "127.0.0.1:0"},
 		"platform": map[string]any{
 			"table": url, "objects": url, "hosts": url, "ratings": url, "weights": url,
@@ -270,6 +277,16 @@
 	return path
 }
 
+func (c *Cluster) linkSettings() map[string]any {
+	link := map[string]any{"listen": "127.0.0.1:0"}
+	if c.certs != nil {
+		link["tls"] = map[string]string{
+			"certFile": c.certs.CertFile, "keyFile": c.certs.KeyFile, "caFile": c.certs.CAFile,
+		}
+	}
+	return link
+}
+
 func (c *Cluster) startNode(n *Node) *Proc {
 	c.T.Helper()
 	return Start(c.T, n.name, nil, Binary(c.T), n.role, "--settings", n.settings)
