Read and write upstreams with buffers of 1 KiB

Cause: each connection to an engine holds two buffers of 4 KiB and one of 2 KiB for lines, and a stream keeps its connection while it waits for a token. Change: 1 KiB each. Larger reads and writes go past the buffers.

--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -14,7 +14,7 @@
 const maxEventBytes = 1 << 20
 
 // eventReaderBytes is the first size of the line buffer.
-const eventReaderBytes = 2 << 10
+const eventReaderBytes = 1 << 10
 
 var (
 	dataPrefix  = []byte("data:")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,8 +36,8 @@
 	dialTimeout         = time.Second
 	idleTimeout         = 60 * time.Second
 	maxIdlePerUpstream  = 256
-	readBufferBytes     = 4 << 10
-	writeBufferBytes    = 4 << 10
+	readBufferBytes     = 1 << 10
+	writeBufferBytes    = 1 << 10
 	maxUnaryAnswerBytes = 16 << 20
 )
 
