Call upstreams through the transport itself

Cause: http.Client follows redirects, so a booking answered with 307 was sent a second time; and it copies headers and wraps the body of each call. Change: RoundTrip of the transport.

--- a/internal/upstream/order.go
+++ b/internal/upstream/order.go
@@ -40,7 +40,7 @@
 		return result.Wrap(err, result.Internal, "bad order request").WithOutcome(result.NotRun)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.fresh.Do(req)
+	resp, err := c.fresh.RoundTrip(req)
 	if err != nil {
 		return result.Wrap(err, result.OrderRefused, "the engine does not answer").WithOutcome(result.Unknown)
 	}
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return State{}, errors.Trace(err)
 	}
-	resp, err := c.fresh.Do(req)
+	resp, err := c.fresh.RoundTrip(req)
 	if err != nil {
 		return State{}, errors.Trace(err)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -80,16 +80,16 @@
 // Client calls one upstream. It is safe for concurrent use.
 type Client struct {
 	base   string
-	pooled *http.Client
-	fresh  *http.Client
+	pooled *http.Transport
+	fresh  *http.Transport
 }
 
 // NewClient returns a client of the upstream at the IP:port address.
 func NewClient(address string) *Client {
 	return &Client{
 		base:   "http://" + address,
-		pooled: &http.Client{Transport: newTransport(false)},
-		fresh:  &http.Client{Transport: newTransport(true)},
+		pooled: newTransport(false),
+		fresh:  newTransport(true),
 	}
 }
 
@@ -121,7 +121,7 @@
 	if err != nil {
 		return Usage{}, result.Wrap(err, result.Internal, "bad upstream request").WithOutcome(result.NotRun)
 	}
-	resp, err := c.client(call).Do(req)
+	resp, err := c.transport(call).RoundTrip(req)
 	if err != nil {
 		return Usage{}, transportError(ctx, err, connected.Load())
 	}
@@ -134,7 +134,9 @@
 	return c.readAnswer(ctx, call, resp, sink)
 }
 
-func (c *Client) client(call Call) *http.Client {
+// transport returns the one for the call. Neither follows redirects: what an
+// upstream answers goes to the caller.
+func (c *Client) transport(call Call) *http.Transport {
 	if call.Idempotent {
 		return c.pooled
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -159,3 +159,23 @@
 		}()
 	}
 }
+
+// TestRedirectGoesToTheCaller shows that a call is not sent on to where an
+// upstream points.
+func TestRedirectGoesToTheCaller(t *testing.T) {
+	var calls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	defer srv.Close()
+	c := NewClient(strings.TrimPrefix(srv.URL, "http://"))
+	defer c.Close()
+	var got collector
+	if _, err := c.Do(t.Context(), Call{Method: http.MethodPost, Path: "/bookings"}, &got); err != nil {
+		t.Fatal(err)
+	}
+	if got.status != http.StatusTemporaryRedirect || calls.Load() != 1 {
+		t.Errorf("status %d after %d calls, want 307 after 1", got.status, calls.Load())
+	}
+}
