Judge versions by cut and slow answers too, and by others at the same time

Cause: only failures were weighed; a fault that strikes every version alike, an overload or a lost network, would have convicted and withdrawn all of them; a rating service that samples left a new version waiting for good. Change: three signals per host; a version is compared with the others at the same time and nothing is held against it when too little is known of them or they are ill themselves; a new version whose answer waits three minutes for a rating is held, so that shadows bring some.

--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -162,7 +162,7 @@
 // close records the end of the attempt and what it told of the load.
 func (s *stepRun) close(id string, choice balance.Choice, sent time.Time, stream *link.Stream, err error) *result.Error {
 	failure := s.entry.closeAttempt(s.ctx, s.request, id, choice, sent, stream, err)
-	s.entry.tellFleet(s.step.Version, choice.Host, failure)
+	s.entry.tellFleet(s.key, choice.Host, s.entry.now().Sub(sent), failure)
 	if load := stream.Load(); load != nil {
 		s.queued = int(load.GetQueued())
 		s.slots = int(load.GetSlots())
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -9,7 +9,9 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // judgeEvery is the pause between two judgements of all versions.
@@ -75,15 +77,17 @@
 }
 
 // tellFleet passes on whether an attempt speaks for or against its version.
-func (e *Entry) tellFleet(version catalog.VersionName, host string, failure *result.Error) {
-	if failure == nil {
-		e.fleet.Answered(version, host)
-		return
-	}
-	switch failure.Code {
-	case result.UpstreamFailed, result.AnswerCut:
-		e.fleet.Failed(version, host)
+// The ends of attempts that no upstream answered for tell nothing.
+func (e *Entry) tellFleet(key quality.Key, host string, latency time.Duration, failure *result.Error) {
+	end := watch.End{Key: key, Host: host, Latency: latency}
+	if failure != nil {
+		end.Failed = failure.Code == result.UpstreamFailed
+		end.Cut = failure.Code == result.AnswerCut
+		if !end.Failed && !end.Cut {
+			return
+		}
 	}
+	e.fleet.Ended(end, e.now())
 }
 
 // HeldReporter adds the versions held back to each heartbeat.
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -33,8 +33,18 @@
 	// one; empty for a version that is its own reference.
 	replaces catalog.VersionName
 	hosts    map[string]*hostTally
+	// waitsSince is the first answer after the last rating; zero when there
+	// is none.
+	waitsSince time.Time
+	// stalled is set while a new version waits for ratings that do not come
+	// although others do: the rating service takes samples only.
+	stalled bool
 }
 
+// stalledAfter is how long an answer of a new version waits for a rating before
+// the version is held, so that shadows bring more of them.
+const stalledAfter = 3 * time.Minute
+
 // NewFleet returns a fleet that follows nothing until SetCatalog.
 func NewFleet() *Fleet {
 	return &Fleet{
@@ -103,6 +113,7 @@
 	if !ok {
 		return
 	}
+	v.waitsSince = time.Time{}
 	baseline, ok := f.baseline(key, v)
 	switch {
 	case !ok:
@@ -167,31 +178,32 @@
 
 // Held lists the versions that must get no work from callers now, sorted.
 func (f *Fleet) Held() []catalog.VersionName {
-	return f.with(func(m *rollout.Monitor) bool { return verdict(m) != rollout.Trusted })
+	return f.with(func(v *followed) bool { return v.verdict() != rollout.Trusted })
 }
 
 // Convicted lists the versions that must be withdrawn, sorted.
 func (f *Fleet) Convicted() []catalog.VersionName {
-	return f.with(func(m *rollout.Monitor) bool { return m.Verdict() == rollout.Withdraw })
+	return f.with(func(v *followed) bool { return v.monitor.Verdict() == rollout.Withdraw })
 }
 
-// verdict is the monitor's, but holds a version too that has used up what its
-// ratings grant: only answers that reach no caller can tell more about it.
-func verdict(m *rollout.Monitor) rollout.Verdict {
-	v := m.Verdict()
-	t := m.Tally()
-	if v == rollout.Trusted && !t.Cleared && t.Good+t.Bad+t.Lost >= m.Granted() {
+// verdict is the monitor's, but holds a new version too that has used up what
+// its ratings grant: only answers that reach no caller can tell more about it.
+func (v *followed) verdict() rollout.Verdict {
+	judged := v.monitor.Verdict()
+	t := v.monitor.Tally()
+	spent := !t.Cleared && t.Good+t.Bad+t.Lost >= v.monitor.Granted()
+	if judged == rollout.Trusted && (spent || v.stalled) {
 		return rollout.Hold
 	}
-	return v
+	return judged
 }
 
-func (f *Fleet) with(match func(*rollout.Monitor) bool) []catalog.VersionName {
+func (f *Fleet) with(match func(*followed) bool) []catalog.VersionName {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []catalog.VersionName
 	for name, v := range f.versions {
-		if match(v.monitor) {
+		if match(v) {
 			out = append(out, name)
 		}
 	}
@@ -205,7 +217,7 @@
 	defer f.mu.Unlock()
 	o := rollout.Observation{Now: now, RatingsFresh: f.now.Fresh()}
 	if v, ok := f.versions[version]; ok {
-		o.Verdict = verdict(v.monitor)
+		o.Verdict = v.monitor.Verdict()
 		o.Tally = v.monitor.Tally()
 	}
 	return o
@@ -227,10 +239,11 @@
 	defer f.mu.Unlock()
 	var out []VersionLine
 	for _, name := range slices.Sorted(maps.Keys(f.versions)) {
-		m := f.versions[name].monitor
+		v := f.versions[name]
+		m := v.monitor
 		out = append(out, VersionLine{
 			Version:   name,
-			Verdict:   verdict(m).String(),
+			Verdict:   v.verdict().String(),
 			Tally:     m.Tally(),
 			Granted:   m.Granted(),
 			Evidence:  m.Evidence(),
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -11,6 +11,12 @@
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
+// The keys of both versions.
+var (
+	m1 = quality.Key{Version: "m@1"}
+	m2 = quality.Key{Version: "m@2"}
+)
+
 var start = time.Unix(1_796_000_000, 0)
 
 // rollingOut returns a set in which hosts run m@1 and, in a roll-out, m@2.
@@ -140,9 +146,9 @@
 	fleet.SetCatalog(set, start)
 	for second := range 60 {
 		for range 5 {
-			fleet.Failed("m@1", "h0")
-			fleet.Answered("m@1", "h1")
-			fleet.Answered("m@1", "h2")
+			fleet.Ended(End{Key: m1, Host: "h0", Failed: true}, start)
+			fleet.Ended(End{Key: m1, Host: "h1"}, start)
+			fleet.Ended(End{Key: m1, Host: "h2"}, start)
 		}
 		fleet.Weigh(start.Add(time.Duration(second) * time.Second))
 	}
@@ -151,8 +157,8 @@
 	}
 	for second := range 60 {
 		for _, host := range []string{"h0", "h1", "h2"} {
-			fleet.Failed("m@1", host)
-			fleet.Answered("m@2", host)
+			fleet.Ended(End{Key: m1, Host: host, Failed: true}, start)
+			fleet.Ended(End{Key: m2, Host: host}, start)
 		}
 		fleet.Weigh(start.Add(time.Duration(60+second) * time.Second))
 	}
@@ -161,6 +167,72 @@
 	}
 }
 
+// warm gives both versions 100 answers of one second, as the reference.
+func warm(f *Fleet) {
+	book := quality.NewBook(quality.Settings{})
+	for range 100 {
+		book.Add(m1, quality.Answered(time.Second, 10), start)
+		book.Add(m2, quality.Answered(time.Second, 10), start)
+	}
+	f.SetView(book.View(start), start)
+}
+
+func TestCutAndSlowAnswersSpeakAgainstAVersion(t *testing.T) {
+	tests := []struct {
+		name string
+		bad  End
+		both bool
+		held bool
+	}{
+		{"cut answers", End{Key: m1, Cut: true}, false, true},
+		{"slow answers", End{Key: m1, Latency: 5 * time.Second}, false, true},
+		{"all versions slow under load", End{Key: m1, Latency: 5 * time.Second}, true, false},
+		{"all versions cut", End{Key: m1, Cut: true}, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fleet := NewFleet()
+			fleet.SetCatalog(rollingOut(t, 3), start)
+			warm(fleet)
+			for second := range 40 {
+				for _, host := range []string{"h0", "h1", "h2"} {
+					bad, other := tt.bad, End{Key: m2, Host: host, Latency: time.Second}
+					bad.Host = host
+					if tt.both {
+						other.Latency, other.Cut = bad.Latency, bad.Cut
+					}
+					fleet.Ended(bad, start)
+					fleet.Ended(other, start)
+				}
+				fleet.Weigh(start.Add(time.Duration(second) * time.Second))
+			}
+			held := len(fleet.Held()) > 0 && fleet.Held()[0] == "m@1"
+			if held != tt.held {
+				t.Errorf("held %v, want %v", fleet.Held(), tt.held)
+			}
+		})
+	}
+}
+
+func TestNewVersionWithoutRatingsIsHeldForShadows(t *testing.T) {
+	fleet := NewFleet()
+	fleet.SetCatalog(rollingOut(t, 3), start)
+	fleet.Ended(End{Key: m2, Host: "h0"}, start)
+	fleet.Weigh(start.Add(stalledAfter))
+	if held := fleet.Held(); len(held) != 0 {
+		t.Errorf("held %v too early", held)
+	}
+	fleet.Weigh(start.Add(stalledAfter + time.Second))
+	if held := fleet.Held(); len(held) != 1 || held[0] != "m@2" {
+		t.Errorf("held %v, want the version whose ratings do not come", held)
+	}
+	fleet.Rated(m2, true, true, start.Add(stalledAfter+2*time.Second))
+	fleet.Weigh(start.Add(stalledAfter + 3*time.Second))
+	if held := fleet.Held(); len(held) != 0 {
+		t.Errorf("held %v after a rating came", held)
+	}
+}
+
 func TestHostQuarantinesAVersionThatFailsBesideOthers(t *testing.T) {
 	h := NewHost("h0")
 	failures := 0
