--- a/internal/policybench/version/bench.go
+++ b/internal/policybench/version/bench.go
@@ -32,7 +32,8 @@
 
 // Run runs every policy under every load at both sites and returns a row for
 // each. The product runs with the settings of the site: latency first at
-// Kusinang, exposure first at Lemnotrat. quick shortens the loads.
+// Kusinang, exposure first at Lemnotrat. quick ends each load soon after what
+// happens in it.
 func Run(seed uint64, quick bool) ([]policybench.Row, error) {
 	results, err := runAll(seed, quick)
 	if err != nil {
@@ -61,7 +62,7 @@
 	weeks := make([]outcome, len(sites))
 	group := pool.NewGroup()
 	for i, s := range sites {
-		weeks[i] = outcome{site: s, load: coldStart(loads(quick)[0].length), policy: policyProduct}
+		weeks[i] = outcome{site: s, load: coldStart(), policy: policyProduct}
 		group.SubmitErr(func() error { return weeks[i].measure(seed) })
 	}
 	if err := group.Wait(); err != nil {
--- a/internal/policybench/version/bounds_test.go
+++ b/internal/policybench/version/bounds_test.go
@@ -64,8 +64,18 @@
 	}
 }
 
-func TestBoundsCostOfClairvoyant(t *testing.T) {
+func TestBoundsCostOfClairvoyant(t *testing.T) { checkCostOfClairvoyant(t, false) }
+
+// TestBoundsCostOfClairvoyantCombined checks the loads with two faults at a
+// time.
+func TestBoundsCostOfClairvoyantCombined(t *testing.T) { checkCostOfClairvoyant(t, true) }
+
+func checkCostOfClairvoyant(t *testing.T, combined bool) {
+	t.Helper()
 	for _, g := range groups(t) {
+		if g[policyProduct].load.combined != combined {
+			continue
+		}
 		cost, least := g[policyProduct].costPerAnswer(), g[policyClairvoyant].costPerAnswer()
 		t.Logf("%s: %.3f of the clairvoyant cost", g.name(), cost/least)
 		if cost > maxCostOfClairvoyant*least {
@@ -123,7 +133,7 @@
 			if most == 0 {
 				continue
 			}
-			l.learned, l.warm = quickWeek, warmTime
+			l.learned, l.warm = quietWeek, warmTime
 			runs := make([]outcome, seeds)
 			tasks := pool.NewGroup()
 			for seed := range runs {
--- a/internal/policybench/version/load.go
+++ b/internal/policybench/version/load.go
@@ -5,6 +5,8 @@
 // load is what happens to a site in one run.
 type load struct {
 	name string
+	// combined is set when two things happen at a time.
+	combined bool
 	// learned is how long the product has run at the quiet rate before the
 	// run, warm the time in the run before figures are taken, and length the
 	// time after.
@@ -53,34 +55,37 @@
 	warmTime = 10 * time.Minute
 	// quietWeek is the time before each load, and of the cold start itself.
 	quietWeek = 7 * 24 * hour
-	// quickWeek stands for it in quick runs.
-	quickWeek = 7 * 24 * hour
+	// fullLength is how much longer the loads of a full run last.
+	fullLength = 4
 )
 
-// loads returns the loads of a run.
+// loads returns the loads of a run. All begin with what a quiet week taught.
 func loads(quick bool) []load {
-	week := quietWeek
-	if quick {
-		week = quickWeek
-	}
 	out := []load{
 		{name: "quiet, then flood", length: 3 * hour, floodAt: 2 * hour, floodFor: 40 * time.Minute},
 		{name: "rating service away", length: 4 * hour, awayAt: hour / 2, awayFor: 3 * hour},
 		{name: "capacity gone", length: 2 * hour, goneAt: hour / 2, goneFor: hour},
 		{name: "failure domain lost", length: 2 * hour, lostAt: hour / 2, lostFor: hour},
+		{name: "capacity gone in a flood", length: 2 * hour, combined: true,
+			goneAt: hour / 2, goneFor: hour / 2, floodAt: hour / 3, floodFor: hour},
+		{name: "failure domain lost in a flood", length: 2 * hour, combined: true,
+			lostAt: hour / 2, lostFor: hour / 2, floodAt: hour / 3, floodFor: hour},
 		{name: "roll-out stopped halfway", length: 4 * hour, rollout: true, rolloutAt: 5 * time.Minute,
 			stoppedAt: hour, stoppedFor: hour},
 	}
 	out = append(out, badLoads()...)
 	for i := range out {
-		out[i].learned, out[i].warm = week, warmTime
+		out[i].learned, out[i].warm = quietWeek, warmTime
+		if !quick {
+			out[i].length *= fullLength
+		}
 	}
-	return append([]load{coldStart(week)}, out...)
+	return append([]load{coldStart()}, out...)
 }
 
 // coldStart is a quiet week from the first request on.
-func coldStart(week time.Duration) load {
-	return load{name: "cold start", length: week}
+func coldStart() load {
+	return load{name: "cold start", length: quietWeek}
 }
 
 // badLoads returns the loads in which a version turns bad: a new one from its
--- a/internal/quality/book.go
+++ b/internal/quality/book.go
@@ -7,12 +7,16 @@
 
 // Settings of a Book. The zero value of a field takes its default.
 type Settings struct {
-	// Window is the number of ratings or drafts after which older ones are
+	// Window is the number of ratings, drafts or answers after which older ones are
 	// forgotten at the rate at which new ones come.
 	Window float64
-	// AnswerWindow is the same for answers, whose cost and latency change
-	// with the load.
+	// AnswerWindow is the same for the recent latency, which changes with
+	// the load.
 	AnswerWindow float64
+	// Stale is the time without an answer after which the usual latency
+	// counts again in place of the recent one, so that a version that was
+	// left for being slow is tried again.
+	Stale time.Duration
 	// HalfLife is the time without a rating in which the weight of the
 	// ratings halves.
 	HalfLife time.Duration
@@ -28,7 +32,8 @@
 // Defaults of Settings.
 const (
 	DefaultWindow       = 800
-	DefaultAnswerWindow = 200
+	DefaultAnswerWindow = 50
+	DefaultStale        = 30 * time.Second
 	DefaultHalfLife     = 7 * 24 * time.Hour
 	DefaultZ            = 1.645
 	DefaultStrictZ      = 2.326
@@ -42,6 +47,9 @@
 	if s.AnswerWindow <= 0 {
 		s.AnswerWindow = DefaultAnswerWindow
 	}
+	if s.Stale <= 0 {
+		s.Stale = DefaultStale
+	}
 	if s.HalfLife <= 0 {
 		s.HalfLife = DefaultHalfLife
 	}
@@ -63,9 +71,35 @@
 	kept, escalated float64
 	answers         float64
 	outputTokens    float64
-	latency         float64
-	latencySq       float64
+	recent          latencies
+	usual           latencies
 	rated           time.Time
+	answered        time.Time
+}
+
+// latencies are decayed sums in milliseconds.
+type latencies struct {
+	answers, sum, squares float64
+}
+
+func (l *latencies) add(d Delta, window float64) {
+	l.answers += float64(d.Answers)
+	l.sum += d.LatencyMs
+	l.squares += d.LatencySqMs
+	f := shrink(l.answers, window)
+	l.answers *= f
+	l.sum *= f
+	l.squares *= f
+}
+
+// mean returns the mean and the mean with two standard deviations.
+func (l *latencies) mean() (mean, high time.Duration) {
+	if l.answers == 0 {
+		return 0, 0
+	}
+	m := l.sum / l.answers
+	deviation := math.Sqrt(max(0, l.squares/l.answers-m*m))
+	return millis(m), millis(m + 2*deviation)
 }
 
 // Book holds the sums of every key. It is not safe for use by several
@@ -93,7 +127,9 @@
 		b.newest = later(b.newest, now)
 	}
 	c.draft(d, b.set)
-	c.answer(d, b.set)
+	if d.Answers > 0 {
+		c.answer(d, b.set, now)
+	}
 }
 
 // Forget drops what is known of a version, for one that was replaced under
@@ -132,16 +168,15 @@
 	c.escalated *= f
 }
 
-func (c *cell) answer(d Delta, s Settings) {
+func (c *cell) answer(d Delta, s Settings, now time.Time) {
+	c.answered = later(c.answered, now)
+	c.recent.add(d, s.AnswerWindow)
+	c.usual.add(d, s.Window)
 	c.answers += float64(d.Answers)
 	c.outputTokens += float64(d.OutputTokens)
-	c.latency += d.LatencyMs
-	c.latencySq += d.LatencySqMs
-	f := shrink(c.answers, s.AnswerWindow)
+	f := shrink(c.answers, s.Window)
 	c.answers *= f
 	c.outputTokens *= f
-	c.latency *= f
-	c.latencySq *= f
 }
 
 // shrink returns the factor that brings n down to the window.
--- a/internal/quality/quality_test.go
+++ b/internal/quality/quality_test.go
@@ -110,3 +110,19 @@
 		t.Error("a forgotten version is still known")
 	}
 }
+
+func TestASlowVersionIsTriedAgain(t *testing.T) {
+	b := NewBook(Settings{})
+	k := Key{Version: "small@1"}
+	for range 500 {
+		b.Add(k, Answered(time.Second, 10), epoch)
+	}
+	for range 200 {
+		b.Add(k, Answered(20*time.Second, 10), epoch)
+	}
+	busy, _ := b.View(epoch).Get(k)
+	left, _ := b.View(epoch.Add(time.Minute)).Get(k)
+	if busy.Latency < 19*time.Second || left.Latency > 8*time.Second {
+		t.Errorf("latency is %v while it answers, %v after a minute without", busy.Latency, left.Latency)
+	}
+}
--- a/internal/quality/record.go
+++ b/internal/quality/record.go
@@ -18,7 +18,8 @@
 	// Kept and Escalated are the weights of the drafts.
 	Kept      float32 `json:"kept,omitempty"`
 	Escalated float32 `json:"escalated,omitempty"`
-	// Answers is the weight of the answers behind the sums.
+	// Answers is the weight of the answers behind the sums. The latency is
+	// the usual one.
 	Answers      float32 `json:"answers"`
 	OutputTokens float32 `json:"outputTokens"`
 	LatencyMs    float32 `json:"latencyMs"`
@@ -38,8 +39,8 @@
 			Escalated:    float32(c.escalated),
 			Answers:      float32(c.answers),
 			OutputTokens: float32(c.outputTokens),
-			LatencyMs:    float32(c.latency),
-			LatencySqMs:  float32(c.latencySq),
+			LatencyMs:    float32(c.usual.sum),
+			LatencySqMs:  float32(c.usual.squares),
 		})
 	}
 	slices.SortFunc(out, func(a, b Record) int { return a.Key.compare(b.Key) })
@@ -58,9 +59,12 @@
 			escalated:    float64(r.Escalated),
 			answers:      float64(r.Answers),
 			outputTokens: float64(r.OutputTokens),
-			latency:      float64(r.LatencyMs),
-			latencySq:    float64(r.LatencySqMs),
-			rated:        r.Rated,
+			usual: latencies{
+				answers: float64(r.Answers),
+				sum:     float64(r.LatencyMs),
+				squares: float64(r.LatencySqMs),
+			},
+			rated: r.Rated,
 		}
 		b.newest = later(b.newest, r.Rated)
 	}
--- a/internal/quality/view.go
+++ b/internal/quality/view.go
@@ -1,9 +1,6 @@
 package quality
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Estimate is what is known of one key at the time of a View.
 type Estimate struct {
@@ -20,7 +17,7 @@
 	Answers float64
 	// OutputTokens is the mean per answer.
 	OutputTokens float64
-	// Latency is the mean, and LatencyHigh the mean and two standard
+	// Latency is the recent mean, or the usual one while no answers come, and LatencyHigh the mean and two standard
 	// deviations.
 	Latency, LatencyHigh time.Duration
 }
@@ -123,10 +120,10 @@
 	if c.answers > 0 {
 		e.Answers = c.answers
 		e.OutputTokens = c.outputTokens / c.answers
-		mean := c.latency / c.answers
-		deviation := math.Sqrt(max(0, c.latencySq/c.answers-mean*mean))
-		e.Latency = millis(mean)
-		e.LatencyHigh = millis(mean + 2*deviation)
+		e.Latency, e.LatencyHigh = c.usual.mean()
+		if now.Sub(c.answered) <= s.Stale {
+			e.Latency, e.LatencyHigh = c.recent.mean()
+		}
 	}
 	return e
 }
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -86,9 +86,12 @@
 	return plan
 }
 
+// noDeadline is the time left of a request that may take for ever.
+const noDeadline = time.Duration(math.MaxInt64)
+
 func timeLeft(deadline, now time.Time) time.Duration {
 	if deadline.IsZero() {
-		return math.MaxInt64
+		return noDeadline
 	}
 	return deadline.Sub(now)
 }
@@ -225,7 +228,7 @@
 		return c.best < 0 || r < c.bestRank
 	}
 	if meets {
-		return better(sc, &c.bestScore, c.objective)
+		return c.better(sc, &c.bestScore)
 	}
 	return likelier(sc, &c.bestScore)
 }
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -156,10 +156,20 @@
 	return sc.low
 }
 
+// latencyGrains is the number of steps of latency that are told apart within
+// the time to the deadline. Within a step the cheaper choice wins.
+const latencyGrains = 10
+
 // better reports whether a beats b when both meet the target.
-func better(a, b *score, objective string) bool {
-	if objective == catalog.ObjectiveLatency && a.latency != b.latency {
-		return a.latency < b.latency
+func (c *chooser) better(a, b *score) bool {
+	if c.objective == catalog.ObjectiveLatency {
+		grain := max(1, c.left/latencyGrains)
+		if c.left == noDeadline {
+			grain = 1
+		}
+		if x, y := a.latency/grain, b.latency/grain; x != y {
+			return x < y
+		}
 	}
 	return a.cost < b.cost
 }
--- a/internal/route/try.go
+++ b/internal/route/try.go
@@ -22,7 +22,7 @@
 	most := 0.0
 	for i := range c.openCount {
 		u := &c.open[i]
-		if u.option == c.best || !better(&u.score, &c.bestScore, c.objective) {
+		if u.option == c.best || !c.better(&u.score, &c.bestScore) {
 			continue
 		}
 		u.chance = u.score.chance(u.target)
@@ -33,16 +33,17 @@
 	}
 }
 
-// saving returns the share of the cost, or of the latency, that the option
-// would save against the best.
+// saving returns the share of the cost that the option would save against the
+// best, or of the latency where it saves that.
 func (c *chooser) saving(sc *score) float64 {
-	if c.objective == catalog.ObjectiveLatency && c.bestScore.latency > 0 {
-		return 1 - float64(sc.latency)/float64(c.bestScore.latency)
+	saved := 0.0
+	if c.bestScore.cost > 0 {
+		saved = 1 - sc.cost/c.bestScore.cost
 	}
-	if c.bestScore.cost <= 0 {
-		return 0
+	if c.objective == catalog.ObjectiveLatency && c.bestScore.latency > 0 {
+		saved = max(saved, 1-float64(sc.latency)/float64(c.bestScore.latency))
 	}
-	return 1 - sc.cost/c.bestScore.cost
+	return max(0, saved)
 }
 
 // explore puts the try beside the choice, or in its place.
