Decode only the usage of an answer

Cause: the agent decodes each whole answer to read its usage. Change: parseUsage finds the usage member with jsonscan and decodes that.

--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 
+	"tarragonbay.example/tarragonbay/internal/jsonscan"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -85,23 +86,45 @@
 	return parseUsage(data), true
 }
 
+// answerUsage is the usage object of an OpenAI answer.
+type answerUsage struct {
+	PromptTokens     uint64 `json:"prompt_tokens"`
+	CompletionTokens uint64 `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens uint64 `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
 // parseUsage reads the usage object of an OpenAI answer; none reads as zero.
+// Only that object is decoded, since the rest may be long.
 func parseUsage(data []byte) Usage {
-	var answer struct {
-		Usage struct {
-			PromptTokens     uint64 `json:"prompt_tokens"`
-			CompletionTokens uint64 `json:"completion_tokens"`
-			Details          struct {
-				CachedTokens uint64 `json:"cached_tokens"`
-			} `json:"prompt_tokens_details"`
-		} `json:"usage"`
-	}
-	if json.Unmarshal(data, &answer) != nil {
+	var u answerUsage
+	if json.Unmarshal(usageObject(data), &u) != nil {
 		return Usage{}
 	}
 	return Usage{
-		InputTokens:  answer.Usage.PromptTokens,
-		OutputTokens: answer.Usage.CompletionTokens,
-		CachedTokens: answer.Usage.Details.CachedTokens,
+		InputTokens:  u.PromptTokens,
+		OutputTokens: u.CompletionTokens,
+		CachedTokens: u.Details.CachedTokens,
+	}
+}
+
+// usageObject returns the text of the usage member, or nil.
+func usageObject(data []byte) []byte {
+	if !json.Valid(data) {
+		return nil
+	}
+	walk, ok := jsonscan.Members(data)
+	if !ok {
+		return nil
+	}
+	for {
+		name, value, more := walk.Member()
+		if !more {
+			return nil
+		}
+		if string(name) == "usage" {
+			return value
+		}
 	}
 }
