Give a chat one deadline timer instead of two or three

Cause: the caller API, the entry and the plan each bound the context by the same deadline, with a timer and five allocations for each. Change: until returns a context that ends in time as it is.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -52,7 +52,7 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.metrics.chats.Inc(1)
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	ctx, cancel := until(ctx, call.Deadline)
 	defer cancel()
 	r := &chatRun{
 		entry:   e,
@@ -68,6 +68,15 @@
 	return e.count(r.run())
 }
 
+// until bounds ctx by the deadline. A context that ends by then as it is, like
+// that of the caller API, is returned without another timer.
+func until(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if d, ok := ctx.Deadline(); ok && !d.After(deadline) {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
 // openSession reads the session token, or makes the ID of a new session.
 func (r *chatRun) openSession() error {
 	if r.call.SessionToken != "" {
@@ -95,7 +104,7 @@
 	}
 	if !plan.Deadline.IsZero() && plan.Deadline.Before(r.call.Deadline) {
 		r.call.Deadline = plan.Deadline
-		ctx, cancel := context.WithDeadline(r.ctx, plan.Deadline)
+		ctx, cancel := until(r.ctx, plan.Deadline)
 		defer cancel()
 		r.ctx = ctx
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -43,7 +43,7 @@
 		// be had by the same key.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	ctx, cancel := until(ctx, call.Deadline)
 	defer cancel()
 	r := &serviceRun{entry: e, ctx: ctx, call: call, request: attempt.NewRequest(!call.Once)}
 	answer, err := r.run()
