Measure the slopes of real daemons

Cause: docs/CAPACITY.md needs processor time and memory of processes over the numbers of upstreams, daemons and requests a second.

--- a/integration/bench/load.go
+++ b/integration/bench/load.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/time/rate"
 )
 
 // maxConnections keeps every connection of a load open between requests.
@@ -162,3 +164,29 @@
 	workers.Wait()
 	return answered, failed
 }
+
+// steadyCallers is more than run at a time at any measured rate.
+const steadyCallers = 64
+
+// steady sends unary chats at a rate for a time and returns how many failed.
+func (g target) steady(ctx context.Context, perSecond int, during time.Duration) (failed int) {
+	ctx, cancel := context.WithTimeout(ctx, during)
+	defer cancel()
+	limiter := rate.NewLimiter(rate.Limit(perSecond), 1)
+	var bad atomic.Int64
+	var workers sync.WaitGroup
+	for range steadyCallers {
+		workers.Go(func() {
+			for limiter.Wait(ctx) == nil {
+				if _, err := g.unary(ctx, steadyTokens); err != nil && ctx.Err() == nil {
+					bad.Add(1)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	return int(bad.Load())
+}
+
+// steadyTokens is the length of an answer at a steady rate.
+const steadyTokens = 32
--- a/integration/bench/proc.go
+++ b/integration/bench/proc.go
@@ -72,3 +72,26 @@
 	}
 	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
 }
+
+// transferred is the number of bytes a process has read and written, which for
+// a daemon are those of its connections and its log.
+func transferred(t testing.TB, pid int) int64 {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sum int64
+	for line := range strings.Lines(string(data)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += n
+	}
+	return sum
+}
