--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -115,8 +115,14 @@
 	name     string
 	role     string
 	settings string
+	// admin is one client for each incarnation, since a daemon bounds the
+	// connections of operators.
+	admin *adminapi.Client
 }
 
+// Admin is a client of the daemon's admin listener.
+func (n *Node) Admin() *adminapi.Client { return n.admin }
+
 // URL is where callers reach an entry.
 func (n *Node) URL() string { return "http://" + n.Proc.Ready.Caller }
 
@@ -145,6 +151,7 @@
 // New starts a cluster and waits until every daemon is ready.
 func New(t testing.TB, spec Spec) *Cluster {
 	t.Helper()
+	takeSlot(t)
 	if len(spec.Versions) == 0 {
 		spec.Versions = []string{"small@1"}
 	}
@@ -289,7 +296,9 @@
 
 func (c *Cluster) startNode(n *Node) *Proc {
 	c.T.Helper()
-	return Start(c.T, n.name, nil, Binary(c.T), n.role, "--settings", n.settings)
+	p := Start(c.T, n.name, nil, Binary(c.T), n.role, "--settings", n.settings)
+	n.admin = adminapi.NewClient(p.Ready.Admin, "")
+	return p
 }
 
 // Restart starts a daemon again after it ended, as a new incarnation.
@@ -339,7 +348,7 @@
 func (c *Cluster) Status(n *Node) (adminapi.Status, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 	defer cancel()
-	return adminapi.NewClient(n.Proc.Ready.Admin, "").Status(ctx)
+	return n.admin.Status(ctx)
 }
 
 // settleTimeout bounds waiting for a condition. It fails a hang, not a slow
