Read the usage without reflection and answers in one piece

Cause: a profile of BenchmarkUnary shows 3.6% of the processor time in decoding the usage; whole answers were read into a buffer that grows. Change: parseUsage walks the members; an answer whose size is told is read into one piece of memory. A number that is none no longer hides the others. Measured: go test ./internal/upstream -run xxx -bench Usage, 4 KiB: before 32 us and 5 allocations, after 23 to 25 us and 1. go test ./integration/bench -run Allocations -v: before 447 allocations and 46,884 B a unary request, after 442 and 45,633; an event 14.3 before, 12.6 after.

--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"strconv"
 
 	"tarragonbay.example/tarragonbay/internal/jsonscan"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -86,45 +87,43 @@
 	return parseUsage(data), true
 }
 
-// answerUsage is the usage object of an OpenAI answer.
-type answerUsage struct {
-	PromptTokens     uint64 `json:"prompt_tokens"`
-	CompletionTokens uint64 `json:"completion_tokens"`
-	Details          struct {
-		CachedTokens uint64 `json:"cached_tokens"`
-	} `json:"prompt_tokens_details"`
-}
-
 // parseUsage reads the usage object of an OpenAI answer; none reads as zero.
-// Only that object is decoded, since the rest may be long.
 func parseUsage(data []byte) Usage {
-	var u answerUsage
-	if json.Unmarshal(usageObject(data), &u) != nil {
+	if !json.Valid(data) {
 		return Usage{}
 	}
+	usage := member(data, "usage")
+	details := member(usage, "prompt_tokens_details")
 	return Usage{
-		InputTokens:  u.PromptTokens,
-		OutputTokens: u.CompletionTokens,
-		CachedTokens: u.Details.CachedTokens,
+		InputTokens:  count(member(usage, "prompt_tokens")),
+		OutputTokens: count(member(usage, "completion_tokens")),
+		CachedTokens: count(member(details, "cached_tokens")),
 	}
 }
 
-// usageObject returns the text of the usage member, or nil.
-func usageObject(data []byte) []byte {
-	if !json.Valid(data) {
-		return nil
-	}
-	walk, ok := jsonscan.Members(data)
+// member returns the text of a member of valid JSON; none reads as nil, as does
+// that of a value that is no object.
+func member(object []byte, name string) []byte {
+	walk, ok := jsonscan.Members(object)
 	if !ok {
 		return nil
 	}
 	for {
-		name, value, more := walk.Member()
+		n, value, more := walk.Member()
 		if !more {
 			return nil
 		}
-		if string(name) == "usage" {
+		if string(n) == name {
 			return value
 		}
 	}
 }
+
+// count reads a number of tokens; anything else reads as zero.
+func count(text []byte) uint64 {
+	n, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -201,16 +201,19 @@
 	if call.Stream && resp.StatusCode == http.StatusOK {
 		return readEvents(ctx, resp.Body, sink)
 	}
-	return readWhole(ctx, call, resp.Body, sink)
+	return readWhole(ctx, call, resp, sink)
 }
 
-func readWhole(ctx context.Context, call Call, body io.Reader, sink Sink) (Usage, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxUnaryAnswerBytes+1))
+func readWhole(ctx context.Context, call Call, resp *http.Response, sink Sink) (Usage, error) {
+	if resp.ContentLength > maxUnaryAnswerBytes {
+		return Usage{}, tooLarge()
+	}
+	data, err := readBody(resp)
 	if err != nil {
 		return Usage{}, cutError(ctx, err)
 	}
 	if len(data) > maxUnaryAnswerBytes {
-		return Usage{}, result.New(result.AnswerCut, "the answer is larger than %d bytes", maxUnaryAnswerBytes)
+		return Usage{}, tooLarge()
 	}
 	if err := sink.Data(data); err != nil {
 		return Usage{}, sinkError(err)
@@ -221,6 +224,20 @@
 	return parseUsage(data), nil
 }
 
+func tooLarge() error {
+	return result.New(result.AnswerCut, "the answer is larger than %d bytes", maxUnaryAnswerBytes)
+}
+
+// readBody reads to the end, in one piece of memory when the size is known.
+func readBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength < 0 {
+		return io.ReadAll(io.LimitReader(resp.Body, maxUnaryAnswerBytes+1))
+	}
+	data := make([]byte, resp.ContentLength)
+	_, err := io.ReadFull(resp.Body, data)
+	return data, err
+}
+
 func cutError(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return result.Wrap(err, result.DeadlineExceeded, "the answer was not complete in time").WithOutcome(result.Ran)
