Keep the objects of a set sorted

Cause: of a revision's time at a daemon with 4,100 upstreams two fifths went into sorting all objects for the digest. Change: a set keeps its objects sorted; Apply splices a few changes in. Measured: BenchmarkRevision/upstreams=4100, old and new in turn on the same busy machine: 5.65, 6.12, 6.22 ms before, 2.67, 2.60, 2.76 ms after. go test -race ./internal/catalog ./internal/publish ./internal/ctl passes.

--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -32,13 +32,13 @@
 // key.
 func Diff(from, to *Set) Delta {
 	var d Delta
-	for _, o := range to.Objects() {
+	for _, o := range to.sorted {
 		old, ok := from.objects[o.Key]
 		if !ok || !bytes.Equal(old.Spec, o.Spec) {
 			d.Puts = append(d.Puts, o)
 		}
 	}
-	for _, o := range from.Objects() {
+	for _, o := range from.sorted {
 		if _, ok := to.objects[o.Key]; !ok {
 			d.Deletes = append(d.Deletes, o.Key)
 		}
@@ -64,9 +64,42 @@
 			return nil, errors.Annotatef(err, "%s", o.Key)
 		}
 	}
+	next.sortChanged(d)
 	return next, nil
 }
 
+// maxSpliced is the number of changes up to which it is cheaper to splice the
+// sorted objects than to sort them again.
+const maxSpliced = 64
+
+// sortChanged brings the sorted objects of a set that is being built up to
+// date. Those of the set before stay as they are.
+func (s *Set) sortChanged(d Delta) {
+	if len(d.Puts)+len(d.Deletes) > maxSpliced {
+		s.sortAll()
+		return
+	}
+	s.sorted = slices.Clone(s.sorted)
+	for _, k := range d.Deletes {
+		s.unsort(k)
+	}
+	for _, o := range d.Puts {
+		s.unsort(o.Key)
+		if latest, ok := s.objects[o.Key]; ok {
+			at, _ := slices.BinarySearchFunc(s.sorted, latest, compareObjects)
+			s.sorted = slices.Insert(s.sorted, at, latest)
+		}
+	}
+}
+
+// unsort takes one object out of the sorted ones, if it is there.
+func (s *Set) unsort(k Key) {
+	at, found := slices.BinarySearchFunc(s.sorted, Object{Key: k}, compareObjects)
+	if found {
+		s.sorted = slices.Delete(s.sorted, at, at+1)
+	}
+}
+
 // copyFor copies the maps that the delta changes and shares the others.
 func (s *Set) copyFor(d Delta) *Set {
 	next := *s
--- a/internal/catalog/set.go
+++ b/internal/catalog/set.go
@@ -31,7 +31,9 @@
 	Rollouts      map[string]*Rollout
 
 	objects map[Key]Object
-	byHash  map[string]string
+	// sorted holds the objects by kind and name.
+	sorted []Object
+	byHash map[string]string
 }
 
 // NewSet decodes the objects. It fails on an object that is not valid JSON of
@@ -54,9 +56,19 @@
 			return nil, errors.Annotatef(err, "%s", o.Key)
 		}
 	}
+	s.sortAll()
 	return s, nil
 }
 
+// sortAll fills the sorted objects of a set that is being built.
+func (s *Set) sortAll() {
+	s.sorted = make([]Object, 0, len(s.objects))
+	for _, o := range s.objects {
+		s.sorted = append(s.sorted, o)
+	}
+	slices.SortFunc(s.sorted, compareObjects)
+}
+
 func (s *Set) add(o Object) error {
 	target, err := s.slot(o.Key)
 	if err != nil {
@@ -117,18 +129,13 @@
 }
 
 // Objects returns every object, sorted by kind and name.
-func (s *Set) Objects() []Object {
-	out := make([]Object, 0, len(s.objects))
-	for _, o := range s.objects {
-		out = append(out, o)
-	}
-	slices.SortFunc(out, func(a, b Object) int { return compareKeys(a.Key, b.Key) })
-	return out
-}
+func (s *Set) Objects() []Object { return slices.Clone(s.sorted) }
+
+func compareObjects(a, b Object) int { return compareKeys(a.Key, b.Key) }
 
 func compareKeys(a, b Key) int {
-	if c := slices.Index(Kinds, a.Kind) - slices.Index(Kinds, b.Kind); c != 0 {
-		return c
+	if a.Kind != b.Kind {
+		return slices.Index(Kinds, a.Kind) - slices.Index(Kinds, b.Kind)
 	}
 	return strings.Compare(a.Name, b.Name)
 }
@@ -145,7 +152,7 @@
 // Digest returns the hex SHA-256 over all objects in order.
 func (s *Set) Digest() string {
 	h := sha256.New()
-	for _, o := range s.Objects() {
+	for _, o := range s.sorted {
 		h.Write([]byte(o.Key.String()))
 		h.Write([]byte{0})
 		h.Write(o.Spec)
