Take one hand-in at a time and see more in a history

Cause: two hand-ins at the same time, as at an entry's stop, took the same batch and dropped the next one unsent; mutations of the product (each attempt dispatched twice, a second charge for each) were not seen by the checker in the integration tests. Change: Copies hands in one batch at a time; the checker counts runs of each attempt and compares the number of charges with the number of runs.

--- a/internal/history/billing.go
+++ b/internal/history/billing.go
@@ -19,6 +19,9 @@
 
 // checkCharges finds charges that should not be.
 func (c *checker) checkCharges(r *request) {
+	if len(r.charged) > len(r.ran) {
+		c.add(BilledOnce, r.id, "ran %d times and is billed %d times", len(r.ran), len(r.charged))
+	}
 	steps := map[uint32]int{}
 	for _, charge := range r.charged {
 		steps[charge.Step]++
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -100,6 +100,9 @@
 		{"billed twice", func(h []Event) []Event {
 			return append(h, Event{Kind: Charged, Request: "a", Organisation: "org", Version: "m@1", At: at(20000)})
 		}, BilledOnce},
+		{"billed for a step that did not run", func(h []Event) []Event {
+			return append(h, Event{Kind: Charged, Request: "a", Step: 1, Organisation: "org", Version: "m@1", At: at(20000)})
+		}, BilledOnce},
 		{"not billed", func(h []Event) []Event { return without(h, Charged, "a") }, BilledOnce},
 		{"billed to another", func(h []Event) []Event {
 			return edit(h, Charged, "a", func(e *Event) { e.Organisation = "other" })
@@ -132,6 +135,9 @@
 		{"dispatched twice", func(h []Event) []Event {
 			return append(h, Event{Kind: Ran, At: at(5215), Request: "b", Attempt: "b9", Service: "desk", Key: "k", Upstream: "d2"})
 		}, AtMostOnce},
+		{"attempt dispatched twice", func(h []Event) []Event {
+			return append(h, Event{Kind: Ran, At: at(5020), Request: "a", Attempt: "a1", Version: "m@1", Upstream: "e1"})
+		}, AtMostOnce},
 		{"repeated key runs again", func(h []Event) []Event {
 			return append(h, Event{Kind: Ran, At: at(5305), Request: "b2", Service: "desk", Key: "k", Upstream: "d2"})
 		}, AtMostOnce},
--- a/internal/history/runs.go
+++ b/internal/history/runs.go
@@ -13,6 +13,22 @@
 		}
 	}
 	c.checkLeaving()
+	c.checkAttempts()
+}
+
+// checkAttempts finds an attempt that was dispatched more than once.
+func (c *checker) checkAttempts() {
+	type dispatch struct{ request, attempt string }
+	seen := map[dispatch]bool{}
+	for _, r := range c.order {
+		for _, run := range r.ran {
+			d := dispatch{r.id, run.Attempt}
+			if run.Attempt != "" && seen[d] {
+				c.add(AtMostOnce, r.id, "attempt %s reached an upstream more than once", run.Attempt)
+			}
+			seen[d] = true
+		}
+	}
 }
 
 func (c *checker) checkRun(r *request, run *Event) {
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -27,6 +27,10 @@
 	handIn HandInFunc
 	every  time.Duration
 
+	// handing has room for one hand-in, so that no batch goes out twice at
+	// the same time. It is taken before mu.
+	handing chan struct{}
+
 	mu sync.Mutex
 	// kept holds the charges of each agent's address, in the order in which
 	// they came.
@@ -43,7 +47,8 @@
 // NewCopies returns copies that hand in through the function, every
 // HandInEvery in service. Run must run beside it.
 func NewCopies(handIn HandInFunc, every time.Duration) *Copies {
-	return &Copies{handIn: handIn, every: every, kept: map[string][]copied{}, texts: map[string]string{}}
+	return &Copies{handIn: handIn, every: every, handing: make(chan struct{}, 1),
+		kept: map[string][]copied{}, texts: map[string]string{}}
 }
 
 // copied is a charge in little memory.
@@ -200,6 +205,12 @@
 // that was not taken, or whose reply was lost, is handed in again; the ledger
 // counts it once.
 func (c *Copies) HandInOnce(ctx context.Context) bool {
+	select {
+	case c.handing <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-c.handing }()
 	c.mu.Lock()
 	batch := c.orphans[:min(handInBatch, len(c.orphans))]
 	c.mu.Unlock()
--- a/internal/ledger/fold_test.go
+++ b/internal/ledger/fold_test.go
@@ -53,6 +53,34 @@
 	})
 }
 
+func TestHandInsAtTheSameTimeLoseNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		taken := map[string]bool{}
+		copies := NewCopies(func(_ context.Context, charges []*linkv1.Charge) (int, error) {
+			time.Sleep(time.Second)
+			for _, c := range charges {
+				taken[c.GetRequestId()] = true
+			}
+			return len(charges), nil
+		}, HandInEvery)
+		const n = 4 * handInBatch
+		for i := range uint64(n) {
+			copies.Keep("127.0.0.1:1", charge(mint(i), 0, 1))
+		}
+		copies.Gone("127.0.0.1:1")
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- copies.Run(ctx) }()
+		for copies.Counts().Held > 0 {
+			copies.HandInOnce(t.Context())
+		}
+		cancel()
+		if err := <-done; err != nil || len(taken) != n {
+			t.Errorf("%d of %d charges were taken, %v", len(taken), n, err)
+		}
+	})
+}
+
 func TestHandInOfChargesCountedInSumsIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBook()
