--- /dev/null
+++ b/integration/bench/idle_test.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"bytes"
+	"runtime"
+	"testing"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/standin/engine"
+)
+
+// idleStreams is how many streams the counted run holds open.
+const idleStreams = 400
+
+// TestMemoryOfAnIdleStream counts what is live in entry and agent for each
+// stream that waits for its next token: heap after a collection, and stacks.
+// The caller's end is a bare connection in the same process.
+func TestMemoryOfAnIdleStream(t *testing.T) {
+	if raceEnabled {
+		t.Skip("the race detector holds memory of its own; .ci/run runs this test without it")
+	}
+	c := compose(t, engine.Behaviour{TokenMs: float64(time.Hour.Milliseconds())}, idleVersions, false)
+	open := func(n int) {
+		for i := range n {
+			openIdle(t, c.entry.Addresses().Caller, versions(idleVersions)[i%idleVersions])
+		}
+	}
+	open(idleVersions)
+	before := liveMemory()
+	open(idleStreams)
+	after := liveMemory()
+	heap := (after.heap - before.heap) / idleStreams
+	stacks := (after.stacks - before.stacks) / idleStreams
+	goroutines := float64(after.goroutines-before.goroutines) / idleStreams
+	t.Logf("an idle stream: %d B of heap and %d B of stacks in %.1f goroutines", heap, stacks, goroutines)
+	if live := heap + stacks; live > maxLiveIdleBytes {
+		t.Errorf("%d live bytes for an idle stream, want at most %d", live, maxLiveIdleBytes)
+	}
+}
+
+// live is what a process holds after a collection.
+type live struct {
+	heap, stacks int64
+	goroutines   int
+}
+
+func liveMemory() live {
+	runtime.GC()
+	runtime.GC() // the second one empties the pools
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return live{heap: int64(m.HeapAlloc), stacks: int64(m.StackInuse), goroutines: runtime.NumGoroutine()}
+}
+
+// openIdle opens a stream and reads its first event.
+func openIdle(t testing.TB, address, model string) {
+	t.Helper()
+	c := newRawCaller(t, address, model, true, tokens)
+	if _, err := c.conn.Write(c.request); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 0, 1024)
+	part := make([]byte, 512)
+	for !bytes.Contains(buf, eventPrefix) {
+		n, err := c.conn.Read(part)
+		if err != nil {
+			t.Fatal(err)
+		}
+		buf = append(buf, part[:n]...)
+	}
+	c.in = nil
+}
--- a/integration/bench/report_test.go
+++ b/integration/bench/report_test.go
@@ -31,12 +31,21 @@
 // TestReport prints what entry and agent add to the same load sent straight to
 // the engine. It fails when a request fails; times are for docs/BENCHMARKS.md.
 func TestReport(t *testing.T) {
+	notUnderRace(t)
 	t.Run("latency", reportLatency)
 	t.Run("tokens", reportTokens)
 	t.Run("flood", reportFlood)
 	t.Run("idle streams", reportIdle)
 }
 
+// notUnderRace leaves a report out where its figures would say nothing.
+func notUnderRace(t *testing.T) {
+	t.Helper()
+	if raceEnabled {
+		t.Skip("figures under the race detector say nothing")
+	}
+}
+
 func logPair(t *testing.T, what string, direct, through times) {
 	t.Helper()
 	for _, q := range []float64{50, 95, 99} {
--- a/integration/bench/slopes_test.go
+++ b/integration/bench/slopes_test.go
@@ -72,6 +72,7 @@
 // TestReportSlopes prints what real daemons cost over the number of upstreams,
 // of daemons and of requests a second, for docs/BENCHMARKS.md.
 func TestReportSlopes(t *testing.T) {
+	notUnderRace(t)
 	t.Run("upstreams", func(t *testing.T) {
 		for _, n := range upstreamSizes.numbers {
 			slopeOverUpstreams(t, n)
