--- a/internal/quality/quality_test.go
+++ b/internal/quality/quality_test.go
@@ -126,3 +126,22 @@
 		t.Errorf("latency is %v while it answers, %v after a minute without", busy.Latency, left.Latency)
 	}
 }
+
+func TestASuccessorStartsFromItsPredecessor(t *testing.T) {
+	b := NewBook(Settings{})
+	from, to := Key{Version: "small@1"}, Key{Version: "small@2"}
+	b.Add(from, Delta{Good: 570, Bad: 30}, epoch)
+	b.Add(to, Delta{Good: 100}, epoch)
+	v := b.View(epoch)
+	e, ok := v.Successor(to, from.Version, 400)
+	if want := (100 + 300*0.95) / 400; !ok || math.Abs(e.Ratings-400) > 1e-9 || math.Abs(e.Mean-want) > 1e-9 {
+		t.Errorf("estimate is %+v, want 400 ratings with a mean of %v", e, want)
+	}
+	alone, _ := v.Get(to)
+	if full, _ := v.Successor(to, from.Version, 50); full != alone {
+		t.Errorf("with enough ratings of its own the estimate is %+v, want %+v", full, alone)
+	}
+	if _, ok := v.Successor(Key{Version: "x@2"}, "x@1", 400); ok {
+		t.Error("an estimate out of nothing")
+	}
+}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -364,3 +364,27 @@
 		})
 	}
 }
+
+// TestStandbyIsLearned has a proven best choice and a proven dear one. Without
+// the best's version the small one would be worth a try, and gets a few.
+func TestStandbyIsLearned(t *testing.T) {
+	objs := baseObjects()
+	objs[catalog.KindRule]["tag"] = catalog.Rule{Class: "tag", Use: []string{"small@1", "small@2", "large@1"}}
+	objs[catalog.KindVersion]["small@2"] = catalog.Version{InputMicros: 2, OutputMicros: 2, PriorQuality: 0.95}
+	p := compile(t, objs, Settings{ExploreMost: 1, ExploreStandby: 0.1}).With(view(
+		known{key: key("tag", "", "small@1"), good: 980, bad: 20},
+		known{key: key("tag", "", "large@1"), good: 990, bad: 10}))
+	rnd := rand.New(rand.NewPCG(1, 5))
+	const n = 10000
+	got := map[catalog.VersionName]int{}
+	for range n {
+		plan, err := p.Plan(Request{Organisation: "alpha", Target: "small", Class: "tag"}, epoch, rnd.Uint64())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[plan.Step(0).Version]++
+	}
+	if got["small@2"] < n*8/100 || got["small@2"] > n*12/100 || got["small@1"]+got["small@2"] != n {
+		t.Errorf("answers by version: %v, want a tenth by the standby and the rest by the best", got)
+	}
+}
