--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -154,6 +154,7 @@
 		Target:       r.call.Target,
 		Class:        r.call.Class,
 		Session:      r.pin,
+		NewSession:   r.call.NewSession,
 		Sticky:       sticky,
 		Deadline:     r.call.Deadline,
 		PromptTokens: r.call.PromptTokens,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/alitto/pond/v2"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"tarragonbay.example/tarragonbay/internal/admission"
 	"tarragonbay.example/tarragonbay/internal/balance"
@@ -89,14 +90,16 @@
 	now         func() time.Time
 
 	// planMu is held while the planner is replaced.
-	planMu   sync.Mutex
-	planner  atomic.Pointer[route.Planner]
-	members  Members
-	picker   *balance.Picker
-	limiter  *admission.Limiter
-	retries  *retry.Policy
-	learner  *learner
-	cancels  pond.Pool
+	planMu  sync.Mutex
+	planner atomic.Pointer[route.Planner]
+	members Members
+	picker  *balance.Picker
+	limiter *admission.Limiter
+	retries *retry.Policy
+	learner *learner
+	cancels pond.Pool
+	// ratings bounds the answers handed in for rating.
+	ratings  *rate.Limiter
 	fleet    *watch.Fleet
 	held     atomic.Pointer[[]catalog.VersionName]
 	spent    resting
@@ -130,6 +133,7 @@
 		retries:     retry.New(retry.Settings{}, o.Now()),
 		shadows:     make(shadowSlots, maxShadows),
 		fleet:       watch.NewFleet(),
+		ratings:     rate.NewLimiter(ratedPerSecond, ratedPerSecond),
 		cancels:     pond.NewPool(cancelWorkers, pond.WithQueueSize(cancelQueue), pond.WithNonBlocking(true)),
 		metrics:     newCounters(o.Metrics),
 	}
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -150,13 +150,14 @@
 	}
 }
 
-// ratedShare is the share of answers handed in for rating.
-const ratedShare = 0.25
+// ratedPerSecond bounds the answers that one entry has rated beside those of
+// new versions and of tries. Up to that rate every answer is rated: a version in
+// use that turns bad is found by its ratings.
+const ratedPerSecond = 100
 
-// rated reports whether the answer is handed in for rating: all those of a new
-// version and of a try, and a sample of the others.
+// rated reports whether the answer is handed in for rating.
 func (s *stepRun) rated() bool {
-	return s.step.RollingOut || s.exploring || rand.Float64() < ratedShare
+	return s.step.RollingOut || s.exploring || s.entry.ratings.Allow()
 }
 
 // close records the end of the attempt and what it told of the load.
@@ -242,6 +243,9 @@
 		e.learner.drafted(s.key, escalated)
 		if escalated {
 			e.metrics.escalated.Inc(1)
+			if s.step.RollingOut {
+				e.fleet.Unserved(s.step.Version)
+			}
 			return false, nil
 		}
 	}
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -161,6 +161,16 @@
 	}
 }
 
+// Unserved counts an answer of a version that reached no caller: a draft that
+// was handed on. It gives a new version's budget back.
+func (f *Fleet) Unserved(version catalog.VersionName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v, ok := f.versions[version]; ok {
+		v.monitor.Unserved(1)
+	}
+}
+
 // News returns what agents must know of a version, or nil for one whose
 // answers they do not count.
 func (f *Fleet) News(version catalog.VersionName) *linkv1.VersionNews {
@@ -172,7 +182,8 @@
 	}
 	t := v.monitor.Tally()
 	return &linkv1.VersionNews{
-		Good: uint32(t.Good), Bad: uint32(t.Bad), Lost: uint32(t.Lost), Cleared: t.Cleared,
+		Good: uint32(t.Good), Bad: uint32(t.Bad), Lost: uint32(t.Lost),
+		Unserved: uint32(t.Unserved), Cleared: t.Cleared,
 	}
 }
 
--- a/internal/watch/host.go
+++ b/internal/watch/host.go
@@ -129,6 +129,7 @@
 	m.tally.Good = max(m.tally.Good, int(n.GetGood()))
 	m.tally.Bad = max(m.tally.Bad, int(n.GetBad()))
 	m.tally.Lost = max(m.tally.Lost, int(n.GetLost()))
+	m.tally.Unserved = max(m.tally.Unserved, int(n.GetUnserved()))
 	m.tally.Cleared = m.tally.Cleared || n.GetCleared()
 	if m.marked {
 		m.meter.Raise(m.share())
