--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tarragonbay.example/tarragonbay/internal/balance"
 	"tarragonbay.example/tarragonbay/internal/catalog"
 )
 
@@ -12,19 +13,55 @@
 // that its budget of unrated answers is spent.
 const spentFor = 250 * time.Millisecond
 
-// resting are the versions that take no work for a moment.
+// Bounds of asking another host after one whose budget is spent.
+const (
+	// refusedFor is how long the others are asked first.
+	refusedFor = 2 * time.Second
+	// maxRefused is how many hosts are kept for each version.
+	maxRefused = 4
+)
+
+// resting are the versions that take no work for a moment, and the upstreams
+// that refused them last.
 type resting struct {
-	mu    sync.Mutex
-	until map[catalog.VersionName]time.Time
+	mu      sync.Mutex
+	until   map[catalog.VersionName]time.Time
+	refused map[catalog.VersionName][]refusal
 }
 
-func (r *resting) rest(v catalog.VersionName, until time.Time) {
+// refusal is an upstream whose share of a version's budget is spent.
+type refusal struct {
+	upstream string
+	until    time.Time
+}
+
+// rest leaves the version alone for a moment after the upstream said that its
+// share is spent. The next try goes to another host, whose share may not be.
+func (r *resting) rest(v catalog.VersionName, upstream string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.until == nil {
 		r.until = map[catalog.VersionName]time.Time{}
+		r.refused = map[catalog.VersionName][]refusal{}
+	}
+	r.until[v] = now.Add(spentFor)
+	list := append(r.refused[v], refusal{upstream, now.Add(refusedFor)})
+	r.refused[v] = list[max(0, len(list)-maxRefused):]
+}
+
+// avoid adds the upstreams that refused the version lately to those tried. It
+// reports whether there were any.
+func (r *resting) avoid(v catalog.VersionName, now time.Time, tried *balance.Tried) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := false
+	for _, x := range r.refused[v] {
+		if now.Before(x.until) {
+			tried.Add(x.upstream)
+			found = true
+		}
 	}
-	r.until[v] = until
+	return found
 }
 
 // list returns the resting versions, sorted; nil when there are none.
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -17,6 +17,7 @@
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/route"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // engineChatPath is the path of chat completions at a model engine.
@@ -33,7 +34,9 @@
 	exploring bool
 	body      []byte
 	tried     balance.Tried
-	started   time.Time
+	// upstream is the last one tried.
+	upstream string
+	started  time.Time
 }
 
 // runStep runs attempts of one step. It reports whether its answer was given
@@ -58,20 +61,20 @@
 			return s.conclude(out, last)
 		}
 		if err := s.again(failure); err != nil {
-			r.exclude(step, err)
+			s.exclude(err)
 			return false, err
 		}
 	}
 }
 
 // exclude keeps a version that takes no work out of the next plan.
-func (r *chatRun) exclude(step route.Step, failure *result.Error) {
+func (s *stepRun) exclude(failure *result.Error) {
 	if !replannable(failure) {
 		return
 	}
-	r.without = append(r.without, step.Version)
+	s.without = append(s.without, s.step.Version)
 	if failure.Code == result.ExposureSpent {
-		r.entry.spent.rest(step.Version, r.entry.now().Add(spentFor))
+		s.entry.spent.rest(s.step.Version, s.upstream, s.entry.now())
 	}
 }
 
@@ -85,32 +88,21 @@
 		return d.Final
 	}
 	s.entry.metrics.retries.Inc(1)
-	if d.Wait <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d.Wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-s.ctx.Done():
+	if !wait.For(s.ctx, d.Wait) {
 		return failure
 	}
+	return nil
 }
 
 // try makes one attempt.
 func (s *stepRun) try() (*output, *result.Error) {
 	e := s.entry
-	choice, err := e.picker.Pick(&balance.Request{
-		Target:       balance.Target{Version: s.step.Version},
-		Prefix:       s.call.Prefix,
-		PromptTokens: s.call.PromptTokens,
-		Tried:        s.tried,
-	}, e.now(), e.random())
+	choice, err := s.pick()
 	if err != nil {
 		return nil, result.From(err)
 	}
 	s.tried.Add(choice.Upstream)
+	s.upstream = choice.Upstream
 	id := uuid.NewString()
 	if err := s.request.Begin(id); err != nil {
 		return nil, result.From(err)
@@ -126,6 +118,25 @@
 	return out, s.close(id, choice, sent, stream, err)
 }
 
+// pick chooses an upstream. For a version in a roll-out those that have spent
+// their share of its budget are left for last.
+func (s *stepRun) pick() (balance.Choice, error) {
+	e := s.entry
+	req := &balance.Request{
+		Target:       balance.Target{Version: s.step.Version},
+		Prefix:       s.call.Prefix,
+		PromptTokens: s.call.PromptTokens,
+		Tried:        s.tried,
+	}
+	if s.step.RollingOut && e.spent.avoid(s.step.Version, e.now(), &req.Tried) {
+		if choice, err := e.picker.Pick(req, e.now(), e.random()); err == nil {
+			return choice, nil
+		}
+		req.Tried = s.tried
+	}
+	return e.picker.Pick(req, e.now(), e.random())
+}
+
 func (s *stepRun) message(id string, choice balance.Choice) *linkv1.AttemptRequest {
 	return &linkv1.AttemptRequest{
 		RequestId:    s.call.RequestID,
