Tell an upstream's load without listing its organisations

Cause: each answer carries the load twice, and each time the gate listed and sorted the flows of all organisations under its lock, for the dump. Change: Limiter.Counts returns what runs and waits; the slots are those of the configuration, to which the gate is set.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -147,6 +147,14 @@
 // Stop refuses everything that waits or comes later.
 func (l *Limiter) Stop() { l.do((*Controller).Stop) }
 
+// Counts returns the requests that run and that wait. It costs the same at any
+// number of organisations, unlike State.
+func (l *Limiter) Counts() (running, waiting int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.controller.Counts()
+}
+
 // State returns what the controller holds, for the state dump.
 func (l *Limiter) State() State {
 	l.mu.Lock()
--- a/internal/agent/hosted.go
+++ b/internal/agent/hosted.go
@@ -85,10 +85,7 @@
 }
 
 func (h *hosted) update(old *hostedUpstream, name string, u *catalog.Upstream, set *catalog.Set) *hostedUpstream {
-	slots := u.Slots
-	if slots == 0 {
-		slots = catalog.DefaultSlots
-	}
+	slots := slotsOf(u)
 	if old == nil || old.config.Address != u.Address {
 		up := &hostedUpstream{
 			name:   name,
@@ -111,6 +108,14 @@
 	return up
 }
 
+// slotsOf is the limit of an upstream's gate.
+func slotsOf(u *catalog.Upstream) int {
+	if u.Slots == 0 {
+		return catalog.DefaultSlots
+	}
+	return u.Slots
+}
+
 // runGate ticks the gate, which then refuses those who wait in vain, until the
 // returned function is called.
 func runGate(gate *admission.Limiter) context.CancelFunc {
@@ -148,11 +153,11 @@
 
 // load is what rides on answers and reports.
 func (u *hostedUpstream) load(leaving bool) *linkv1.Load {
-	state := u.gate.State()
+	running, waiting := u.gate.Counts()
 	return &linkv1.Load{
-		InFlight:     uint32(state.Running),
-		Queued:       uint32(state.Waiting),
-		Slots:        uint32(state.Limit),
+		InFlight:     uint32(running),
+		Queued:       uint32(waiting),
+		Slots:        uint32(slotsOf(&u.config)),
 		FirstTokenUs: uint32(u.firstToken.get().Microseconds()),
 		Leaving:      leaving || u.leaving.Load() || u.config.Leaving,
 	}
