--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -45,8 +45,8 @@
 		r.refused = map[catalog.VersionName][]refusal{}
 	}
 	r.until[v] = now.Add(spentFor)
-	list := append(r.refused[v], refusal{upstream, now.Add(refusedFor)})
-	r.refused[v] = list[max(0, len(list)-maxRefused):]
+	r.refused[v] = append(r.refused[v], refusal{upstream, now.Add(refusedFor)})
+	r.refused[v] = r.refused[v][max(0, len(r.refused[v])-maxRefused):]
 }
 
 // avoid adds the upstreams that refused the version lately to those tried. It
