Wait and keep virtual time in one place each

Cause: six packages had the same timer loop, and the version bench an event queue of its own beside that of the engine model. Change: internal/wait, and the engine model's clock in the version bench.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"tarragonbay.example/tarragonbay/internal/settings"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
 	"tarragonbay.example/tarragonbay/internal/tlsfiles"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // Ports are the platform's services as one daemon uses them.
@@ -358,7 +359,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Timeouts.Drain)
 	defer cancel()
 	if d.settings.Role == settings.RoleEntry {
-		sleep(ctx, unreadyFor)
+		wait.For(ctx, unreadyFor)
 	}
 	err := d.role.drain(ctx)
 	if shutErr := d.linkServer.Shutdown(ctx); err == nil {
@@ -371,12 +372,3 @@
 	log.Info("stopped")
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/daemon/entry_stop.go
+++ b/internal/daemon/entry_stop.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 func (r *entryRole) drain(ctx context.Context) error {
@@ -33,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	for r.claims.Pending() > 0 && ctx.Err() == nil {
-		sleep(ctx, flushPause)
+		wait.For(ctx, flushPause)
 	}
 	if left := r.claims.Pending(); left > 0 {
 		r.daemon.log.Part("claims").Warn("ends of claims not written", zap.Int("claims", left))
@@ -48,7 +49,7 @@
 	r.copies.GoneAll()
 	for r.copies.Counts().Orphans > 0 && ctx.Err() == nil {
 		if !r.copies.HandInOnce(ctx) {
-			sleep(ctx, flushPause)
+			wait.For(ctx, flushPause)
 		}
 	}
 	if left := r.copies.Counts().Orphans; left > 0 {
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -9,6 +9,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/ledger"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 func (d *Daemon) newCharger() *ledger.Charger {
@@ -53,7 +54,7 @@
 						return err
 					}
 				}
-				sleep(ctx, foldEvery)
+				wait.For(ctx, foldEvery)
 				if ctx.Err() != nil {
 					return nil
 				}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -13,6 +13,7 @@
 	"tarragonbay.example/tarragonbay/internal/claim"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // Claims guards calls that may not be repeated. It is implemented by
@@ -90,7 +91,7 @@
 			return answer, r.request.Report(d.Final)
 		}
 		r.entry.metrics.retries.Inc(1)
-		if !sleep(r.ctx, d.Wait) {
+		if !wait.For(r.ctx, d.Wait) {
 			return answer, r.request.Report(failure)
 		}
 		another, err := r.planAttempt()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -5,7 +5,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -16,6 +15,7 @@
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // serviceRun is one call of a plain service on its way. It belongs to one
@@ -87,27 +87,12 @@
 			return answer, r.request.Report(d.Final)
 		}
 		r.entry.metrics.retries.Inc(1)
-		if !sleep(r.ctx, d.Wait) {
+		if !wait.For(r.ctx, d.Wait) {
 			return answer, r.request.Report(failure)
 		}
 	}
 }
 
-// sleep waits and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try makes one attempt.
 func (r *serviceRun) try() (callerapi.ServiceAnswer, *result.Error) {
 	choice, err := r.pick()
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -14,6 +14,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // Options configure a Manager. Zero fields take the defaults.
@@ -74,7 +75,7 @@
 // Run watches one item and does its work whenever this daemon holds the lease,
 // until the context ends.
 func (m *Manager) Run(ctx context.Context, item string, work Work) error {
-	for sleep(ctx, m.pause(item)) {
+	for wait.For(ctx, m.pause(item)) {
 		held, err := m.Try(ctx, item)
 		if err != nil {
 			continue
@@ -223,7 +224,7 @@
 			return
 		}
 		pause := min(left, jitter(time.Duration(float64(held.duration)*renewShare)))
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 		renewCtx, cancel := context.WithTimeout(ctx, max(0, held.validFor()))
@@ -280,14 +281,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return time.Duration(float64(mean) * (1 + spread*(2*rand.Float64()-1)))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/membership/listwatch.go
+++ b/internal/membership/listwatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // The pace of reading the host list.
@@ -72,7 +73,7 @@
 		if err == nil {
 			w.tell(ctx, w.news(list))
 		}
-		if !sleep(ctx, w.pause(bytes, first)) {
+		if !wait.For(ctx, w.pause(bytes, first)) {
 			return nil
 		}
 		first = false
@@ -128,7 +129,7 @@
 	}
 	for _, h := range news {
 		w.options.Tell(ctx, h.Name, h.Leaving)
-		if !sleep(ctx, tellPause) {
+		if !wait.For(ctx, tellPause) {
 			return
 		}
 	}
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -278,14 +278,3 @@
 	}
 	r.count(func(s *Stats) { s.Told++; s.Bytes += firstBeatBytes })
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/membership/runner_test.go
+++ b/internal/membership/runner_test.go
@@ -13,6 +13,7 @@
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/platform/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // The bounds of membership, from the target of 6 KB a second of control for
@@ -68,7 +69,7 @@
 	down := a.down[domain]
 	a.mu.Unlock()
 	if down {
-		sleep(ctx, time.Second)
+		wait.For(ctx, time.Second)
 		return nil, result.New(result.UpstreamRefused, "no answer")
 	}
 	resp := &linkv1.ReportResponse{Envelope: &linkv1.Envelope{Revision: 1000, Sender: host, Incarnation: 1 << 40, Address: "10.0.0.1:7000"}}
--- a/internal/platform/resolve.go
+++ b/internal/platform/resolve.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // The pauses between the tries of CommitResolved.
@@ -31,7 +32,7 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = firstResolvePause
 	pause.MaxInterval = maxResolvePause
-	for sleep(ctx, pause.NextBackOff()) {
+	for wait.For(ctx, pause.NextBackOff()) {
 		applied, readErr := t.Applied(ctx, txn.OperationID)
 		if readErr != nil {
 			continue
@@ -66,15 +67,3 @@
 	}
 	return conflict
 }
-
-// sleep waits for d and reports false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/policybench/version/policy.go
+++ b/internal/policybench/version/policy.go
@@ -151,7 +151,7 @@
 		good += reach * q * confidentWhenGood
 		reach *= 1 - kept
 	}
-	return cost, good >= c.target && p.run.now-r.arrived+slow <= c.deadline
+	return cost, good >= c.target && p.run.clock.Now()-r.arrived+slow <= c.deadline
 }
 
 // chains returns every chain of the versions in use, cheap to dear.
--- a/internal/policybench/version/pool.go
+++ b/internal/policybench/version/pool.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"tarragonbay.example/tarragonbay/internal/enginemodel"
 )
 
 // replica serves one version on one host of a failure domain.
@@ -31,7 +33,7 @@
 
 // pool is all replicas of one version with one queue in front.
 type pool struct {
-	clock    *clock
+	clock    *enginemodel.Clock
 	slots    int
 	replicas []replica
 	queue    []job
@@ -40,7 +42,7 @@
 // queueFactor bounds the queue to a multiple of the slots.
 const queueFactor = 2
 
-func newPool(c *clock, s *site) *pool {
+func newPool(c *enginemodel.Clock, s *site) *pool {
 	p := &pool{clock: c, slots: s.slots}
 	for i := range s.replicas {
 		p.replicas = append(p.replicas, replica{domain: i % domains, up: true})
@@ -116,7 +118,7 @@
 	run := &running{job: j}
 	r.busy++
 	r.running = append(r.running, run)
-	p.clock.after(j.service, func() {
+	p.clock.After(j.service, func() {
 		if run.lost {
 			return
 		}
--- a/internal/policybench/version/product.go
+++ b/internal/policybench/version/product.go
@@ -245,7 +245,7 @@
 		if !p.run.load.isBad(version, p.run.sinceWarm()) {
 			p.run.figures.falseWithdrawals++
 		}
-		p.run.after(publishTime, p.mustCompile)
+		p.run.clock.After(publishTime, p.mustCompile)
 	}
 }
 
@@ -275,7 +275,7 @@
 }
 
 func (p *product) tick() {
-	now := p.run.now
+	now := p.run.clock.Now()
 	if p.run.rollout.Status != p.compiled.Status || p.run.rollout.Stage != p.compiled.Stage || p.run.rollout.Name != p.compiled.Name {
 		p.mustCompile()
 	}
--- a/internal/policybench/version/rollouts.go
+++ b/internal/policybench/version/rollouts.go
@@ -28,7 +28,7 @@
 // stepRollout lets the product step the roll-out by what it knows; a baseline
 // has no verdict and goes by time alone.
 func (r *run) stepRollout() {
-	r.after(stepEvery, r.stepRollout)
+	r.clock.After(stepEvery, r.stepRollout)
 	if within(r.sinceWarm(), r.load.stoppedAt, r.load.stoppedFor) {
 		return
 	}
@@ -38,7 +38,7 @@
 	}
 	r.rollout = r.rollout.Next(rollout.Observation{
 		Now:          r.time(),
-		Tally:        rollout.Tally{Good: int(r.now / time.Second), Cleared: true},
+		Tally:        rollout.Tally{Good: int(r.clock.Now() / time.Second), Cleared: true},
 		RatingsFresh: true,
 	})
 }
--- a/internal/policybench/version/run.go
+++ b/internal/policybench/version/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"tarragonbay.example/tarragonbay/internal/enginemodel"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/rollout"
 )
@@ -25,9 +26,9 @@
 
 // run is one policy under one load at one site.
 type run struct {
-	clock
-	site *site
-	load *load
+	clock enginemodel.Clock
+	site  *site
+	load  *load
 	// arrivals draws the requests, so that all policies get the same, and
 	// rnd all that follows from a policy's choices.
 	arrivals *rand.Rand
@@ -71,40 +72,40 @@
 }
 
 // time returns the wall time of the run.
-func (r *run) time() time.Time { return epoch.Add(r.now) }
+func (r *run) time() time.Time { return epoch.Add(r.clock.Now()) }
 
 // sinceWarm returns the time since figures are taken; negative before.
-func (r *run) sinceWarm() time.Duration { return r.now - r.load.warm }
+func (r *run) sinceWarm() time.Duration { return r.clock.Now() - r.load.warm }
 
 func (r *run) measured(arrived time.Duration) bool { return arrived >= r.load.warm }
 
 // execute runs the load to its end.
 func (r *run) execute() {
-	r.after(0, r.everySecond)
-	r.after(0, r.arrive)
+	r.clock.After(0, r.everySecond)
+	r.clock.After(0, r.arrive)
 	r.setFaults()
 	if r.load.rollout {
-		r.after(r.load.warm+r.load.rolloutAt, r.beginRollout)
+		r.clock.After(r.load.warm+r.load.rolloutAt, r.beginRollout)
 	}
-	r.runUntil(r.load.warm + r.load.length)
+	r.clock.RunUntil(r.load.warm + r.load.length)
 	r.figures.rollout = r.rollout
 }
 
 func (r *run) everySecond() {
 	r.policy.tick()
-	r.after(time.Second, r.everySecond)
+	r.clock.After(time.Second, r.everySecond)
 }
 
 func (r *run) setFaults() {
 	l := r.load
 	if l.lostFor != never {
-		r.after(l.warm+l.lostAt, func() { r.setReplicas(r.pools, inFirstDomain, (*pool).lose) })
-		r.after(l.warm+l.lostAt+l.lostFor, func() { r.setReplicas(r.pools, inFirstDomain, (*pool).restore) })
+		r.clock.After(l.warm+l.lostAt, func() { r.setReplicas(r.pools, inFirstDomain, (*pool).lose) })
+		r.clock.After(l.warm+l.lostAt+l.lostFor, func() { r.setReplicas(r.pools, inFirstDomain, (*pool).restore) })
 	}
 	if l.goneFor != never {
 		middles := r.pools[middle : middle+1]
-		r.after(l.warm+l.goneAt, func() { r.setReplicas(middles, notFirst, (*pool).lose) })
-		r.after(l.warm+l.goneAt+l.goneFor, func() { r.setReplicas(middles, notFirst, (*pool).restore) })
+		r.clock.After(l.warm+l.goneAt, func() { r.setReplicas(middles, notFirst, (*pool).lose) })
+		r.clock.After(l.warm+l.goneAt+l.goneFor, func() { r.setReplicas(middles, notFirst, (*pool).restore) })
 	}
 }
 
@@ -126,11 +127,11 @@
 func (r *run) arrive() {
 	rate := r.site.rate * r.load.rate(r.sinceWarm())
 	gap := r.arrivals.ExpFloat64() / rate
-	r.after(time.Duration(gap*float64(time.Second)), r.arrive)
+	r.clock.After(time.Duration(gap*float64(time.Second)), r.arrive)
 	class := r.drawClass()
 	req := &request{
 		class:   class,
-		arrived: r.now,
+		arrived: r.clock.Now(),
 		output:  1 + int(float64(r.site.classes[class].output)*(0.5+r.arrivals.Float64())),
 		sticky:  r.arrivals.Uint64(),
 		luck:    r.arrivals.Uint64(),
@@ -189,7 +190,7 @@
 		r.again(req, st.version)
 		return
 	}
-	asked := r.now
+	asked := r.clock.Now()
 	accepted := r.pools[st.version].submit(job{
 		service: r.site.models[st.version].service(req.output),
 		drop:    func() bool { return r.dropLate(req) },
@@ -208,7 +209,7 @@
 
 // dropLate refuses a queued request whose deadline has passed.
 func (r *run) dropLate(req *request) bool {
-	if r.now-req.arrived <= r.site.classes[req.class].deadline {
+	if r.clock.Now()-req.arrived <= r.site.classes[req.class].deadline {
 		return false
 	}
 	r.refuse(req)
@@ -218,7 +219,7 @@
 func (r *run) finishStep(req *request, steps []step, i int, asked time.Duration) {
 	st := steps[i]
 	r.charge(req, st.version)
-	r.policy.answered(st.key, r.now-asked, req.output)
+	r.policy.answered(st.key, r.clock.Now()-asked, req.output)
 	a := r.draw(st.version, req)
 	if i < len(steps)-1 {
 		r.policy.drafted(st.key, !a.confident)
@@ -268,7 +269,7 @@
 		return
 	}
 	f := &r.figures
-	latency := r.now - req.arrived
+	latency := r.clock.Now() - req.arrived
 	f.answered++
 	f.byClass[req.class]++
 	if good {
@@ -293,7 +294,7 @@
 	if t := r.sinceWarm() + lag; within(t, r.load.awayAt, r.load.awayFor) {
 		lag += r.load.awayAt + r.load.awayFor - t
 	}
-	r.after(lag, func() { r.policy.rated(k, req.class, good, shadow) })
+	r.clock.After(lag, func() { r.policy.rated(k, req.class, good, shadow) })
 }
 
 // runShadow runs a chain for its ratings only, where there is a free slot.
--- a/internal/publish/follower.go
+++ b/internal/publish/follower.go
@@ -13,6 +13,7 @@
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // The pace of a follower.
@@ -159,7 +160,7 @@
 	f.start(ctx)
 	for ctx.Err() == nil {
 		f.Poll(ctx)
-		if !sleep(ctx, f.jitter(f.pollMean())) {
+		if !wait.For(ctx, f.jitter(f.pollMean())) {
 			break
 		}
 	}
@@ -329,14 +330,3 @@
 	spread := 1 + pollSpread*(2*f.options.Rand()-1)
 	return time.Duration(float64(mean) * spread)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/publish/peers.go
+++ b/internal/publish/peers.go
@@ -13,6 +13,7 @@
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1/linkv1connect"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // The pace of pulls between daemons.
@@ -144,7 +145,7 @@
 				break
 			}
 			_ = f.pull(ctx, address)
-			if !sleep(ctx, f.jitter(pullEvery)) {
+			if !wait.For(ctx, f.jitter(pullEvery)) {
 				return
 			}
 		}
--- a/internal/publish/wait.go
+++ b/internal/publish/wait.go
@@ -12,6 +12,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // The pace at which an operator's command asks the daemons.
@@ -109,7 +110,7 @@
 		if len(missing) == 0 {
 			return nil
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return &NotInForceError{Revision: revision, Daemons: missing}
 		}
 	}
--- a/internal/watch/marks.go
+++ b/internal/watch/marks.go
@@ -9,6 +9,7 @@
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // markRetry is the pause before a mark is tried again.
@@ -25,18 +26,15 @@
 // It tries until the table service answers or ctx ends; until then the host
 // grants no answer of the version.
 func Mark(ctx context.Context, t platform.Table, h *Host, version catalog.VersionName) {
-	for ctx.Err() == nil {
+	for {
 		ranBefore, err := mark(ctx, t, MarkKey(version, h.name))
 		if err == nil {
 			h.Marked(version, ranBefore)
 			return
 		}
-		timer := time.NewTimer(markRetry)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
+		if !wait.For(ctx, markRetry) {
+			return
 		}
-		timer.Stop()
 	}
 }
 
