Read the text of events for rating without reflection

Cause: since every answer may be rated, the agent decodes each event of a stream to keep its text; and the walk to one member stood three times. Change: chat.Text walks to the content; jsonscan.Lookup is the one walk, also for the usage in internal/upstream and internal/callerapi.

--- a/internal/callerapi/sink.go
+++ b/internal/callerapi/sink.go
@@ -191,19 +191,8 @@
 	if !json.Valid(data) {
 		return false
 	}
-	walk, ok := jsonscan.Members(data)
-	if !ok {
-		return false
-	}
-	for {
-		name, value, more := walk.Member()
-		if !more {
-			return false
-		}
-		if string(name) == "usage" {
-			return value[0] == '{'
-		}
-	}
+	usage := jsonscan.Lookup(data, "usage")
+	return len(usage) > 0 && usage[0] == '{'
 }
 
 // event writes one event. JSON holds line ends only between tokens, and there
--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -131,23 +131,31 @@
 	return c.sum / float64(c.count), true
 }
 
-// text is the part of an answer or event that Text reads.
-type text struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		Message struct {
-			Content string `json:"content"`
-		} `json:"message"`
-	} `json:"choices"`
-}
-
 // Text returns the words of one event or whole answer, for rating.
 func Text(data []byte) string {
-	var t text
-	if json.Unmarshal(data, &t) != nil || len(t.Choices) == 0 {
+	if !json.Valid(data) {
 		return ""
 	}
-	return t.Choices[0].Delta.Content + t.Choices[0].Message.Content
+	choices, ok := jsonscan.Elements(jsonscan.Lookup(data, "choices"))
+	if !ok {
+		return ""
+	}
+	first, ok := choices.Element()
+	if !ok {
+		return ""
+	}
+	delta := text(jsonscan.Lookup(jsonscan.Lookup(first, "delta"), "content"))
+	return delta + text(jsonscan.Lookup(jsonscan.Lookup(first, "message"), "content"))
+}
+
+// text returns what a JSON string stands for; any other value reads as empty.
+func text(value []byte) string {
+	if len(value) == 0 || value[0] != '"' {
+		return ""
+	}
+	inner := value[1 : len(value)-1]
+	if bytes.IndexByte(inner, '\\') >= 0 {
+		inner = unescape(inner)
+	}
+	return string(inner)
 }
--- a/internal/chat/chat_test.go
+++ b/internal/chat/chat_test.go
@@ -65,11 +65,32 @@
 }
 
 func TestTextReadsEventsAndWholeAnswers(t *testing.T) {
-	if got := Text([]byte(`{"choices":[{"delta":{"content":" w1"}}]}`)); got != " w1" {
-		t.Errorf("event: %q", got)
+	tests := map[string]string{
+		`{"choices":[{"delta":{"content":" w1"}}]}`:                               " w1",
+		`{"choices":[{"message":{"content":"whole"}}]}`:                           "whole",
+		`{"choices":[{"delta":{"content":"a\n\u00e9 \"b\" \\"}}]}`:                "a\né \"b\" \\",
+		`{"choices":[{"delta":{"content":"1"}},{"delta":{"content":"2"}}]}`:       "1",
+		`{"choices":[{"delta":{"content":null,"tool_calls":[{"content":"x"}]}}]}`: "",
+		`{"choices":[]}`:       "",
+		`{"content":"x"}`:      "",
+		`[{"choices":[]}]`:     "",
+		`{"choices":[{"delta"`: "",
 	}
-	if got := Text([]byte(`{"choices":[{"message":{"content":"whole"}}]}`)); got != "whole" {
-		t.Errorf("answer: %q", got)
+	for data, want := range tests {
+		if got := Text([]byte(data)); got != want {
+			t.Errorf("%s: got %q, want %q", data, got, want)
+		}
+	}
+}
+
+func BenchmarkTextOfAnEvent(b *testing.B) {
+	event := []byte(`{"id":"chatcmpl-1","object":"chat.completion.chunk","created":1,"model":"small@1",` +
+		`"choices":[{"index":0,"delta":{"content":" word"},"finish_reason":null}]}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if Text(event) != " word" {
+			b.Fatal("wrong text")
+		}
 	}
 }
 
--- a/internal/jsonscan/jsonscan.go
+++ b/internal/jsonscan/jsonscan.go
@@ -40,6 +40,25 @@
 	return name[1 : len(name)-1], c.value(), true
 }
 
+// Lookup returns the value of a member of an object. It is nil when there is no
+// such member, or the value is no object. The name must stand in the text as it
+// is asked for, without escapes.
+func Lookup(object []byte, name string) []byte {
+	walk, ok := Members(object)
+	if !ok {
+		return nil
+	}
+	for {
+		n, value, more := walk.Member()
+		if !more {
+			return nil
+		}
+		if string(n) == name {
+			return value
+		}
+	}
+}
+
 // Element returns the next value of an array.
 func (c *Cursor) Element() (value []byte, ok bool) {
 	if !c.next(']') {
--- a/internal/jsonscan/jsonscan_test.go
+++ b/internal/jsonscan/jsonscan_test.go
@@ -95,3 +95,18 @@
 		}
 	}
 }
+
+func TestLookupFindsAMemberOfTheObjectItself(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"a":{"b":1},"b":2}`: "2",
+		`{"a":{"b":1}}`:       "",
+		`{"b":null}`:          "null",
+		`[{"b":1}]`:           "",
+		`{ "b" : "}" }`:       `"}"`,
+		``:                    "",
+	} {
+		if got := string(Lookup([]byte(text), "b")); got != want {
+			t.Errorf("%s: got %s, want %s", text, got, want)
+		}
+	}
+}
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -92,30 +92,12 @@
 	if !json.Valid(data) {
 		return Usage{}
 	}
-	usage := member(data, "usage")
-	details := member(usage, "prompt_tokens_details")
+	usage := jsonscan.Lookup(data, "usage")
+	details := jsonscan.Lookup(usage, "prompt_tokens_details")
 	return Usage{
-		InputTokens:  count(member(usage, "prompt_tokens")),
-		OutputTokens: count(member(usage, "completion_tokens")),
-		CachedTokens: count(member(details, "cached_tokens")),
-	}
-}
-
-// member returns the text of a member of valid JSON; none reads as nil, as does
-// that of a value that is no object.
-func member(object []byte, name string) []byte {
-	walk, ok := jsonscan.Members(object)
-	if !ok {
-		return nil
-	}
-	for {
-		n, value, more := walk.Member()
-		if !more {
-			return nil
-		}
-		if string(n) == name {
-			return value
-		}
+		InputTokens:  count(jsonscan.Lookup(usage, "prompt_tokens")),
+		OutputTokens: count(jsonscan.Lookup(usage, "completion_tokens")),
+		CachedTokens: count(jsonscan.Lookup(details, "cached_tokens")),
 	}
 }
 
