Charge only whole answers and what a caller ended; collect old claims

Cause: the billing rule says that a failed attempt costs nothing; the agent charged every attempt with events, also one that the entry had replaced, whose charge could win over the whole answer's. Expired claims were never deleted, and segments outlived a gap in the lease.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,7 +97,7 @@
 
 	mu sync.Mutex
 	// running holds the cancel function of each attempt that is not over.
-	running map[string]context.CancelFunc
+	running map[string]context.CancelCauseFunc
 }
 
 // New returns an agent that knows no upstream until Run has seen a revision.
@@ -126,7 +126,7 @@
 		registry:    attempt.NewRegistry(o.Incarnation, attempt.DefaultLimits()),
 		logs:        link.NewLogs(o.Incarnation, revision, o.Timing),
 		jobs:        pond.NewPool(o.MaxJobs),
-		running:     map[string]context.CancelFunc{},
+		running:     map[string]context.CancelCauseFunc{},
 		metrics:     newCounters(o.Metrics),
 	}
 	a.hosted.init(o.Host, o.Now)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -206,6 +206,46 @@
 	}
 }
 
+// TestOnlyTheCallerPaysForAPartOfAnAnswer ends an answer in each way after its
+// first words.
+func TestOnlyTheCallerPaysForAPartOfAnAnswer(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour engine.Behaviour
+		cancel    *linkv1.CancelRequest
+		charges   int
+	}{
+		{"caller gone", engine.Behaviour{TokenMs: 5, Tokens: 2000}, &linkv1.CancelRequest{AttemptId: "a1"}, 1},
+		{"superseded", engine.Behaviour{TokenMs: 5, Tokens: 2000}, &linkv1.CancelRequest{AttemptId: "a1", Superseded: true}, 0},
+		{"cut by the upstream", engine.Behaviour{CutAfter: 3, Tokens: 8}, nil, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, false)
+			b.engine.SetBehaviour(tt.behaviour)
+			r := request()
+			r.Call.Stream = true
+			r.Call.Body = []byte(`{"model":"m@1","messages":[],"stream":true}`)
+			log, err := b.agent.Attempt(t.Context(), r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for tt.cancel != nil && log.Held() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if tt.cancel != nil {
+				if _, err := b.agent.Cancel(t.Context(), tt.cancel); err != nil {
+					t.Fatal(err)
+				}
+			}
+			b.wait(t)
+			if n := len(b.charges.all); n != tt.charges {
+				t.Errorf("%d charges, want %d: %v", n, tt.charges, b.charges.all)
+			}
+		})
+	}
+}
+
 // TestOldHolderOrdersNothing takes the lease twice. Orders of the first
 // tenure are refused, also by an agent that has restarted and by an engine
 // that does not check fencing numbers.
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -155,15 +155,18 @@
 
 // start hands the job to the pool.
 func (a *Agent) start(j *job) error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(j.req.GetBudgetMs())*time.Millisecond)
+	timed, stopTimer := context.WithTimeout(context.Background(), time.Duration(j.req.GetBudgetMs())*time.Millisecond)
+	ctx, cancel := context.WithCancelCause(timed)
 	a.mu.Lock()
 	a.running[j.req.GetAttemptId()] = cancel
 	a.mu.Unlock()
 	err := a.jobs.Go(func() {
+		defer stopTimer()
 		defer a.ended(j.req.GetAttemptId())
 		j.run(ctx)
 	})
 	if err != nil {
+		stopTimer()
 		a.ended(j.req.GetAttemptId())
 		return result.Wrap(err, result.QueueFull, "the agent takes no more attempts")
 	}
@@ -176,6 +179,6 @@
 	delete(a.running, attemptID)
 	a.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		cancel(nil)
 	}
 }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"tarragonbay.example/tarragonbay/internal/attempt"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -19,7 +21,7 @@
 	})
 	a.metrics.settled.Inc(1)
 	if s.Outcome == result.NotRun {
-		a.cancel(req.GetAttemptId())
+		a.cancel(req.GetAttemptId(), errSuperseded)
 	}
 	return &linkv1.SettleResponse{
 		Envelope: a.config.Envelope(),
@@ -32,19 +34,29 @@
 func (a *Agent) Cancel(_ context.Context, req *linkv1.CancelRequest) (*linkv1.CancelResponse, error) {
 	a.config.SawEnvelope(req.GetEnvelope())
 	before := a.registry.Cancel(a.now(), req.GetAttemptId())
-	a.cancel(req.GetAttemptId())
+	cause := errCallerGone
+	if req.GetSuperseded() {
+		cause = errSuperseded
+	}
+	a.cancel(req.GetAttemptId(), cause)
 	if log := a.logs.Find(req.GetAttemptId()); log != nil {
 		log.Abandon()
 	}
 	return &linkv1.CancelResponse{Envelope: a.config.Envelope(), Found: before != attempt.Forgotten}, nil
 }
 
-func (a *Agent) cancel(attemptID string) {
+// The reasons for which an attempt is cancelled.
+var (
+	errCallerGone = errors.New("the caller is gone")
+	errSuperseded = errors.New("another attempt answers")
+)
+
+func (a *Agent) cancel(attemptID string, cause error) {
 	a.mu.Lock()
 	cancel := a.running[attemptID]
 	a.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		cancel(cause)
 	}
 }
 
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/admission"
@@ -225,16 +226,23 @@
 	return false, false
 }
 
+// endedByCaller reports whether an answer that had begun was ended by its
+// caller, or by the caller's deadline.
+func (j *job) endedByCaller() bool {
+	return j.events > 0 && j.ctx.Err() != nil && !errors.Is(context.Cause(j.ctx), errSuperseded)
+}
+
 func (j *job) logError(err error) {
 	if err != nil {
 		j.agent.log.Warn("answer log refused a frame", zap.String("attempt", j.req.GetAttemptId()), zap.Error(err))
 	}
 }
 
-// charge returns what the attempt costs, or nil for one that costs nothing:
-// not run, or ended by a failure of the upstream before any answer.
+// charge returns what the attempt costs, or nil. A whole answer is charged, and
+// what was made of one that the caller or its deadline ended. A failed or
+// superseded attempt, a shadow and one that did not run cost nothing.
 func (j *job) charge(usage upstream.Usage, err error, outcome result.Outcome) *linkv1.Charge {
-	if j.req.GetShadow() || outcome == result.NotRun || (err != nil && j.events == 0) {
+	if j.req.GetShadow() || outcome == result.NotRun || (err != nil && !j.endedByCaller()) {
 		return nil
 	}
 	set, _ := j.agent.config.Set()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -194,6 +194,7 @@
 		{"rollouts", r.rollouts.Run},
 		{"judge", func(ctx context.Context) error { return r.entry.Judge(ctx, r.rollouts) }},
 		{"fold", r.daemon.fold(r.leases)},
+		{"collect", r.daemon.collect(r.leases)},
 		{"ratings", func(ctx context.Context) error { return r.entry.Rate(ctx, r.daemon.ports.Ratings) }},
 		{"callers", r.caller.Run},
 	}
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/items.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/claim"
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/ledger"
 	"tarragonbay.example/tarragonbay/internal/wait"
@@ -28,6 +29,9 @@
 	foldItem    = "ledger/fold"
 	foldEvery   = time.Minute
 	expireEvery = time.Hour
+	// expireSpan is how far back expired segments are looked for, so that a
+	// gap in the lease leaves none.
+	expireSpan = 24 * time.Hour
 )
 
 // fold folds the ledger while this entry holds the lease, until ctx ends.
@@ -50,7 +54,7 @@
 				}
 				if time.Since(expired) > expireEvery {
 					expired = time.Now()
-					if _, err := folder.Expire(ctx, expireEvery); err != nil {
+					if _, err := folder.Expire(ctx, expireSpan); err != nil {
 						return err
 					}
 				}
@@ -62,3 +66,40 @@
 		})
 	}
 }
+
+// Work of the claims that one entry does at a time: a slice in collectEvery, so
+// that all are gone through in the time that a claim is remembered.
+const (
+	collectItem  = "claims/collect"
+	collectEvery = claim.Memory / claim.Slices
+	collectPause = time.Second
+)
+
+// collect deletes expired claims while this entry holds the lease, until ctx
+// ends.
+func (d *Daemon) collect(leases *lease.Manager) func(context.Context) error {
+	log := d.log.Part("claims")
+	pause := func(ctx context.Context) error {
+		wait.For(ctx, collectPause)
+		return ctx.Err()
+	}
+	return func(ctx context.Context) error {
+		return leases.Run(ctx, collectItem, func(ctx context.Context, held *lease.Held) error {
+			for slice := 0; ; slice = (slice + 1) % claim.Slices {
+				if err := held.Check(); err != nil {
+					return err
+				}
+				done, err := claim.Collect(ctx, d.ports.Table, slice, time.Now(), uuid.NewString, pause)
+				if err != nil {
+					return err
+				}
+				if done.Deleted > 0 {
+					log.Info("claims collected", zap.Int("slice", slice), zap.Int("deleted", done.Deleted))
+				}
+				if !wait.For(ctx, collectEvery) {
+					return nil
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -195,7 +195,7 @@
 			ending = attempt.Ending{Outcome: failure.Outcome, Code: failure.Code}
 		}
 		if unwanted(ctx, req, failure) {
-			e.cancel(stream)
+			e.cancel(stream, ctx.Err() == nil && failure.Code != result.CallerGone)
 		}
 	}
 	if concludeErr := req.Conclude(id, ending); concludeErr != nil {
@@ -223,11 +223,11 @@
 
 // cancel tells the agent in the background that nobody waits for the answer.
 // One that is not told finishes in vain: its charge counts once all the same.
-func (e *Entry) cancel(stream *link.Stream) {
+func (e *Entry) cancel(stream *link.Stream, superseded bool) {
 	err := e.cancels.Go(func() {
 		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 		defer stop()
-		if err := stream.Cancel(ctx); err != nil {
+		if err := stream.Cancel(ctx, superseded); err != nil {
 			e.metrics.cancelLost.Inc(1)
 		}
 	})
--- a/internal/link/answerlog.go
+++ b/internal/link/answerlog.go
@@ -204,6 +204,13 @@
 	}
 }
 
+// Held returns the bytes of data that are not acknowledged.
+func (l *AnswerLog) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
 // Abandon tells that no reader will come for the rest: the caller is gone.
 func (l *AnswerLog) Abandon() { l.markTaken() }
 
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -324,11 +324,12 @@
 	c.cancel()
 }
 
-// Cancel tells the agent that the caller is gone. It works after the end of
+// Cancel tells the agent that the answer is no longer wanted: superseded by
+// another attempt, or else since the caller is gone. It works after the end of
 // the stream's own context.
-func (s *Stream) Cancel(ctx context.Context) error {
+func (s *Stream) Cancel(ctx context.Context, superseded bool) error {
 	ctx = context.WithoutCancel(ctx)
-	_, err := s.client.Cancel(ctx, s.addr, &linkv1.CancelRequest{AttemptId: s.seq.attempt})
+	_, err := s.client.Cancel(ctx, s.addr, &linkv1.CancelRequest{AttemptId: s.seq.attempt, Superseded: superseded})
 	return err
 }
 
