Count the writes of a request in the benchmarks

Change: BenchmarkUnary and BenchmarkStream tell how many writes the process asks the system for, which a busy machine does not blur.

--- a/integration/bench/benchmark_test.go
+++ b/integration/bench/benchmark_test.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"os"
 	"testing"
 
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
@@ -17,6 +18,7 @@
 	c := compose(b, engine.Behaviour{}, 1, false)
 	address := c.entry.Addresses().Caller
 	b.ReportAllocs()
+	before := writeCalls(b, os.Getpid())
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		caller := newRawCaller(b, address, "small", stream, tokens)
@@ -27,4 +29,6 @@
 			}
 		}
 	})
+	// The callers' own writes are among them, one for each request.
+	b.ReportMetric(float64(writeCalls(b, os.Getpid())-before)/float64(b.N), "writes/op")
 }
--- a/integration/bench/proc.go
+++ b/integration/bench/proc.go
@@ -76,22 +76,34 @@
 // transferred is the number of bytes a process has read and written, which for
 // a daemon are those of its connections and its log.
 func transferred(t testing.TB, pid int) int64 {
+	t.Helper()
+	return ioCount(t, pid, "rchar") + ioCount(t, pid, "wchar")
+}
+
+// writeCalls is the number of writes a process has asked the system for.
+func writeCalls(t testing.TB, pid int) int64 {
+	t.Helper()
+	return ioCount(t, pid, "syscw")
+}
+
+// ioCount reads one line of /proc/PID/io.
+func ioCount(t testing.TB, pid int, name string) int64 {
 	t.Helper()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var sum int64
 	for line := range strings.Lines(string(data)) {
-		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
-		if name != "rchar" && name != "wchar" {
+		value, ok := strings.CutPrefix(line, name+": ")
+		if !ok {
 			continue
 		}
-		n, err := strconv.ParseInt(value, 10, 64)
+		n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
-		sum += n
+		return n
 	}
-	return sum
+	t.Fatalf("/proc/%d/io has no line %s", pid, name)
+	return 0
 }
