Send the headers of a stream with its first event

Cause: Begin flushed the headers and the first event, which follows at once, was flushed again: two writes before the caller has a token. Change: Begin leaves the flush to the first event.

--- a/internal/callerapi/sink.go
+++ b/internal/callerapi/sink.go
@@ -154,8 +154,7 @@
 	usageField = []byte(`"usage":`)
 )
 
-// Begin sends the headers, so that the caller knows at once which version
-// answers.
+// Begin writes the headers. They go out with the first event, which follows.
 func (s *streamSink) Begin(st Start) error {
 	s.begun = true
 	s.start = st
@@ -165,7 +164,7 @@
 	h.Set("Cache-Control", "no-store")
 	s.w.extend()
 	s.w.WriteHeader(http.StatusOK)
-	return s.flush()
+	return nil
 }
 
 func (s *streamSink) flush() error {
