Check a chat body once

Cause: the caller API checks the JSON of each body, and Rewrite checked all of it again for every attempt. Change: chat.Check makes a chat.Body, which the caller API hands on; Rewrite is a method of it and cannot fail. The cases that Rewrite refused are now refused by Check, in the same test; the zero Body is tested besides.

--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -91,7 +91,7 @@
 		Target:       body.Model,
 		Class:        class,
 		NewSession:   session == newSession,
-		Body:         data,
+		Body:         body.Text,
 		Stream:       body.Stream,
 		MaxTokens:    body.MaxTokens,
 		PromptTokens: body.PromptTokens,
--- a/internal/callerapi/chatbody.go
+++ b/internal/callerapi/chatbody.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -10,12 +9,14 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/chat"
 	"tarragonbay.example/tarragonbay/internal/jsonscan"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
 // chatBody is what the product needs to know of a chat completion request.
 type chatBody struct {
+	Text         chat.Body
 	Model        string
 	Stream       bool
 	MaxTokens    int
@@ -77,14 +78,15 @@
 	if !jsonscan.DepthWithin(data, maxDepth) {
 		return chatBody{}, badField("", "is nested deeper than %d levels", maxDepth)
 	}
-	if !utf8.Valid(data) || !json.Valid(data) {
-		return chatBody{}, &fieldError{err: result.New(result.BadJSON, "the body is not valid JSON")}
+	if !utf8.Valid(data) {
+		return chatBody{}, plain(result.BadJSON, "the body is not valid JSON")
 	}
-	walk, ok := jsonscan.Members(data)
-	if !ok {
-		return chatBody{}, &fieldError{err: result.New(result.BadJSON, "the body is not a JSON object")}
+	text, err := chat.Check(data)
+	if err != nil {
+		return chatBody{}, plain(result.BadJSON, "%v", err)
 	}
-	var b chatBody
+	walk := text.Members()
+	b := chatBody{Text: text}
 	var buf [maxFields][]byte
 	seen := buf[:0]
 	for {
--- a/internal/callerapi/router.go
+++ b/internal/callerapi/router.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"tarragonbay.example/tarragonbay/internal/chat"
 )
 
 // ChatCall is one checked chat completion request.
@@ -22,7 +24,7 @@
 	NewSession bool
 	// Body is the request as JSON, without the model field's routing meaning;
 	// the router sets the model field for the upstream.
-	Body []byte
+	Body chat.Body
 	// Stream asks for events as they are made.
 	Stream bool
 	// MaxTokens bounds the answer; 0 when the caller did not say.
--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -23,18 +23,38 @@
 	Logprobs bool
 }
 
-// Rewrite returns the body with the model and stream fields set for the
-// engine. All other members are kept as they are. Usage is always asked for,
-// since every request is billed by it.
-func Rewrite(body []byte, u Upstream) ([]byte, error) {
-	if !json.Valid(body) {
-		return nil, errors.NotValidf("chat body")
+// Body is the text of a chat body that is known to be a JSON object. It is made
+// by Check, once for each request, since the check reads the whole text.
+type Body struct{ text []byte }
+
+// Check returns the text as a Body, or an error that tells what it is not.
+func Check(text []byte) (Body, error) {
+	if !json.Valid(text) {
+		return Body{}, errors.New("the body is not valid JSON")
 	}
-	walk, ok := jsonscan.Members(body)
+	if _, ok := jsonscan.Members(text); !ok {
+		return Body{}, errors.New("the body is not a JSON object")
+	}
+	return Body{text: text}, nil
+}
+
+// Members starts a walk over the body.
+func (b Body) Members() jsonscan.Cursor {
+	walk, ok := jsonscan.Members(b.text)
 	if !ok {
-		return nil, errors.NotValidf("chat body")
+		walk, _ = jsonscan.Members(emptyObject) // the zero Body
 	}
-	out := make([]byte, 0, len(body)+len(u.Version)+maxAddedBytes)
+	return walk
+}
+
+var emptyObject = []byte("{}")
+
+// Rewrite returns the body with the model and stream fields set for the
+// engine. All other members are kept as they are. Usage is always asked for,
+// since every request is billed by it.
+func (b Body) Rewrite(u Upstream) []byte {
+	walk := b.Members()
+	out := make([]byte, 0, len(b.text)+len(u.Version)+maxAddedBytes)
 	out = append(out, `{"model":`...)
 	out = strconv.AppendQuote(out, u.Version)
 	if u.Stream {
@@ -46,7 +66,7 @@
 	for {
 		name, value, more := walk.Member()
 		if !more {
-			return append(out, '}'), nil
+			return append(out, '}')
 		}
 		if overridden(name, u) {
 			continue
--- a/internal/chat/chat_test.go
+++ b/internal/chat/chat_test.go
@@ -8,10 +8,7 @@
 
 func TestRewriteSetsTheModelAndKeepsTheRest(t *testing.T) {
 	body := `{"model":"auto","messages":[{"role":"user","content":"a \"model\": b"}],"stream":true,"stream_options":{"include_usage":false},"temperature":0.5,"x":{"model":1}}`
-	out, err := Rewrite([]byte(body), Upstream{Version: "small@1", Stream: true})
-	if err != nil {
-		t.Fatal(err)
-	}
+	out := checked(t, body).Rewrite(Upstream{Version: "small@1", Stream: true})
 	want := `{"model":"small@1","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"a \"model\": b"}],"temperature":0.5,"x":{"model":1}}`
 	if string(out) != want {
 		t.Errorf("got  %s\nwant %s", out, want)
@@ -22,10 +19,7 @@
 }
 
 func TestRewriteKnowsAFieldWrittenWithEscapes(t *testing.T) {
-	out, err := Rewrite([]byte(`{"\u006dodel":"large@1","\u0061":1}`), Upstream{Version: "small@1"})
-	if err != nil {
-		t.Fatal(err)
-	}
+	out := checked(t, `{"\u006dodel":"large@1","\u0061":1}`).Rewrite(Upstream{Version: "small@1"})
 	if want := `{"model":"small@1","\u0061":1}`; string(out) != want {
 		t.Errorf("got %s, want %s", out, want)
 	}
@@ -33,21 +27,32 @@
 
 func BenchmarkRewrite(b *testing.B) {
 	prompt := strings.Repeat("word ", 4<<10/5)
-	body := []byte(`{"model":"auto","messages":[{"role":"user","content":"` + prompt + `"}],"temperature":0.5}`)
+	body := checked(b, `{"model":"auto","messages":[{"role":"user","content":"`+prompt+`"}],"temperature":0.5}`)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := Rewrite(body, Upstream{Version: "small@1", Stream: true}); err != nil {
-			b.Fatal(err)
-		}
+		body.Rewrite(Upstream{Version: "small@1", Stream: true})
 	}
 }
 
-func TestRewriteRefusesWhatIsNoObject(t *testing.T) {
+func TestCheckRefusesWhatIsNoObject(t *testing.T) {
 	for _, body := range []string{``, `[]`, `{"a":`, `7`, `{"a" 1}`} {
-		if out, err := Rewrite([]byte(body), Upstream{Version: "m@1"}); err == nil {
-			t.Errorf("Rewrite(%q) = %s, want an error", body, out)
+		if _, err := Check([]byte(body)); err == nil {
+			t.Errorf("Check(%q) gave no error", body)
 		}
 	}
+	if out := (Body{}).Rewrite(Upstream{Version: "m@1"}); string(out) != `{"model":"m@1"}` {
+		t.Errorf("the zero Body became %s", out)
+	}
+}
+
+// checked returns the body, which must be one.
+func checked(t testing.TB, text string) Body {
+	t.Helper()
+	body, err := Check([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
 }
 
 func TestConfidenceIsTheMeanTokenProbability(t *testing.T) {
@@ -98,11 +103,12 @@
 	f.Add([]byte(`{"model":"a","messages":[]}`))
 	f.Add([]byte(`{"a":"\u0000","a":1}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		out, err := Rewrite(body, Upstream{Version: "m@1", Stream: true, Logprobs: true})
+		checked, err := Check(body)
 		if err != nil {
 			return
 		}
-		if json.Valid(body) && !json.Valid(out) {
+		out := checked.Rewrite(Upstream{Version: "m@1", Stream: true, Logprobs: true})
+		if !json.Valid(out) {
 			t.Errorf("valid %q became invalid %q", body, out)
 		}
 	})
--- a/internal/entry/shadow.go
+++ b/internal/entry/shadow.go
@@ -70,10 +70,7 @@
 
 func (e *Entry) shadowStep(ctx context.Context, r *chatRun, plan *route.Plan, i int, draft bool) (float64, error) {
 	step := plan.Shadow.Step(i)
-	body, err := chat.Rewrite(r.call.Body, chat.Upstream{Version: string(step.Version), Logprobs: draft})
-	if err != nil {
-		return 0, err
-	}
+	body := r.call.Body.Rewrite(chat.Upstream{Version: string(step.Version), Logprobs: draft})
 	choice, err := e.picker.Pick(&balance.Request{Target: balance.Target{Version: step.Version}}, e.now(), e.random())
 	if err != nil {
 		return 0, err
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -45,15 +45,11 @@
 	step := plan.Step(i)
 	s := &stepRun{chatRun: r, step: step, index: i, key: plan.Key(i), streams: plan.Streams(i), exploring: plan.Exploring}
 	last := i == plan.Len()-1
-	body, err := chat.Rewrite(r.call.Body, chat.Upstream{
+	s.body = r.call.Body.Rewrite(chat.Upstream{
 		Version:  string(step.Version),
 		Stream:   r.call.Stream,
 		Logprobs: !last,
 	})
-	if err != nil {
-		return false, result.Wrap(err, result.BadJSON, "the body cannot be read")
-	}
-	s.body = body
 	s.started = r.entry.now()
 	for {
 		out, failure := s.try()
