Prove leaving, billing, overload, store outages and paused holders with processes

Cause: these promises were proved by package tests only; the admin client left a connection open for each call, and a listener takes 64. Change: tests with real processes, each checked by the history checker; the admin client closes its connections.

--- a/integration/harness/binary.go
+++ b/integration/harness/binary.go
@@ -44,6 +44,6 @@
 // removeBinary deletes the program after the run.
 func removeBinary() {
 	if binary.path != "" {
-		os.RemoveAll(filepath.Dir(binary.path))
+		_ = os.RemoveAll(filepath.Dir(binary.path))
 	}
 }
--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -13,6 +13,7 @@
 	"tarragonbay.example/tarragonbay/internal/adminapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/history"
+	"tarragonbay.example/tarragonbay/internal/ledger"
 	"tarragonbay.example/tarragonbay/internal/platform/client"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
@@ -430,3 +431,23 @@
 	getJSON(c.T, "http://"+n.ServiceProc.Ready.Address+"/admin/runs", &runs)
 	return runs
 }
+
+// Copies returns an entry's counts of the charges that it keeps.
+func (c *Cluster) Copies(n *Node) ledger.CopyCounts {
+	c.T.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
+	defer cancel()
+	dump, err := adminapi.NewClient(n.Proc.Ready.Admin, "").Dump(ctx)
+	if err != nil {
+		return ledger.CopyCounts{}
+	}
+	var counts ledger.CopyCounts
+	for _, part := range dump.Parts {
+		if part.Part == "copies" {
+			if err := json.Unmarshal(part.State, &counts); err != nil {
+				c.T.Fatal(err)
+			}
+		}
+	}
+	return counts
+}
--- a/integration/harness/proc.go
+++ b/integration/harness/proc.go
@@ -98,7 +98,7 @@
 	select {
 	case <-p.done:
 	default:
-		p.cmd.Process.Signal(s)
+		_ = p.cmd.Process.Signal(s) // a process that has just ended needs none
 	}
 }
 
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -31,7 +31,7 @@
 // NewClient returns a client of the daemon whose admin listener is at addr,
 // IP:port. The key may be empty.
 func NewClient(addr, key string) *Client {
-	c := resty.New().SetBaseURL("http://" + addr)
+	c := resty.New().SetCloseConnection(true).SetBaseURL("http://" + addr)
 	if key != "" {
 		c.SetAuthToken(key)
 	}
