--- a/internal/ctl/bench.go
+++ b/internal/ctl/bench.go
@@ -1,7 +1,9 @@
 package ctl
 
 import (
+	"bytes"
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
@@ -26,6 +28,7 @@
 	cmd := &cobra.Command{Use: "bench", Short: "Measure decisions on seeded models"}
 	var seed uint64
 	var quick bool
+	var report string
 	policy := &cobra.Command{
 		Use:   "policy [NAME]",
 		Short: "Compare each policy with plain baselines; the same seed gives the same figures",
@@ -35,6 +38,11 @@
 			if err != nil {
 				return err
 			}
+			if report != "" {
+				if err := writeReport(report, rows); err != nil {
+					return err
+				}
+			}
 			if a.output == outputJSON {
 				return a.print(benchRows(rows))
 			}
@@ -43,10 +51,22 @@
 	}
 	policy.Flags().Uint64Var(&seed, "seed", 1, "seed of the models")
 	policy.Flags().BoolVar(&quick, "quick", false, "run shorter loads")
+	policy.Flags().StringVar(&report, "report", "", "also write an HTML page with plots to this file")
 	cmd.AddCommand(policy)
 	return cmd
 }
 
+func writeReport(path string, rows []policybench.Row) error {
+	var page bytes.Buffer
+	if err := policybench.WriteReport(&page, rows); err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, page.Bytes(), 0o644); err != nil {
+		return result.Wrap(err, result.ReadFailed, "the report cannot be written")
+	}
+	return nil
+}
+
 // benchRows is the JSON form of the figures.
 type benchRows []policybench.Row
 
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -49,14 +49,30 @@
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(tw, "bench\tload\tpolicy\trequests\tanswered\tcost/answer\tat quality\tp50 ms\tp95 ms\tp99 ms\tmisses\texposed\tfalse wd\tgoodput\tfairness\t")
 	for _, r := range rows {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%.1f\t%.4f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%.1f\t%s\t\n",
-			r.Bench, r.Load, r.Policy, r.Requests, r.Answered, r.CostPerAnswer, r.AtQuality,
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%.1f\t%s\t\n",
+			r.Bench, r.Load, r.Policy, r.Requests, r.Answered, cost(r), quality(r),
 			millis(r.P50), millis(r.P95), millis(r.P99),
 			r.DeadlineMisses, r.Exposed, r.FalseWithdrawals, r.Goodput, share(r.Fairness))
 	}
 	return tw.Flush()
 }
 
+// cost and quality print "-" for a bench that has no cost, and so no choice of
+// version.
+func cost(r Row) string {
+	if r.CostPerAnswer == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", r.CostPerAnswer)
+}
+
+func quality(r Row) string {
+	if r.CostPerAnswer == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.4f", r.AtQuality)
+}
+
 // share prints a share; "-" for one that the bench does not measure.
 func share(v float64) string {
 	if v == 0 {
