--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -286,6 +286,10 @@
 		return o
 	}
 	switch failure.Code {
+	case result.UpstreamLeaving:
+		// The agent may know it from the host list before this entry does.
+		o.Outcome = balance.Busy
+		o.Load = &balance.Load{Leaving: true}
 	case result.CallerGone:
 		o.Outcome = balance.Cancelled
 	case result.UpstreamRefused, result.NoUpstream:
