Let long streams begin while slots are free

Cause: the adaptive limit of a target began at 64 and grew only when requests ended, so the 65th long stream at a fresh entry waited 30 s and was refused. Change: the limit begins at what the slots allow and shrinks from there when upstreams show queues.

--- a/integration/overload_test.go
+++ b/integration/overload_test.go
@@ -1,6 +1,8 @@
 package integration
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,3 +56,27 @@
 	}
 	c.Verify()
 }
+
+// TestLongStreamsAllBeginWhileSlotsAreFree begins more long streams at once than
+// an adaptive limit starts with. None of them ends in the meantime.
+func TestLongStreamsAllBeginWhileSlotsAreFree(t *testing.T) {
+	const streams = 100
+	c := harness.New(t, harness.Spec{
+		Entries: 1, Agents: 1, Slots: streams,
+		Engine: engine.Behaviour{TokenMs: 100, Tokens: 600},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for range streams {
+		callers.Go(func() { c.Caller().DoContext(ctx, c.Entries[0], harness.Ask{Stream: true, Timeout: time.Minute}) })
+	}
+	c.Eventually("every stream has begun", func() bool { return runningAttempts(c) == streams })
+	for _, r := range c.EngineRuns(c.Agents[0]) {
+		if r.Whole || r.Cancelled {
+			t.Error("a stream ended before all had begun")
+		}
+	}
+	cancel()
+	callers.Wait()
+	c.Verify()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -139,6 +139,9 @@
 	}
 	e.learner = newLearner(o.Now, e.useView, o.Metrics)
 	e.limiter = admission.NewLimiter(admission.NewController(admission.Settings{
+		// The slots of the upstreams bound each target from the start; the
+		// limit shrinks from there when they show queues.
+		Limit:    o.InFlight,
 		MaxLimit: o.InFlight,
 		Queue:    o.Queue,
 		FullCode: result.QueueFull,
