Resume when a connection's own error is told through a relay

Ruled out: the length of the cut and the number of resumes, since the stream gave up at once. Change: only errors of the agent itself carry a number; others are transport failures, and the stream resumes. The unit test fails on the old code.

--- a/internal/link/stream_test.go
+++ b/internal/link/stream_test.go
@@ -321,3 +321,16 @@
 		t.Errorf("cancelled %v", r.agent.cancelled)
 	}
 }
+
+// TestOnlyTheAgentsOwnErrorsEndAnAnswer sends the error of a connection that
+// was cut, which a relay may still deliver, and one of the agent.
+func TestOnlyTheAgentsOwnErrorsEndAnAnswer(t *testing.T) {
+	for _, err := range []error{context.Canceled, io.ErrClosedPipe} {
+		if fromAgent(toWire(err)) {
+			t.Errorf("%v is taken for the agent's own", err)
+		}
+	}
+	if !fromAgent(toWire(result.New(result.BufferSpent, "gone"))) {
+		t.Error("the agent's own error is taken for one of the connection")
+	}
+}
--- a/internal/link/wire.go
+++ b/internal/link/wire.go
@@ -17,12 +17,17 @@
 	metaOutcome = "Result-Outcome"
 )
 
-// toWire turns an error of the agent into the error of a call.
+// toWire turns an error into the error of a call. Only an error of the agent
+// itself carries its number: one of the connection, such as the end of the
+// request's context, tells nothing of the attempt, and the other end resumes.
 func toWire(err error) error {
 	if err == nil {
 		return nil
 	}
-	e := result.From(err)
+	var e *result.Error
+	if !errors.As(err, &e) {
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
 	out := connect.NewError(connect.CodeFailedPrecondition, errors.New(e.Message))
 	out.Meta().Set(metaCode, strconv.Itoa(int(e.Code)))
 	out.Meta().Set(metaOutcome, e.Outcome.String())
