Give a repeat the answer that the agent holds for a dead entry

Cause: A repeated key asked only the claim row. When the entry died after the agent ran the call, the repeat got AnswerCut, although the agent held the whole answer for 10 s. Nothing but the entry that sent an attempt could take its answer without cutting off another reader.

Change: A unary Fetch at the agent returns the answer of an ended attempt while all of it is held, and changes nothing there. Take fetches it for a claim without an answer (0.5 s at most), records the end over the row's version and keeps a copy of the charge. A larger answer than a row keeps is fetched the same way. While the call runs a repeat gets InProgress as before.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -17,6 +17,7 @@
 type Options struct {
 	Table  platform.Table
 	Settle SettleFunc
+	Fetch  FetchFunc
 	// Now is the wall clock.
 	Now func() time.Time
 	// NewID returns a new operation ID.
--- /dev/null
+++ b/internal/claim/fetch.go
@@ -0,0 +1,47 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// FetchFunc asks the agent of a binding for the whole answer of its attempt,
+// which the claimant may not have recorded. The error is InProgress while the
+// attempt runs; any other means that the answer cannot be had.
+type FetchFunc func(ctx context.Context, b Binding) (Answer, error)
+
+const (
+	// fetchTimeout bounds a fetch.
+	fetchTimeout = 500 * time.Millisecond
+	// fetchableFor is how long after the first caller's deadline an agent may
+	// still hold the answer.
+	fetchableFor = time.Minute
+)
+
+// replay returns the answer of the first run from its agent's buffer and
+// records it, or the given error when the agent does not have it.
+func (b *Book) replay(ctx context.Context, first *Claim, otherwise *result.Error) (*Claim, *Answer, error) {
+	if !b.opts.Now().Before(first.rec.Deadline.Add(fetchableFor)) {
+		return nil, nil, otherwise
+	}
+	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	answer, err := b.opts.Fetch(fetchCtx, first.rec.Binding)
+	switch {
+	case result.Is(err, result.InProgress):
+		return nil, nil, inProgress("the first call still runs")
+	case err != nil:
+		return nil, nil, otherwise
+	}
+	if first.rec.State != Done {
+		first.Complete(ctx, answer)
+	}
+	return nil, &answer, nil
+}
+
+// inProgress tells a caller to come back for the end of the first call.
+func inProgress(message string) *result.Error {
+	return result.New(result.InProgress, "%s", message).WithRetryAfter(retryInProgress)
+}
--- a/internal/claim/finish.go
+++ b/internal/claim/finish.go
@@ -30,7 +30,8 @@
 // not take it in time, Run goes on, and the caller gets its answer all the
 // same. The end of ctx does not stop it.
 func (c *Claim) Complete(ctx context.Context, a Answer) {
-	c.rec.Answer = &a
+	kept := a.kept()
+	c.rec.Answer = &kept
 	c.end(ctx, Done)
 }
 
--- a/internal/claim/meet.go
+++ b/internal/claim/meet.go
@@ -23,42 +23,46 @@
 	if first.Call != c.rec.Call {
 		return nil, nil, result.New(result.KeyReused, "the idempotency key was used for another call")
 	}
-	switch first.State {
-	case Done:
-		if first.Answer != nil && first.Answer.Stored() {
-			return nil, first.Answer, nil
-		}
-		return nil, nil, result.New(result.AnswerCut, "the first call ran; its answer was too large to keep")
-	case Lost:
-		return nil, nil, result.New(result.AnswerCut, "the first call ran; its answer was lost")
-	case Claimed:
-		if now.Before(first.Deadline) {
-			return nil, nil, result.New(result.InProgress, "the first call may still run").WithRetryAfter(retryInProgress)
-		}
+	if first.State == Done && first.Answer != nil && first.Answer.Stored() {
+		return nil, first.Answer, nil
 	}
-	return b.settle(ctx, c, first, version)
+	held := &Claim{book: b, key: c.key, version: version, rec: *first}
+	switch {
+	case first.State == Done:
+		return b.replay(ctx, held, result.New(result.AnswerCut, "the first call ran; its answer was too large to keep"))
+	case first.State == Lost:
+		return b.replay(ctx, held, errLost())
+	case first.State == Claimed && now.Before(first.Deadline):
+		return b.replay(ctx, held, inProgress("the first call may still run"))
+	}
+	return b.settle(ctx, c, held)
 }
 
 // settle asks the agent about a claim whose claimant should have ended it, or
 // could not learn the outcome itself.
-func (b *Book) settle(ctx context.Context, c *Claim, first *record, version uint64) (*Claim, *Answer, error) {
-	age := b.opts.Now().Sub(first.ClaimedAt) + attempt.MaxClockSkew
-	got, err := b.opts.Settle(ctx, first.Binding, age)
+func (b *Book) settle(ctx context.Context, c, first *Claim) (*Claim, *Answer, error) {
+	age := b.opts.Now().Sub(first.rec.ClaimedAt) + attempt.MaxClockSkew
+	got, err := b.opts.Settle(ctx, first.rec.Binding, age)
 	if err != nil {
 		return nil, nil, result.Wrap(err, result.OutcomeUnknown, "the first call's agent does not answer").
 			WithRetryAfter(retryInProgress)
 	}
 	switch {
 	case got.Outcome == result.NotRun:
-		return b.takeOver(ctx, c, version)
+		return b.takeOver(ctx, c, first.version)
 	case got.Running():
-		return nil, nil, result.New(result.InProgress, "the first call still runs").WithRetryAfter(retryInProgress)
+		return nil, nil, inProgress("the first call still runs")
 	case got.Outcome == result.Ran:
-		return nil, nil, result.New(result.AnswerCut, "the first call ran; its answer was lost")
+		return b.replay(ctx, first, errLost())
 	}
 	return nil, nil, result.New(result.OutcomeUnknown, "it cannot be known whether the first call ran")
 }
 
+// errLost tells that the first call ran and that nobody has its answer.
+func errLost() *result.Error {
+	return result.New(result.AnswerCut, "the first call ran; its answer was lost")
+}
+
 // takeOver claims a key whose earlier call did not run, or is forgotten. The
 // version shuts out the earlier claimant and every other request.
 func (b *Book) takeOver(ctx context.Context, c *Claim, version uint64) (*Claim, *Answer, error) {
@@ -67,8 +71,7 @@
 	case err == nil:
 		return c, nil, nil
 	case result.Is(err, result.TableConflict):
-		return nil, nil, result.New(result.InProgress, "another request took the key").
-			WithRetryAfter(retryInProgress)
+		return nil, nil, inProgress("another request took the key")
 	case result.Is(err, result.TableUnknown):
 		c.rec.State = Released
 		b.later(change{claim: *c, from: version + 1})
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -89,6 +89,9 @@
 	m.flights = without(m.flights, f)
 	ctx := context.Background()
 	switch {
+	case f.ran && rapid.Bool().Draw(t, "entry dead"):
+		_ = m.reg.Finish(time.Now(), f.claim.Binding().Attempt, result.Ran)
+		m.buffered[f.claim.Binding().Attempt] = NewAnswer(200, "x", []byte("booked"))
 	case f.ran && rapid.Bool().Draw(t, "answered"):
 		_ = m.reg.Finish(time.Now(), f.claim.Binding().Attempt, result.Ran)
 		f.claim.Complete(ctx, NewAnswer(200, "x", []byte("booked")))
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -90,13 +90,20 @@
 	Length int    `json:"length"`
 }
 
-// NewAnswer returns the answer with the digest of its body, and without the
-// body when that is too large.
+// NewAnswer returns the answer with the digest of its body.
 func NewAnswer(status int, contentType string, body []byte) Answer {
 	sum := sha256.Sum256(body)
-	a := Answer{Status: status, ContentType: contentType, Digest: hex.EncodeToString(sum[:]), Length: len(body)}
-	if len(body) <= MaxStoredAnswer {
-		a.Body = body
+	return Answer{
+		Status: status, ContentType: contentType, Body: body,
+		Digest: hex.EncodeToString(sum[:]), Length: len(body),
+	}
+}
+
+// kept returns what a row keeps of the answer: a body that is too large is
+// left out.
+func (a Answer) kept() Answer {
+	if a.Length > MaxStoredAnswer {
+		a.Body = nil
 	}
 	return a
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -47,15 +47,16 @@
 	}
 	r := &entryRole{daemon: d, link: d.linkClient()}
 	r.leases = lease.NewManager(lease.Options{Table: d.ports.Table, Name: d.settings.Name, Log: d.log.Part("lease")})
+	r.copies = ledger.NewCopies(func(ctx context.Context, charges []*linkv1.Charge) (int, error) {
+		return r.entry.HandIn(ctx, charges)
+	}, ledger.HandInEvery)
 	r.claims = claim.NewBook(claim.Options{
 		Table:  d.ports.Table,
 		Settle: entry.Settle(r.link.Settle),
+		Fetch:  entry.Fetch(r.link.Fetch, r.copies),
 		Now:    time.Now,
 		NewID:  uuid.NewString,
 	})
-	r.copies = ledger.NewCopies(func(ctx context.Context, charges []*linkv1.Charge) (int, error) {
-		return r.entry.HandIn(ctx, charges)
-	}, ledger.HandInEvery)
 	if err := r.composeEntry(); err != nil {
 		return nil, err
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -142,6 +142,26 @@
 	return planned{id: uuid.NewString(), choice: choice, incarnation: incarnation}, nil
 }
 
+// Fetch asks the agent of a claim for the answer of its attempt, and keeps a
+// copy of its charge: the entry that sent the attempt may have died with its
+// own. It is the claim book's FetchFunc.
+func Fetch(fetch func(context.Context, string, *linkv1.FetchRequest) (*linkv1.FetchResponse, error), copies Copies) claim.FetchFunc {
+	return func(ctx context.Context, b claim.Binding) (claim.Answer, error) {
+		resp, err := fetch(ctx, b.Agent, &linkv1.FetchRequest{
+			AttemptId:        b.Attempt,
+			AgentIncarnation: b.AgentIncarnation,
+		})
+		if err != nil {
+			return claim.Answer{}, err
+		}
+		if charge := resp.GetFinal().GetCharge(); charge != nil {
+			copies.Keep(b.Agent, charge)
+		}
+		head := resp.GetHead()
+		return claim.NewAnswer(int(head.GetStatus()), head.GetContentType(), resp.GetBody()), nil
+	}
+}
+
 // Settle asks the agent of a claim what became of its attempt. It is the
 // claim book's SettleFunc.
 func Settle(settle func(context.Context, string, *linkv1.SettleRequest) (*linkv1.SettleResponse, error)) claim.SettleFunc {
--- a/internal/link/linkv1/linkv1connect/link.connect.go
+++ b/internal/link/linkv1/linkv1connect/link.connect.go
@@ -41,6 +41,8 @@
 	AgentServiceAttemptProcedure = "/tarragonbay.link.v1.AgentService/Attempt"
 	// AgentServiceResumeProcedure is the fully-qualified name of the AgentService's Resume RPC.
 	AgentServiceResumeProcedure = "/tarragonbay.link.v1.AgentService/Resume"
+	// AgentServiceFetchProcedure is the fully-qualified name of the AgentService's Fetch RPC.
+	AgentServiceFetchProcedure = "/tarragonbay.link.v1.AgentService/Fetch"
 	// AgentServiceAckProcedure is the fully-qualified name of the AgentService's Ack RPC.
 	AgentServiceAckProcedure = "/tarragonbay.link.v1.AgentService/Ack"
 	// AgentServiceSettleProcedure is the fully-qualified name of the AgentService's Settle RPC.
@@ -64,6 +66,9 @@
 	// Resume streams the frames of a running or finished attempt from a
 	// sequence number on, over a new connection.
 	Resume(context.Context, *connect.Request[linkv1.ResumeRequest]) (*connect.ServerStreamForClient[linkv1.Frame], error)
+	// Fetch returns the answer of an attempt that has ended, while all of it is
+	// held. It takes nothing from the attempt's reader.
+	Fetch(context.Context, *connect.Request[linkv1.FetchRequest]) (*connect.Response[linkv1.FetchResponse], error)
 	// Ack tells how much of an answer has arrived, so that the agent may drop
 	// it from its buffer.
 	Ack(context.Context, *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error)
@@ -103,6 +108,12 @@
 			connect.WithSchema(agentServiceMethods.ByName("Resume")),
 			connect.WithClientOptions(opts...),
 		),
+		fetch: connect.NewClient[linkv1.FetchRequest, linkv1.FetchResponse](
+			httpClient,
+			baseURL+AgentServiceFetchProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Fetch")),
+			connect.WithClientOptions(opts...),
+		),
 		ack: connect.NewClient[linkv1.AckRequest, linkv1.AckResponse](
 			httpClient,
 			baseURL+AgentServiceAckProcedure,
@@ -146,6 +157,7 @@
 type agentServiceClient struct {
 	attempt *connect.Client[linkv1.AttemptRequest, linkv1.Frame]
 	resume  *connect.Client[linkv1.ResumeRequest, linkv1.Frame]
+	fetch   *connect.Client[linkv1.FetchRequest, linkv1.FetchResponse]
 	ack     *connect.Client[linkv1.AckRequest, linkv1.AckResponse]
 	settle  *connect.Client[linkv1.SettleRequest, linkv1.SettleResponse]
 	cancel  *connect.Client[linkv1.CancelRequest, linkv1.CancelResponse]
@@ -164,6 +176,11 @@
 	return c.resume.CallServerStream(ctx, req)
 }
 
+// Fetch calls tarragonbay.link.v1.AgentService.Fetch.
+func (c *agentServiceClient) Fetch(ctx context.Context, req *connect.Request[linkv1.FetchRequest]) (*connect.Response[linkv1.FetchResponse], error) {
+	return c.fetch.CallUnary(ctx, req)
+}
+
 // Ack calls tarragonbay.link.v1.AgentService.Ack.
 func (c *agentServiceClient) Ack(ctx context.Context, req *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error) {
 	return c.ack.CallUnary(ctx, req)
@@ -201,6 +218,9 @@
 	// Resume streams the frames of a running or finished attempt from a
 	// sequence number on, over a new connection.
 	Resume(context.Context, *connect.Request[linkv1.ResumeRequest], *connect.ServerStream[linkv1.Frame]) error
+	// Fetch returns the answer of an attempt that has ended, while all of it is
+	// held. It takes nothing from the attempt's reader.
+	Fetch(context.Context, *connect.Request[linkv1.FetchRequest]) (*connect.Response[linkv1.FetchResponse], error)
 	// Ack tells how much of an answer has arrived, so that the agent may drop
 	// it from its buffer.
 	Ack(context.Context, *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error)
@@ -236,6 +256,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Resume")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceFetchHandler := connect.NewUnaryHandler(
+		AgentServiceFetchProcedure,
+		svc.Fetch,
+		connect.WithSchema(agentServiceMethods.ByName("Fetch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	agentServiceAckHandler := connect.NewUnaryHandler(
 		AgentServiceAckProcedure,
 		svc.Ack,
@@ -278,6 +304,8 @@
 			agentServiceAttemptHandler.ServeHTTP(w, r)
 		case AgentServiceResumeProcedure:
 			agentServiceResumeHandler.ServeHTTP(w, r)
+		case AgentServiceFetchProcedure:
+			agentServiceFetchHandler.ServeHTTP(w, r)
 		case AgentServiceAckProcedure:
 			agentServiceAckHandler.ServeHTTP(w, r)
 		case AgentServiceSettleProcedure:
@@ -307,6 +335,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.AgentService.Resume is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Fetch(context.Context, *connect.Request[linkv1.FetchRequest]) (*connect.Response[linkv1.FetchResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.AgentService.Fetch is not implemented"))
+}
+
 func (UnimplementedAgentServiceHandler) Ack(context.Context, *connect.Request[linkv1.AckRequest]) (*connect.Response[linkv1.AckResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.AgentService.Ack is not implemented"))
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -76,6 +76,15 @@
 	return toWire(l.serve(ctx, req.Msg.GetFromSeq(), newStreamSink(ctx, to)))
 }
 
+// Fetch implements linkv1connect.AgentServiceHandler.
+func (s *server) Fetch(_ context.Context, req *connect.Request[linkv1.FetchRequest]) (*connect.Response[linkv1.FetchResponse], error) {
+	l, err := s.find(req.Msg.GetAttemptId(), req.Msg.GetAgentIncarnation())
+	if err != nil {
+		return nil, toWire(err)
+	}
+	return reply(l.whole())
+}
+
 func (s *server) find(attemptID string, incarnation uint64) (*AnswerLog, error) {
 	if incarnation != 0 && incarnation != s.logs.incarnation {
 		return nil, result.New(result.WrongIncarnation, "agent is incarnation %d", s.logs.incarnation)
