--- a/internal/entry/learner.go
+++ b/internal/entry/learner.go
@@ -49,8 +49,8 @@
 
 func (l *learner) view() *quality.View { return l.current.Load() }
 
-func (l *learner) answered(k quality.Key, latency time.Duration, outputTokens uint64) {
-	l.put(observed{key: k, delta: quality.Answered(latency, outputTokens)})
+func (l *learner) answered(k quality.Key, latency time.Duration, outputTokens uint64, backlog float64) {
+	l.put(observed{key: k, delta: quality.Answered(latency, outputTokens, backlog)})
 }
 
 func (l *learner) drafted(k quality.Key, escalated bool) {
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -37,6 +37,8 @@
 	// upstream is the last one tried.
 	upstream string
 	started  time.Time
+	// backlog is the queue for each slot that the last load report showed.
+	backlog float64
 }
 
 // runStep runs attempts of one step. It reports whether its answer was given
@@ -174,6 +176,7 @@
 	if load := stream.Load(); load != nil {
 		s.queued = int(load.GetQueued())
 		s.slots = int(load.GetSlots())
+		s.backlog = quality.Backlog(s.queued, s.slots)
 	}
 	s.busy = s.busy || (failure != nil && failure.Code == result.UpstreamBusy)
 	return failure
@@ -244,7 +247,7 @@
 // conclude gives the answer to the caller, or drops a draft.
 func (s *stepRun) conclude(out *output, last bool) (kept bool, failure *result.Error) {
 	e := s.entry
-	e.learner.answered(s.key, e.now().Sub(s.started), out.usage.OutputTokens)
+	e.learner.answered(s.key, e.now().Sub(s.started), out.usage.OutputTokens, s.backlog)
 	if !last {
 		escalated := out.confidence() < s.step.Escalate
 		e.learner.drafted(s.key, escalated)
--- a/internal/policybench/version/product.go
+++ b/internal/policybench/version/product.go
@@ -202,7 +202,9 @@
 }
 
 func (p *product) answered(k quality.Key, latency time.Duration, output int) {
-	p.book.Add(k, quality.Answered(latency, uint64(output)), p.run.time())
+	pool := p.run.pools[p.version(catalog.VersionName(k.Version))]
+	backlog := quality.Backlog(len(pool.queue), pool.capacity())
+	p.book.Add(k, quality.Answered(latency, uint64(output), backlog), p.run.time())
 }
 
 func (p *product) rated(k quality.Key, class int, good, shadow bool) {
--- a/internal/quality/book.go
+++ b/internal/quality/book.go
@@ -92,27 +92,36 @@
 	l.squares *= f
 }
 
+// meanMs returns the mean in milliseconds.
+func (l *latencies) meanMs() float64 {
+	if l.answers == 0 {
+		return 0
+	}
+	return l.sum / l.answers
+}
+
 // mean returns the mean and the mean with two standard deviations.
 func (l *latencies) mean() (mean, high time.Duration) {
 	if l.answers == 0 {
 		return 0, 0
 	}
-	m := l.sum / l.answers
+	m := l.meanMs()
 	deviation := math.Sqrt(max(0, l.squares/l.answers-m*m))
 	return millis(m), millis(m + 2*deviation)
 }
 
-// Book holds the sums of every key. It is not safe for use by several
+// Book holds the sums of every key and the queue of every version. It is not safe for use by several
 // goroutines: one duty owns it and hands out Views.
 type Book struct {
 	set    Settings
 	cells  map[Key]*cell
+	queues map[string]*queue
 	newest time.Time
 }
 
 // NewBook returns an empty book.
 func NewBook(s Settings) *Book {
-	return &Book{set: s.withDefaults(), cells: map[Key]*cell{}}
+	return &Book{set: s.withDefaults(), cells: map[Key]*cell{}, queues: map[string]*queue{}}
 }
 
 // Add counts a delta at the time now. Deltas may come in any order.
@@ -128,8 +137,21 @@
 	}
 	c.draft(d, b.set)
 	if d.Answers > 0 {
-		c.answer(d, b.set, now)
+		c.answer(b.enqueue(k, c, d, now), b.set, now)
+	}
+}
+
+// enqueue notes the queue that the answers tell of and returns the delta less
+// the time spent in it.
+func (b *Book) enqueue(k Key, c *cell, d Delta, now time.Time) Delta {
+	q, ok := b.queues[k.Version]
+	if !ok {
+		q = &queue{}
+		b.queues[k.Version] = q
 	}
+	waitMs := q.waitMs()
+	q.add(d, c.usual.meanMs(), now)
+	return d.withoutWait(waitMs)
 }
 
 // Forget drops what is known of a version, for one that was replaced under
@@ -140,6 +162,7 @@
 			delete(b.cells, k)
 		}
 	}
+	delete(b.queues, version)
 }
 
 func (c *cell) rate(d Delta, s Settings, now time.Time) {
--- a/internal/quality/delta.go
+++ b/internal/quality/delta.go
@@ -51,6 +51,9 @@
 	// LatencyMs and LatencySqMs are the sum of the latencies in
 	// milliseconds and the sum of their squares.
 	LatencyMs, LatencySqMs float64
+	// Backlog sums, over the answers, the requests that were queued for each
+	// slot of the upstream when the answer ended.
+	Backlog float64
 }
 
 // Add merges another delta of the same key.
@@ -63,6 +66,7 @@
 	d.OutputTokens += o.OutputTokens
 	d.LatencyMs += o.LatencyMs
 	d.LatencySqMs += o.LatencySqMs
+	d.Backlog += o.Backlog
 }
 
 // Rated returns the delta of one rating.
@@ -73,10 +77,20 @@
 	return Delta{Bad: 1}
 }
 
-// Answered returns the delta of one answer.
-func Answered(latency time.Duration, outputTokens uint64) Delta {
+// Answered returns the delta of one answer. backlog is the number of requests
+// queued for each slot of the upstream at its end.
+func Answered(latency time.Duration, outputTokens uint64, backlog float64) Delta {
 	ms := float64(latency) / float64(time.Millisecond)
-	return Delta{Answers: 1, OutputTokens: outputTokens, LatencyMs: ms, LatencySqMs: ms * ms}
+	return Delta{Answers: 1, OutputTokens: outputTokens, LatencyMs: ms, LatencySqMs: ms * ms, Backlog: backlog}
+}
+
+// Backlog returns the requests queued for each slot; zero when the number of
+// slots is not known.
+func Backlog(queued, slots int) float64 {
+	if slots <= 0 {
+		return 0
+	}
+	return float64(queued) / float64(slots)
 }
 
 // Drafted returns the delta of one draft of a step that was not the last.
--- a/internal/quality/quality_test.go
+++ b/internal/quality/quality_test.go
@@ -36,7 +36,7 @@
 	k := Key{Class: "tag", Via: "auto", Version: "small@1"}
 	deltas := []Delta{
 		Rated(true), Rated(false), Drafted(true), Drafted(false), Drafted(false),
-		Answered(time.Second, 10), Answered(3*time.Second, 30),
+		Answered(time.Second, 10, 0), Answered(3*time.Second, 30, 0),
 	}
 	one, merged := NewBook(Settings{}), NewBook(Settings{})
 	var sum Delta
@@ -92,7 +92,7 @@
 	b := NewBook(Settings{})
 	k := Key{Class: "tag", Via: "auto", Version: "small@1"}
 	b.Add(k, Delta{Good: 19, Bad: 1, Kept: 3, Escalated: 1}, epoch)
-	b.Add(k, Answered(2*time.Second, 64), epoch)
+	b.Add(k, Answered(2*time.Second, 64, 0), epoch)
 	b.Add(Key{Class: "note", Version: "small@1"}, Rated(true), epoch)
 	other := NewBook(Settings{})
 	other.Import(b.Export())
@@ -115,10 +115,10 @@
 	b := NewBook(Settings{})
 	k := Key{Version: "small@1"}
 	for range 500 {
-		b.Add(k, Answered(time.Second, 10), epoch)
+		b.Add(k, Answered(time.Second, 10, 0), epoch)
 	}
 	for range 200 {
-		b.Add(k, Answered(20*time.Second, 10), epoch)
+		b.Add(k, Answered(20*time.Second, 10, 0), epoch)
 	}
 	busy, _ := b.View(epoch).Get(k)
 	left, _ := b.View(epoch.Add(time.Minute)).Get(k)
@@ -145,3 +145,49 @@
 		t.Error("an estimate out of nothing")
 	}
 }
+
+// TestAQueueIsSeenInEveryClass lets long answers of one class wait behind each
+// other: the other class must know of it, and the usual latencies must not.
+func TestAQueueIsSeenInEveryClass(t *testing.T) {
+	b := NewBook(Settings{})
+	long, short := Key{Class: "plan", Version: "small@1"}, Key{Class: "note", Version: "small@1"}
+	const service, slots, queued = 10 * time.Second, 6, 12
+	wait := service * queued / slots
+	for range 100 {
+		b.Add(short, Answered(time.Second, 10, 0), epoch)
+		b.Add(long, Answered(service, 100, 0), epoch)
+	}
+	for range 1000 {
+		b.Add(long, Answered(service+wait, 100, Backlog(queued, slots)), epoch)
+	}
+	view := b.View(epoch)
+	e, _ := view.Get(short)
+	l, _ := view.Get(long)
+	if e.Wait != l.Wait || e.Wait < wait*9/10 || e.Wait > wait*11/10 {
+		t.Errorf("the wait is %v and %v, want %v", e.Wait, l.Wait, wait)
+	}
+	if l.Latency > service*11/10 || e.Latency != time.Second {
+		t.Errorf("without the queue the latencies are %v and %v", l.Latency, e.Latency)
+	}
+	if left, _ := b.View(epoch.Add(time.Minute)).Get(short); left.Wait != 0 {
+		t.Errorf("a minute after the last answer the wait is %v", left.Wait)
+	}
+}
+
+// TestASlowVersionWithAQueueIsSeen makes every answer take twice as long while
+// all of them wait.
+func TestASlowVersionWithAQueueIsSeen(t *testing.T) {
+	b := NewBook(Settings{})
+	k := Key{Version: "small@1"}
+	const service, backlog = time.Second, 2
+	for range 100 {
+		b.Add(k, Answered(service, 10, 0), epoch)
+	}
+	for range 1000 {
+		b.Add(k, Answered(2*service*(1+backlog), 10, backlog), epoch)
+	}
+	e, _ := b.View(epoch).Get(k)
+	if total, want := e.Latency+e.Wait, 2*service*(1+backlog); total < want*9/10 || total > want*11/10 {
+		t.Errorf("latency %v and wait %v, want %v together", e.Latency, e.Wait, want)
+	}
+}
--- a/internal/quality/view.go
+++ b/internal/quality/view.go
@@ -17,9 +17,12 @@
 	Answers float64
 	// OutputTokens is the mean per answer.
 	OutputTokens float64
-	// Latency is the recent mean, or the usual one while no answers come, and LatencyHigh the mean and two standard
-	// deviations.
+	// Latency is the recent mean, or the usual one while no answers come, and
+	// LatencyHigh the mean and two standard deviations. The time in a queue
+	// is left out.
 	Latency, LatencyHigh time.Duration
+	// Wait is how long the version's queue is now.
+	Wait time.Duration
 }
 
 // ClassEstimate is the mean over all versions that answer a class.
@@ -48,7 +51,9 @@
 	}
 	sums := map[string]*cell{}
 	for k, c := range b.cells {
-		v.estimates[k] = c.estimate(b.set, now)
+		e := c.estimate(b.set, now)
+		e.Wait = b.queues[k.Version].wait(now, b.set.Stale)
+		v.estimates[k] = e
 		sum, ok := sums[k.Class]
 		if !ok {
 			sum = &cell{}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -75,7 +75,7 @@
 	for _, k := range ks {
 		b.Add(k.key, quality.Delta{Good: k.good, Bad: k.bad, Escalated: k.escalated, Kept: 100 - k.escalated}, epoch)
 		for range 20 {
-			b.Add(k.key, quality.Answered(k.latency, 100), epoch)
+			b.Add(k.key, quality.Answered(k.latency, 100, 0), epoch)
 		}
 	}
 	return b.View(epoch)
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -134,8 +134,8 @@
 	tokens := s.tokens
 	if e.Answers >= minAnswers {
 		tokens = e.OutputTokens
-		total.latency += time.Duration(reach * float64(e.Latency))
-		total.slow += e.LatencyHigh
+		total.latency += time.Duration(reach * float64(e.Wait+e.Latency))
+		total.slow += e.Wait + e.LatencyHigh
 	}
 	v := &s.planner.versions[cd.version]
 	total.cost += reach * (v.input*s.prompt + v.output*tokens)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -171,8 +171,8 @@
 func warm(f *Fleet) {
 	book := quality.NewBook(quality.Settings{})
 	for range 100 {
-		book.Add(m1, quality.Answered(time.Second, 10), start)
-		book.Add(m2, quality.Answered(time.Second, 10), start)
+		book.Add(m1, quality.Answered(time.Second, 10, 0), start)
+		book.Add(m2, quality.Answered(time.Second, 10, 0), start)
 	}
 	f.SetView(book.View(start), start)
 }
