Judge an attempt by the upstreams of the revision in force

Cause: the agent took a revision into its checks at once but into its list of upstreams and its meters of new versions only when its own goroutine came to it. In between, on a busy machine, it refused its own upstream as unknown, and a new version could have answered unmetered. Ruled out: health, ejection and admission (none had acted). Change: whoever meets a revision first brings it into force on the agent. The agent's tests no longer apply a revision by hand, so they fail without the change.

--- a/integration/bench/inprocess_test.go
+++ b/integration/bench/inprocess_test.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	if !bytes.HasPrefix(status, statusOK) {
-		return fmt.Errorf("the answer begins with %q", status)
+		return c.refused(string(status))
 	}
 	length, chunked, err := c.headers()
 	if err != nil {
@@ -129,6 +129,19 @@
 	return err
 }
 
+// refused tells the status and the body of an answer other than 200.
+func (c *rawCaller) refused(status string) error {
+	length, _, err := c.headers()
+	if err != nil {
+		return err
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(c.in, body); err != nil {
+		return err
+	}
+	return fmt.Errorf("answered %q: %s", status, body)
+}
+
 func (c *rawCaller) headers() (length int, chunked bool, err error) {
 	for {
 		line, err := c.in.ReadSlice('\n')
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -91,6 +91,16 @@
 	hosted   hosted
 	jobs     pond.Pool
 	stopping atomic.Bool
+
+	// applied is the revision that hosted and watch stand at. applyMu guards
+	// moving them on.
+	applied atomic.Uint64
+	applyMu sync.Mutex
+	// marking is the life of the goroutines that look up which new versions
+	// this host ran before.
+	marking     context.Context
+	stopMarking context.CancelFunc
+
 	// leaving is what the host list says about this host.
 	leaving atomic.Bool
 	metrics counters
@@ -130,6 +140,7 @@
 		metrics:     newCounters(o.Metrics),
 	}
 	a.hosted.init(o.Host, o.Now)
+	a.marking, a.stopMarking = context.WithCancel(context.Background())
 	return a
 }
 
@@ -138,27 +149,46 @@
 
 // Run follows the configuration until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
-	if set, _ := a.config.Set(); set != nil {
-		a.apply(ctx, set)
-	}
+	defer a.stopMarking()
+	a.current()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case state := <-a.config.Updates():
-			a.apply(ctx, state.Set)
+			a.apply(state.Set, state.Revision)
 			a.log.Info("configuration in force", zap.Uint64("revision", state.Revision))
 		}
 	}
 }
 
-// apply takes a new set. New versions on this host give no answer before the
-// table service has told whether the host ran them before.
-func (a *Agent) apply(ctx context.Context, set *catalog.Set) {
+// current returns the set in force, nil without one. The upstreams and the
+// watch of this host stand at its revision or a later one.
+func (a *Agent) current() (*catalog.Set, uint64) {
+	set, revision := a.config.Set()
+	if set != nil {
+		a.apply(set, revision)
+	}
+	return set, revision
+}
+
+// apply takes a new set. An attempt may meet a revision before Run does, so
+// both bring it in. New versions on this host give no answer before the table
+// service has told whether the host ran them before.
+func (a *Agent) apply(set *catalog.Set, revision uint64) {
+	if a.applied.Load() >= revision {
+		return
+	}
+	a.applyMu.Lock()
+	defer a.applyMu.Unlock()
+	if a.applied.Load() >= revision {
+		return
+	}
 	a.hosted.rebuild(set)
 	for _, v := range a.watch.SetCatalog(set) {
-		go watch.Mark(ctx, a.marks, a.watch, v)
+		go watch.Mark(a.marking, a.marks, a.watch, v)
 	}
+	a.applied.Store(revision)
 }
 
 // Probe asks the upstreams for their state until ctx ends.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -90,9 +90,6 @@
 	}
 	b.config.set = set
 	b.config.revision++
-	if b.agent != nil {
-		b.agent.apply(t.Context(), set)
-	}
 }
 
 // start makes a new incarnation of the agent.
@@ -103,7 +100,6 @@
 		Watch: watch.NewHost("h"), Sampler: b.charges, Marks: b.platform.Table,
 		Timing: link.DefaultTiming(), Log: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 	})
-	b.agent.apply(t.Context(), b.config.set)
 }
 
 func request() *linkv1.AttemptRequest {
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -75,7 +75,7 @@
 	if a.stopping.Load() {
 		return nil, result.New(result.Stopping, "the agent is stopping")
 	}
-	set, revision := a.config.Set()
+	set, revision := a.current()
 	if set == nil {
 		return nil, result.New(result.NoConfiguration, "the agent has no configuration yet")
 	}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -67,6 +67,7 @@
 	if req.HostLeaving != nil {
 		a.SetLeaving(req.GetHostLeaving())
 	}
+	a.current()
 	leaving := a.leaving.Load() || a.stopping.Load()
 	resp := &linkv1.ReportResponse{
 		Envelope:      a.config.Envelope(),
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -16,6 +16,7 @@
 // table service before it passes anything.
 func (a *Agent) Order(ctx context.Context, req *linkv1.OrderRequest) (*linkv1.OrderResponse, error) {
 	a.config.SawEnvelope(req.GetEnvelope())
+	a.current()
 	up, ok := a.hosted.get(req.GetUpstream())
 	if !ok {
 		return nil, result.New(result.OrderRefused, "upstream %q is not on this host", req.GetUpstream())
