Go back to an upstream that refused when no other is left

Cause: a retry excluded every upstream that had been tried, so with a single one, or when all had refused once, the other three attempts found no upstream and the request was refused although it could have run. Change: when all were tried, each may be tried again, after the wait that the refusal asked for, if the deadline leaves room for it. Calls that may not be repeated go back only after a proven "not run", as before.

--- a/integration/overload_test.go
+++ b/integration/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -57,6 +58,19 @@
 	c.Verify()
 }
 
+// TestTheOnlyUpstreamIsTriedAgain lets the one engine refuse a request twice.
+func TestTheOnlyUpstreamIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	const refusals = 2
+	c := harness.New(t, harness.Spec{Entries: 1, Agents: 1, Engine: engine.Behaviour{
+		FailStatus: http.StatusServiceUnavailable, FailTimes: refusals,
+	}})
+	if r := c.Caller().Do(c.Entries[0], harness.Ask{}); !r.Whole {
+		t.Errorf("got %+v after %d refusals", r, refusals)
+	}
+	c.Verify()
+}
+
 // TestLongStreamsAllBeginWhileSlotsAreFree begins more long streams at once than
 // an adaptive limit starts with. None of them ends in the meantime.
 func TestLongStreamsAllBeginWhileSlotsAreFree(t *testing.T) {
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -53,6 +53,18 @@
 	return Choice{}, noUpstream(pl.comeBack(s.now))
 }
 
+// Left reports whether an upstream that the request has not tried takes work
+// now. When none is left, a request that may be repeated goes back to one it
+// tried.
+func (p *Picker) Left(req *Request, now time.Time) bool {
+	pl, ok := p.view.Load().pools[req.Target]
+	if !ok {
+		return false
+	}
+	s := search{req: req, pool: pl, now: now.UnixNano()}
+	return s.last(pl) != nil
+}
+
 func noUpstream(after time.Duration) error {
 	return result.New(result.NoUpstream, "no upstream can take the request now").WithRetryAfter(after)
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -86,7 +86,7 @@
 		if r.request.MayTry() != nil {
 			return answer, r.request.Report(failure)
 		}
-		d := plan.Next(failure, false, r.entry.now(), rand.Float64())
+		d := plan.Next(r.failed(failure), r.entry.now(), rand.Float64())
 		if d.Final != nil {
 			return answer, r.request.Report(d.Final)
 		}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -15,6 +15,7 @@
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/retry"
 	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
@@ -82,7 +83,7 @@
 		if err := r.request.MayTry(); err != nil {
 			return answer, r.request.Report(failure)
 		}
-		d := plan.Next(failure, false, r.entry.now(), rand.Float64())
+		d := plan.Next(r.failed(failure), r.entry.now(), rand.Float64())
 		if d.Final != nil {
 			return answer, r.request.Report(d.Final)
 		}
@@ -93,6 +94,16 @@
 	}
 }
 
+// failed is the failure as the retry plan takes it. When every upstream was
+// tried, each may be tried again.
+func (r *serviceRun) failed(failure *result.Error) retry.Failure {
+	f := retry.Failure{Err: failure, Alone: !r.entry.picker.Left(r.choose(), r.entry.now())}
+	if f.Alone {
+		r.tried = balance.Tried{}
+	}
+	return f
+}
+
 // try makes one attempt.
 func (r *serviceRun) try() (callerapi.ServiceAnswer, *result.Error) {
 	choice, err := r.pick()
@@ -103,16 +114,21 @@
 }
 
 func (r *serviceRun) pick() (balance.Choice, error) {
-	choice, err := r.entry.picker.Pick(&balance.Request{
-		Target: balance.Target{Service: r.call.Service},
-		Tried:  r.tried,
-	}, r.entry.now(), r.entry.random())
+	choice, err := r.entry.picker.Pick(r.choose(), r.entry.now(), r.entry.random())
 	if err == nil {
 		r.tried.Add(choice.Upstream)
 	}
 	return choice, err
 }
 
+// choose is what the choice of the next upstream depends on.
+func (r *serviceRun) choose() *balance.Request {
+	return &balance.Request{
+		Target: balance.Target{Service: r.call.Service},
+		Tried:  r.tried,
+	}
+}
+
 // send makes the attempt at the chosen upstream. A non-zero incarnation is the
 // only one of the agent that may run it.
 func (r *serviceRun) send(id string, choice balance.Choice, incarnation uint64) (callerapi.ServiceAnswer, *result.Error) {
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -16,6 +16,7 @@
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/retry"
 	"tarragonbay.example/tarragonbay/internal/route"
 	"tarragonbay.example/tarragonbay/internal/wait"
 )
@@ -81,7 +82,7 @@
 	if err := s.request.MayTry(); err != nil {
 		return failure
 	}
-	d := s.retries.Next(failure, s.request.Released(), s.entry.now(), rand.Float64())
+	d := s.retries.Next(s.failed(failure), s.entry.now(), rand.Float64())
 	if d.Final != nil {
 		return d.Final
 	}
@@ -92,6 +93,20 @@
 	return nil
 }
 
+// failed is the failure as the retry plan takes it. When every upstream was
+// tried, each may be tried again.
+func (s *stepRun) failed(failure *result.Error) retry.Failure {
+	f := retry.Failure{
+		Err:   failure,
+		Began: s.request.Released(),
+		Alone: !s.entry.picker.Left(s.choose(), s.entry.now()),
+	}
+	if f.Alone {
+		s.tried = balance.Tried{}
+	}
+	return f
+}
+
 // try makes one attempt.
 func (s *stepRun) try() (*output, *result.Error) {
 	e := s.entry
@@ -120,12 +135,7 @@
 // their share of its budget are left for last.
 func (s *stepRun) pick() (balance.Choice, error) {
 	e := s.entry
-	req := &balance.Request{
-		Target:       balance.Target{Version: s.step.Version},
-		Prefix:       s.call.Prefix,
-		PromptTokens: s.call.PromptTokens,
-		Tried:        s.tried,
-	}
+	req := s.choose()
 	if s.step.RollingOut && e.spent.avoid(s.step.Version, e.now(), &req.Tried) {
 		if choice, err := e.picker.Pick(req, e.now(), e.random()); err == nil {
 			return choice, nil
@@ -135,6 +145,16 @@
 	return e.picker.Pick(req, e.now(), e.random())
 }
 
+// choose is what the choice of the next upstream depends on.
+func (s *stepRun) choose() *balance.Request {
+	return &balance.Request{
+		Target:       balance.Target{Version: s.step.Version},
+		Prefix:       s.call.Prefix,
+		PromptTokens: s.call.PromptTokens,
+		Tried:        s.tried,
+	}
+}
+
 func (s *stepRun) message(id string, choice balance.Choice) *linkv1.AttemptRequest {
 	return &linkv1.AttemptRequest{
 		RequestId:    s.call.RequestID,
--- a/internal/policybench/host/entry.go
+++ b/internal/policybench/host/entry.go
@@ -181,7 +181,7 @@
 		c.close(refused)
 		return
 	}
-	d := c.plan.Next(failure, false, c.entry.fleet.now(), c.entry.rnd.Float64())
+	d := c.plan.Next(retry.Failure{Err: failure}, c.entry.fleet.now(), c.entry.rnd.Float64())
 	if d.Final != nil {
 		c.close(refused)
 		return
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -121,18 +121,29 @@
 	Final *result.Error
 }
 
-// Next decides after a failed attempt. began is set when a part of an answer
-// has reached the caller. rnd is a fresh random number from 0 to 1.
-func (p *Plan) Next(failure *result.Error, began bool, now time.Time, rnd float64) Decision {
+// Failure is a failed attempt.
+type Failure struct {
+	Err *result.Error
+	// Began is set when a part of an answer has reached the caller.
+	Began bool
+	// Alone is set when no upstream is left that was not tried, so that the
+	// next attempt goes back to one that failed.
+	Alone bool
+}
+
+// Next decides after a failed attempt. rnd is a fresh random number from 0 to
+// 1.
+func (p *Plan) Next(f Failure, now time.Time, rnd float64) Decision {
+	failure := f.Err
 	p.attempts++
 	p.worst = worse(p.worst, failure.Outcome)
-	if began || !p.mayRepeat(failure) {
+	if f.Began || !p.mayRepeat(failure) {
 		return p.final(failure)
 	}
 	if p.attempts >= p.policy.settings.MaxAttempts {
 		return p.spent(failure)
 	}
-	wait := p.wait(failure, rnd)
+	wait := p.wait(f, rnd)
 	if now.Add(wait + p.policy.settings.MinRun).After(p.deadline) {
 		return p.spent(failure)
 	}
@@ -152,12 +163,12 @@
 }
 
 // wait is a full jitter below the growing backoff. A refusal of the whole
-// target is waited out; one of a single upstream is not, since the next
-// attempt goes to another.
-func (p *Plan) wait(failure *result.Error, rnd float64) time.Duration {
+// target is waited out. One of a single upstream is waited out only when the
+// next attempt goes there again.
+func (p *Plan) wait(f Failure, rnd float64) time.Duration {
 	d := time.Duration(rnd * float64(p.backoff.NextBackOff()))
-	if failure.Code == result.NoUpstream {
-		d += failure.RetryAfter
+	if f.Alone || f.Err.Code == result.NoUpstream {
+		d += f.Err.RetryAfter
 	}
 	return d
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -37,7 +37,7 @@
 			plan := New(Settings{}, start).Plan("o", tt.idempotent, start.Add(time.Minute))
 			var d Decision
 			for _, code := range tt.failures {
-				d = plan.Next(result.New(code, "x"), tt.began, start, 0.5)
+				d = plan.Next(Failure{Err: result.New(code, "x"), Began: tt.began}, start, 0.5)
 			}
 			if tt.retried != (d.Final == nil) {
 				t.Fatalf("Next = %+v", d)
@@ -51,12 +51,28 @@
 
 func TestNoRetryPastTheDeadline(t *testing.T) {
 	plan := New(Settings{}, start).Plan("o", true, start.Add(DefaultMinRun))
-	d := plan.Next(result.New(result.UpstreamBusy, "x"), false, start, 0.5)
+	d := plan.Next(Failure{Err: result.New(result.UpstreamBusy, "x")}, start, 0.5)
 	if d.Final == nil || d.Final.Code != result.RetriesSpent {
 		t.Fatalf("Next = %+v, want a final answer at once", d)
 	}
 }
 
+func TestOnlyOneThatGoesBackWaitsAsLongAsItWasAsked(t *testing.T) {
+	busy := result.New(result.UpstreamBusy, "x").WithRetryAfter(time.Second)
+	away := New(Settings{}, start).Plan("o", true, start.Add(time.Minute))
+	if d := away.Next(Failure{Err: busy}, start, 0.5); d.Final != nil || d.Wait > DefaultFirstWait {
+		t.Fatalf("Next = %+v with another upstream left", d)
+	}
+	back := New(Settings{}, start).Plan("o", true, start.Add(time.Minute))
+	if d := back.Next(Failure{Err: busy, Alone: true}, start, 0.5); d.Final != nil || d.Wait < time.Second {
+		t.Fatalf("Next = %+v with no other upstream left", d)
+	}
+	late := New(Settings{}, start).Plan("o", true, start.Add(time.Second))
+	if d := late.Next(Failure{Err: busy, Alone: true}, start, 0.5); d.Final == nil {
+		t.Fatalf("Next = %+v, want a final answer at once: the wait is over after the deadline", d)
+	}
+}
+
 func TestBudgetStopsARetryStorm(t *testing.T) {
 	p := New(Settings{}, start)
 	const requests = 10_000
@@ -64,7 +80,7 @@
 	for i := range requests {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		plan := p.Plan("flooding", true, now.Add(time.Second))
-		for plan.Next(result.New(result.UpstreamFailed, "x"), false, now, 0.5).Final == nil {
+		for plan.Next(Failure{Err: result.New(result.UpstreamFailed, "x")}, now, 0.5).Final == nil {
 			retries++
 		}
 	}
@@ -72,7 +88,7 @@
 		t.Fatalf("%d retries in an outage, want at most %d", retries, most)
 	}
 	now := start.Add(requests * time.Millisecond)
-	if p.Plan("other", true, now.Add(time.Second)).Next(result.New(result.UpstreamBusy, "x"), false, now, 0.5).Final != nil {
+	if p.Plan("other", true, now.Add(time.Second)).Next(Failure{Err: result.New(result.UpstreamBusy, "x")}, now, 0.5).Final != nil {
 		t.Fatal("the flooding organisation spent another one's budget")
 	}
 }
@@ -89,7 +105,7 @@
 		for {
 			failure := result.New(rapid.SampledFrom(codes).Draw(t, "code"), "x")
 			clean = clean && failure.Outcome == result.NotRun
-			d := plan.Next(failure, false, start, rapid.Float64Range(0, 1).Draw(t, "rnd"))
+			d := plan.Next(Failure{Err: failure}, start, rapid.Float64Range(0, 1).Draw(t, "rnd"))
 			if d.Final == nil {
 				if !clean && !idempotent {
 					t.Fatal("a call that may have run was repeated")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -30,6 +30,8 @@
 	WrongShare map[string]float64 `json:"wrongShare,omitempty"`
 	// FailStatus answers every request with this status, not run.
 	FailStatus int `json:"failStatus,omitempty"`
+	// FailTimes is how many requests FailStatus answers; 0 means all.
+	FailTimes int `json:"failTimes,omitempty"`
 	// CutAfter ends the connection after that many tokens; 0 never.
 	CutAfter int `json:"cutAfter,omitempty"`
 	// DieBeforeAnswer runs the request and ends the connection.
@@ -71,6 +73,8 @@
 	checksFence bool
 	inFlight    atomic.Int64
 	started     time.Time
+	// failed counts the requests that FailStatus was due for.
+	failed atomic.Int64
 
 	mu        sync.Mutex
 	versions  map[string]bool
@@ -123,6 +127,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.behaviour = b
+	e.failed.Store(0)
 }
 
 // Runs returns the requests that ran so far.
@@ -158,7 +163,7 @@
 		return
 	}
 	b, ok := e.admit(req.Model)
-	if b.FailStatus != 0 {
+	if b.FailStatus != 0 && (b.FailTimes == 0 || e.failed.Add(1) <= int64(b.FailTimes)) {
 		w.WriteHeader(b.FailStatus)
 		return
 	}
