Keep what is known of an upstream for one target apart

Cause: health and speed of an upstream for one version had no place of their own, so that a fault of one version spoke against the others beside it. Change: a pool holds members, an upstream's place for one target, in place of the upstreams themselves. No choice changes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -71,8 +71,8 @@
 	// Probe is set when the attempt tests an upstream that was ejected.
 	Probe bool
 
-	replica *replica
-	pool    *pool
+	member *member
+	pool   *pool
 }
 
 // Outcome is how an attempt ended, as far as it tells about the upstream.
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -2,7 +2,7 @@
 
 // candidate is the cheapest upstream found so far.
 type candidate struct {
-	r      *replica
+	m      *member
 	affine bool
 	full   bool
 	cost   float64
@@ -31,32 +31,32 @@
 
 // good reports whether there is no need to look in other failure domains.
 func (c *candidate) good() bool {
-	return c.r != nil && !c.full && !c.r.health.suspect()
+	return c.m != nil && !c.full && !c.m.health.suspect()
 }
 
 // consider keeps the upstream when it is cheaper than the one found. unread is
 // the part of the prompt that it must read.
-func (c *candidate) consider(s *search, r *replica, unread float64) {
-	if r == nil || (r == c.r && unread == unreadElsewhere) {
+func (c *candidate) consider(s *search, m *member, unread float64) {
+	if m == nil || (m == c.m && unread == unreadElsewhere) {
 		return
 	}
-	cost, full := s.cost(r, unread)
-	if c.r == nil || cost < c.cost {
-		*c = candidate{r: r, affine: unread < unreadElsewhere, full: full, cost: cost}
+	cost, full := s.cost(m, unread)
+	if c.m == nil || cost < c.cost {
+		*c = candidate{m: m, affine: unread < unreadElsewhere, full: full, cost: cost}
 	}
 }
 
 // cost estimates the time to an answer in prompt tokens: reading what is not
 // cached, sharing the batch, and waiting for a slot.
-func (s *search) cost(r *replica, unread float64) (cost float64, full bool) {
-	slots := r.capacity(s.now, s.slowStart)
-	load := r.inFlight(s.now)
+func (s *search) cost(m *member, unread float64) (cost float64, full bool) {
+	slots := m.capacity(s.now, s.slowStart)
+	load := m.inFlight(s.now)
 	cost = batchTokens*load/slots + unread*float64(s.req.PromptTokens)
 	if waiting := load + 1 - slots; waiting > 0 {
 		full = true
 		cost += batchTokens * queueFactor * waiting / slots
 	}
-	if r.health.suspect() {
+	if m.health.suspect() {
 		cost += suspectCost
 	}
 	return cost, full
--- a/internal/balance/home.go
+++ b/internal/balance/home.go
@@ -6,22 +6,22 @@
 // group is a part of a pool's members with their hashes side by side.
 type group struct {
 	hashes  []uint64
-	members []*replica
+	members []*member
 }
 
 // groupsOf splits the members by hash into a power of two of groups, so that
 // the homes of a prefix are found by scanning one group. A member that comes
 // or goes touches its own group only.
-func groupsOf(members []*replica) []group {
+func groupsOf(members []*member) []group {
 	n := 1
 	for len(members)/n > maxGroup {
 		n *= 2
 	}
 	groups := make([]group, n)
-	for _, r := range members {
-		g := &groups[r.hash%uint64(n)]
-		g.hashes = append(g.hashes, r.hash)
-		g.members = append(g.members, r)
+	for _, m := range members {
+		g := &groups[m.hash%uint64(n)]
+		g.hashes = append(g.hashes, m.hash)
+		g.members = append(g.members, m)
 	}
 	return groups
 }
@@ -30,7 +30,7 @@
 // prefix by rendezvous hashing. Every entry ranks alike, so they agree without
 // a message; the prefixes of an upstream that is lost spread over the others.
 // Either may be nil.
-func (pl *pool) homes(prefix uint64, may func(*replica) bool) (first, second *replica) {
+func (pl *pool) homes(prefix uint64, may func(*member) bool) (first, second *member) {
 	g := &pl.groups[mix(prefix)%uint64(len(pl.groups))]
 	var firstScore, secondScore uint64
 	one, two := -1, -1
@@ -49,7 +49,7 @@
 	return g.member(one), g.member(two)
 }
 
-func (g *group) member(i int) *replica {
+func (g *group) member(i int) *member {
 	if i < 0 {
 		return nil
 	}
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -37,18 +37,18 @@
 	}
 	s := search{req: req, pool: pl, now: now.UnixNano(), rnd: rnd, slowStart: p.settings.SlowStart}
 	if s.probeDue() {
-		if r := s.probe(pl); r != nil {
-			return s.choice(r, false, true), nil
+		if m := s.probe(pl); m != nil {
+			return s.choice(m, false, true), nil
 		}
 	}
-	if r, affine := s.best(pl); r != nil {
-		return s.choice(r, affine, false), nil
+	if m, affine := s.best(pl); m != nil {
+		return s.choice(m, affine, false), nil
 	}
-	if r := s.last(pl); r != nil {
-		return s.choice(r, false, false), nil
+	if m := s.last(pl); m != nil {
+		return s.choice(m, false, false), nil
 	}
-	if r := s.probe(pl); r != nil {
-		return s.choice(r, false, true), nil
+	if m := s.probe(pl); m != nil {
+		return s.choice(m, false, true), nil
 	}
 	return Choice{}, noUpstream(pl.comeBack(s.now))
 }
@@ -72,8 +72,8 @@
 // comeBack is the time until the first ejection ends.
 func (pl *pool) comeBack(now int64) time.Duration {
 	after := retrySoon
-	for _, r := range pl.members {
-		if until := r.health.until.Load(); until > now {
+	for _, m := range pl.members {
+		if until := m.health.until.Load(); until > now {
 			after = min(after, time.Duration(until-now))
 		}
 	}
@@ -82,14 +82,14 @@
 
 // Started notes that an attempt was sent to the choice.
 func (p *Picker) Started(c Choice) {
-	c.replica.own.Add(1)
+	c.member.own.Add(1)
 }
 
 // Finished notes the end of an attempt that was started. It is called once
 // for each Started.
 func (p *Picker) Finished(c Choice, o Observation, now time.Time) {
 	at := now.UnixNano()
-	r := c.replica
+	r := c.member.replica
 	r.own.Add(-1)
 	if o.Load != nil {
 		r.observe(*o.Load, at)
@@ -172,7 +172,7 @@
 			continue
 		}
 		total++
-		if m != r && m.health.until.Load() != 0 {
+		if m.replica != r && m.health.until.Load() != 0 {
 			out++
 		}
 	}
--- a/internal/balance/picker_test.go
+++ b/internal/balance/picker_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	r := p.view.Load().byName[upstream]
 	for range times {
-		c := Choice{replica: r, pool: p.view.Load().pools[target]}
+		c := Choice{member: r.member(target), pool: p.view.Load().pools[target]}
 		p.Started(c)
 		p.Finished(c, Observation{Outcome: o}, now)
 	}
@@ -350,8 +350,8 @@
 	}
 }
 
-func difference(a, b []*replica) int {
-	in := map[*replica]bool{}
+func difference(a, b []*member) int {
+	in := map[*member]bool{}
 	for _, r := range b {
 		in[r] = true
 	}
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -42,6 +42,9 @@
 	rampFrom atomic.Int64
 
 	health health
+
+	// members are its places in the pools, under Picker.mu.
+	members []*member
 }
 
 func newReplica(name string, rampFrom int64) *replica {
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -33,11 +33,11 @@
 }
 
 // usable reports whether the upstream may take the request at all.
-func (s *search) usable(r *replica) bool {
-	if !r.takesWork() {
+func (s *search) usable(m *member) bool {
+	if !m.takesWork() {
 		return false
 	}
-	return s.req.Tried.n == 0 || !s.req.Tried.Has(r.id.Load().name)
+	return s.req.Tried.n == 0 || !s.req.Tried.Has(m.id.Load().name)
 }
 
 // probeDue reports whether this request should look for an upstream to probe.
@@ -46,9 +46,9 @@
 // probe returns an upstream that failed before and that no other request
 // probes now: the home of the prefix, which may stand outside the subset, or
 // any of the subset.
-func (s *search) probe(pl *pool) *replica {
+func (s *search) probe(pl *pool) *member {
 	if s.affinity() {
-		first, _ := pl.homes(s.req.Prefix, (*replica).staying)
+		first, _ := pl.homes(s.req.Prefix, (*member).staying)
 		if s.mayProbe(first) {
 			return first
 		}
@@ -58,20 +58,20 @@
 	}
 	start := s.index(len(pl.subset))
 	for i := range pl.subset {
-		r := pl.subset[(start+i)%len(pl.subset)]
-		if s.mayProbe(r) {
-			return r
+		m := pl.subset[(start+i)%len(pl.subset)]
+		if s.mayProbe(m) {
+			return m
 		}
 	}
 	return nil
 }
 
 // mayProbe reports whether this request is the one that probes the upstream.
-func (s *search) mayProbe(r *replica) bool {
-	if r == nil || r.leaving() || !r.health.probeable(s.now) {
+func (s *search) mayProbe(m *member) bool {
+	if m == nil || m.leaving() || !m.health.probeable(s.now) {
 		return false
 	}
-	return !s.req.Tried.Has(r.id.Load().name) && r.health.takeProbe(s.now)
+	return !s.req.Tried.Has(m.id.Load().name) && m.health.takeProbe(s.now)
 }
 
 // affinity reports whether a cached prefix would save enough to be sought.
@@ -81,7 +81,7 @@
 
 // best weighs the homes of the prefix against two random upstreams, first of
 // the own failure domain, then of the others.
-func (s *search) best(pl *pool) (r *replica, affine bool) {
+func (s *search) best(pl *pool) (m *member, affine bool) {
 	var found candidate
 	found.consider(s, s.draw(pl.near), unreadElsewhere)
 	found.consider(s, s.draw(pl.near), unreadElsewhere)
@@ -90,70 +90,70 @@
 		found.consider(s, s.draw(pl.away), unreadElsewhere)
 	}
 	if s.affinity() {
-		first, second := pl.homes(s.req.Prefix, (*replica).sound)
+		first, second := pl.homes(s.req.Prefix, (*member).sound)
 		found.consider(s, s.ifUsable(first), unreadFirstHome)
 		found.consider(s, s.ifUsable(second), unreadSecondHome)
 	}
-	return found.r, found.affine
+	return found.m, found.affine
 }
 
 // draw returns a random usable upstream, one without a recent failure when
 // it finds one.
-func (s *search) draw(from []*replica) *replica {
+func (s *search) draw(from []*member) *member {
 	if len(from) == 0 {
 		return nil
 	}
-	var fallback *replica
+	var fallback *member
 	for range maxDraws {
-		r := from[s.index(len(from))]
-		if !s.usable(r) {
+		m := from[s.index(len(from))]
+		if !s.usable(m) {
 			continue
 		}
-		if !r.health.suspect() {
-			return r
+		if !m.health.suspect() {
+			return m
 		}
-		fallback = r
+		fallback = m
 	}
 	return fallback
 }
 
 // ifUsable returns nil in place of an upstream that cannot be used.
-func (s *search) ifUsable(r *replica) *replica {
-	if r == nil || !s.usable(r) {
+func (s *search) ifUsable(m *member) *member {
+	if m == nil || !s.usable(m) {
 		return nil
 	}
-	return r
+	return m
 }
 
 // last scans for any usable upstream when the draws found none: the subset,
 // then all of the region, then other regions.
-func (s *search) last(pl *pool) *replica {
-	for _, list := range [][]*replica{pl.subset, pl.members, pl.far} {
-		if r := s.scan(list); r != nil {
-			return r
+func (s *search) last(pl *pool) *member {
+	for _, list := range [][]*member{pl.subset, pl.members, pl.far} {
+		if m := s.scan(list); m != nil {
+			return m
 		}
 	}
 	return nil
 }
 
-func (s *search) scan(list []*replica) *replica {
+func (s *search) scan(list []*member) *member {
 	if len(list) == 0 {
 		return nil
 	}
 	start := s.index(len(list))
 	for i := range list {
-		if r := list[(start+i)%len(list)]; s.usable(r) {
-			return r
+		if m := list[(start+i)%len(list)]; s.usable(m) {
+			return m
 		}
 	}
 	return nil
 }
 
-func (s *search) choice(r *replica, affine, probe bool) Choice {
-	id := r.id.Load()
+func (s *search) choice(m *member, affine, probe bool) Choice {
+	id := m.id.Load()
 	return Choice{
 		Upstream: id.name, Host: id.host, Agent: id.agent, Domain: id.domain,
 		Affine: affine, Probe: probe,
-		replica: r, pool: s.pool,
+		member: m, pool: s.pool,
 	}
 }
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -54,10 +54,10 @@
 		return 0
 	}
 	total := 0
-	for _, list := range [][]*replica{pl.members, pl.far} {
-		for _, r := range list {
-			if r.takesWork() {
-				total += int(r.slots.Load())
+	for _, list := range [][]*member{pl.members, pl.far} {
+		for _, m := range list {
+			if m.takesWork() {
+				total += int(m.slots.Load())
 			}
 		}
 	}
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -23,17 +23,17 @@
 // pool is the upstreams of one target.
 type pool struct {
 	// members are all upstreams of the region.
-	members []*replica
+	members []*member
 	// groups hold the members by hash, for the homes of a prefix.
 	groups []group
 	// near is the subset's part in this entry's failure domain.
-	near []*replica
+	near []*member
 	// away is the subset's part in the other failure domains.
-	away []*replica
+	away []*member
 	// subset is the bounded choice of this entry over all domains.
-	subset []*replica
+	subset []*member
 	// far are upstreams of other regions, used when nothing else is left.
-	far []*replica
+	far []*member
 	// changed is set while compiling when an upstream's identity differs
 	// from the view before.
 	changed bool
@@ -115,6 +115,7 @@
 		r.slots.Store(int32(slots))
 	}
 	r.leavingConfig.Store(u.Leaving)
+	r.forgetTargets(u)
 	return changed
 }
 
@@ -140,10 +141,11 @@
 		v.pools[t] = pl
 	}
 	pl.changed = pl.changed || changed
+	m := r.member(t)
 	if near {
-		pl.members = append(pl.members, r)
+		pl.members = append(pl.members, m)
 	} else {
-		pl.far = append(pl.far, r)
+		pl.far = append(pl.far, m)
 	}
 	v.poolsOf[r] = append(v.poolsOf[r], pl)
 }
@@ -163,11 +165,11 @@
 func (pl *pool) compile(s Settings) {
 	pl.groups = groupsOf(pl.members)
 	pl.subset = subsetOf(pl.members, s.Entry, s.SubsetSize)
-	for _, r := range pl.subset {
-		if r.id.Load().domain == s.Domain {
-			pl.near = append(pl.near, r)
+	for _, m := range pl.subset {
+		if m.id.Load().domain == s.Domain {
+			pl.near = append(pl.near, m)
 		} else {
-			pl.away = append(pl.away, r)
+			pl.away = append(pl.away, m)
 		}
 	}
 }
@@ -175,20 +177,20 @@
 // subsetOf returns at most size members, the same number from each failure
 // domain as far as it goes, ranked by rendezvous hashing on the entry's name.
 // A member that comes or goes changes at most one place.
-func subsetOf(members []*replica, entry string, size int) []*replica {
+func subsetOf(members []*member, entry string, size int) []*member {
 	if len(members) <= size {
 		return members
 	}
 	seed := xxhash.Sum64String(entry)
-	byDomain := map[string][]*replica{}
-	for _, r := range members {
-		d := r.id.Load().domain
-		byDomain[d] = append(byDomain[d], r)
+	byDomain := map[string][]*member{}
+	for _, m := range members {
+		d := m.id.Load().domain
+		byDomain[d] = append(byDomain[d], m)
 	}
 	domains := make([]string, 0, len(byDomain))
 	for d, rs := range byDomain {
 		domains = append(domains, d)
-		slices.SortFunc(rs, func(a, b *replica) int {
+		slices.SortFunc(rs, func(a, b *member) int {
 			return cmp.Compare(mix(b.hash^seed), mix(a.hash^seed))
 		})
 	}
@@ -197,8 +199,8 @@
 }
 
 // takeInTurn takes the best ranked of each domain in turn.
-func takeInTurn(byDomain map[string][]*replica, domains []string, size int) []*replica {
-	out := make([]*replica, 0, size)
+func takeInTurn(byDomain map[string][]*member, domains []string, size int) []*member {
+	out := make([]*member, 0, size)
 	for rank := 0; len(out) < size; rank++ {
 		for _, d := range domains {
 			if rank < len(byDomain[d]) && len(out) < size {
