Let books of estimates merge by their place in the stream of ratings

Cause: An entry that restarts forgets what it learned. Book.Import overwrote what the importer knew, and nothing said which ratings a record holds, so a record could not be taken without counting ratings twice.

Change: A Memory is a book with its cursor in the stream of ratings, which is one stream for all entries. Of two memories the one with the higher cursor holds every rating of the other and wins; drafts and answers of a key are those of whoever saw more.

Measured: go test -race ./internal/quality ./internal/result: ok. After merging books of 100 and 40 ratings of the same stream into each other twice both hold 100 (before: Import could only replace or be added up by hand).

Not wired yet.

--- a/internal/quality/book.go
+++ b/internal/quality/book.go
@@ -117,6 +117,7 @@
 	cells  map[Key]*cell
 	queues map[string]*queue
 	newest time.Time
+	place  place
 }
 
 // NewBook returns an empty book.
--- /dev/null
+++ b/internal/quality/memory_test.go
@@ -0,0 +1,93 @@
+package quality
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+var small = Key{Class: "tag", Version: "small@1"}
+
+// count adds ratings to the book as the stream up to the cursor.
+func count(b *Book, good, bad uint32, cursor uint64) {
+	b.Add(small, Delta{Good: good, Bad: bad}, epoch)
+	b.Advance(cursor, int(good+bad))
+}
+
+func ratings(b *Book) float64 {
+	e, _ := b.View(epoch).Get(small)
+	return e.Ratings
+}
+
+func TestMergeCountsNoRatingTwice(t *testing.T) {
+	ahead, behind := NewBook(Settings{}), NewBook(Settings{})
+	count(ahead, 90, 10, 100)
+	count(behind, 36, 4, 40)
+	behind.Add(small, Answered(time.Second, 8), epoch)
+	memory := ahead.Memory(epoch)
+	older := behind.Memory(epoch)
+	for range 2 {
+		behind.Merge(memory, epoch)
+		ahead.Merge(older, epoch)
+	}
+	for name, b := range map[string]*Book{"ahead": ahead, "behind": behind} {
+		e, _ := b.View(epoch).Get(small)
+		if e.Ratings != 100 || b.Cursor() != 100 || e.Answers != 1 {
+			t.Errorf("%s: %v ratings, %v answers, cursor %d", name, e.Ratings, e.Answers, b.Cursor())
+		}
+	}
+	count(behind, 1, 0, 101)
+	if got := ratings(behind); got != 101 {
+		t.Errorf("%v ratings after one more, want 101", got)
+	}
+}
+
+func TestReplayPlaceIsBounded(t *testing.T) {
+	b := NewBook(Settings{})
+	for i := uint64(1); i <= 5000; i++ {
+		count(b, 1, 0, i)
+		m := b.Memory(epoch)
+		if back := m.Cursor - m.Replay; back > 2*replayRatings || (i > replayRatings && back < replayRatings) {
+			t.Fatalf("at %d the replay is %d ratings long", i, back)
+		}
+	}
+	b.Advance(3, 0)
+	if m := b.Memory(epoch); m.Cursor != 3 || m.Replay != 3 {
+		t.Errorf("after the service went back: %+v", m)
+	}
+}
+
+func TestBadMemoriesAreRefused(t *testing.T) {
+	sound := Record{Key: small, Good: 3, Rated: epoch}
+	nan, heavy, negative, nameless := sound, sound, sound, sound
+	nan.LatencyMs = float32(math.NaN())
+	heavy.Good = 10 * DefaultWindow
+	negative.Bad = -1
+	nameless.Key.Version = ""
+	for _, r := range []Record{nan, heavy, negative, nameless} {
+		m := Memory{SavedAt: epoch, Records: []Record{r}}
+		if err := m.Check(epoch); !result.Is(err, result.LearnedDamaged) {
+			t.Errorf("%+v: %v", r, err)
+		}
+	}
+	m := Memory{SavedAt: epoch, Records: []Record{sound}}
+	if err := m.Check(epoch.Add(MaxMemoryAge)); err != nil {
+		t.Error(err)
+	}
+	if err := m.Check(epoch.Add(MaxMemoryAge + 1)); !result.Is(err, result.LearnedStale) {
+		t.Errorf("too old: %v", err)
+	}
+	if dropped := m.Keep(func(Key) bool { return false }); dropped != 1 || !m.Empty() {
+		t.Errorf("%d dropped, left %+v", dropped, m)
+	}
+}
+
+func TestARatingFromTheFutureDoesNotStayFresh(t *testing.T) {
+	b := NewBook(Settings{})
+	b.Merge(Memory{Cursor: 1, Records: []Record{{Key: small, Good: 1, Rated: epoch.Add(time.Hour)}}}, epoch)
+	if b.View(epoch.Add(DefaultFresh + 1)).Fresh() {
+		t.Error("the rating service counts as fresh beyond its time")
+	}
+}
--- a/internal/quality/record.go
+++ b/internal/quality/record.go
@@ -1,6 +1,7 @@
 package quality
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -48,28 +49,52 @@
 }
 
 // Import takes the state of the keys in place of what the book holds of them.
-// A daemon that starts takes it from a peer or the fold, and adds deltas from
-// then on.
 func (b *Book) Import(records []Record) {
-	for _, r := range records {
-		b.cells[r.Key] = &cell{
-			good:         float64(r.Good),
-			bad:          float64(r.Bad),
-			kept:         float64(r.Kept),
-			escalated:    float64(r.Escalated),
-			answers:      float64(r.Answers),
-			outputTokens: float64(r.OutputTokens),
-			usual: latencies{
-				answers: float64(r.Answers),
-				sum:     float64(r.LatencyMs),
-				squares: float64(r.LatencySqMs),
-			},
-			rated: r.Rated,
-		}
+	for i := range records {
+		r := &records[i]
+		c := &cell{}
+		c.takeRatings(r)
+		c.takeDrafts(r)
+		c.takeAnswers(r)
+		b.cells[r.Key] = c
 		b.newest = later(b.newest, r.Rated)
 	}
 }
 
+func (c *cell) takeRatings(r *Record) {
+	c.good, c.bad = float64(r.Good), float64(r.Bad)
+	c.rated = r.Rated
+}
+
+func (c *cell) takeDrafts(r *Record) {
+	c.kept, c.escalated = float64(r.Kept), float64(r.Escalated)
+}
+
+func (c *cell) takeAnswers(r *Record) {
+	c.answers, c.outputTokens = float64(r.Answers), float64(r.OutputTokens)
+	c.usual = latencies{
+		answers: float64(r.Answers),
+		sum:     float64(r.LatencyMs),
+		squares: float64(r.LatencySqMs),
+	}
+}
+
+// sound reports whether a book could have made the record: finite sums that
+// are not negative, and weights within the window.
+func (r *Record) sound() bool {
+	for _, weight := range [...]float32{r.Good + r.Bad, r.Kept + r.Escalated, r.Answers} {
+		if !(weight <= DefaultWindow+1) {
+			return false
+		}
+	}
+	for _, sum := range [...]float32{r.Good, r.Bad, r.Kept, r.Escalated, r.Answers, r.OutputTokens, r.LatencyMs, r.LatencySqMs} {
+		if !(sum >= 0 && sum <= math.MaxFloat32) {
+			return false
+		}
+	}
+	return r.Key.Version != ""
+}
+
 func (k Key) compare(o Key) int {
 	if c := strings.Compare(k.Class, o.Class); c != 0 {
 		return c
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -81,6 +81,10 @@
 	DeltaBroken     Code = 6006
 	ReadFailed      Code = 6007
 	HistoryReplaced Code = 6008
+	LearnedDamaged  Code = 6009
+	LearnedFormat   Code = 6010
+	LearnedStale    Code = 6011
+	LearnedForeign  Code = 6012
 
 	LeaseHeld    Code = 7001
 	LeaseLost    Code = 7002
@@ -174,6 +178,10 @@
 	{DeltaBroken, "delta_broken", http.StatusConflict, NotRun, "A revision's delta does not lead to the digest it names."},
 	{ReadFailed, "read_failed", http.StatusBadRequest, NotRun, "A file or folder cannot be read."},
 	{HistoryReplaced, "history_replaced", http.StatusConflict, NotRun, "The store holds another history than the one in force."},
+	{LearnedDamaged, "learned_damaged", http.StatusBadGateway, NotRun, "A copy of what an entry has learned is damaged and is dropped."},
+	{LearnedFormat, "learned_format", http.StatusConflict, NotRun, "A copy of what an entry has learned has another format and is dropped."},
+	{LearnedStale, "learned_stale", http.StatusConflict, NotRun, "A copy of what an entry has learned is too old and is dropped."},
+	{LearnedForeign, "learned_foreign", http.StatusConflict, NotRun, "A copy of what an entry has learned names versions or classes that the configuration does not have; these are dropped."},
 
 	{LeaseHeld, "lease_held", http.StatusConflict, NotRun, "Another process holds the lease."},
 	{LeaseLost, "lease_lost", http.StatusConflict, NotRun, "The lease is no longer held."},
