Hand what entries have learned to those that start

Cause: An entry that restarts forgot its estimates, and read the stream of ratings from its start, which a rating service need not keep.

Change: An entry that starts asks the row learned/memory, its writer and some peers over a new link service, drops what is damaged, of another format, too old or of another configuration, and merges the rest. One entry at a time writes the row, once a minute under a lease. Ratings no longer pass the buffer that drops observations. The watch over versions is not handed on: it reads the last 1,000 to 2,000 ratings again.

Measured: go test -race ./internal/entry ./internal/learned: ok. With the recall switched off four of the six tests fail: an entry that starts while the rating service is away knows 0 ratings of 300 (now 300), nothing of latencies and costs (now the peer's), and its suspicion of a version that turned bad is gone (now held). Packed: 490 B for 10 records, 16,390 B for 1,000, never over 64 KB.

Needs the peers setting to name entries while the store is away.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -12,6 +12,7 @@
 	"tarragonbay.example/tarragonbay/internal/claim"
 	"tarragonbay.example/tarragonbay/internal/entry"
 	"tarragonbay.example/tarragonbay/internal/httpserver"
+	"tarragonbay.example/tarragonbay/internal/learned"
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/ledger"
 	"tarragonbay.example/tarragonbay/internal/link"
@@ -180,7 +181,9 @@
 	return session.NewSigner(keys, d.settings.Timeouts.Session)
 }
 
-func (r *entryRole) mount(*http.ServeMux) {}
+func (r *entryRole) mount(mux *http.ServeMux) {
+	mux.Handle(learned.NewHandler(r.entry.Memory))
+}
 
 func (r *entryRole) duties() []duty {
 	return []duty{
@@ -196,7 +199,8 @@
 		{"judge", func(ctx context.Context) error { return r.entry.Judge(ctx, r.rollouts) }},
 		{"fold", r.untilStop(r.daemon.fold(r.leases))},
 		{"collect", r.untilStop(r.daemon.collect(r.leases))},
-		{"ratings", func(ctx context.Context) error { return r.entry.Rate(ctx, r.daemon.ports.Ratings) }},
+		{"ratings", r.rate},
+		{"learned", r.untilStop(r.saveLearned)},
 		{"callers", r.caller.Run},
 	}
 }
--- a/internal/entry/learner.go
+++ b/internal/entry/learner.go
@@ -7,6 +7,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
 )
@@ -29,6 +30,7 @@
 type learner struct {
 	now     func() time.Time
 	in      chan observed
+	work    chan func(*quality.Book)
 	book    *quality.Book
 	publish func(*quality.View)
 	current atomic.Pointer[quality.View]
@@ -39,6 +41,7 @@
 	l := &learner{
 		now:     now,
 		in:      make(chan observed, observationBuffer),
+		work:    make(chan func(*quality.Book)),
 		book:    quality.NewBook(quality.Settings{}),
 		publish: publish,
 		dropped: m.Counter("entry", "observations_dropped"),
@@ -57,8 +60,50 @@
 	l.put(observed{key: k, delta: quality.Drafted(escalated)})
 }
 
-func (l *learner) rated(k quality.Key, good bool) {
-	l.put(observed{key: k, delta: quality.Rated(good)})
+// do runs the work on the book, between two observations.
+func (l *learner) do(ctx context.Context, work func(*quality.Book)) error {
+	done := make(chan struct{})
+	job := func(b *quality.Book) {
+		work(b)
+		close(done)
+	}
+	select {
+	case l.work <- job:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-done
+	return nil
+}
+
+// rated counts a batch of the stream of ratings, which ends at the cursor.
+func (l *learner) rated(ctx context.Context, batch []platform.Rating, cursor uint64) error {
+	return l.do(ctx, func(b *quality.Book) {
+		for _, r := range batch {
+			b.Add(quality.ParseKey(r.Class, r.Version), quality.Rated(r.Good), l.now())
+		}
+		b.Advance(cursor, len(batch))
+	})
+}
+
+// memory returns what was learned.
+func (l *learner) memory(ctx context.Context) (m quality.Memory, err error) {
+	err = l.do(ctx, func(b *quality.Book) { m = b.Memory(l.now()) })
+	return m, err
+}
+
+// merge takes checked memories and returns the place up to which the ratings
+// are counted from then on, and where to read them again for the watch.
+func (l *learner) merge(ctx context.Context, memories []quality.Memory) (counted, replay uint64, err error) {
+	err = l.do(ctx, func(b *quality.Book) {
+		for _, m := range memories {
+			b.Merge(m, l.now())
+		}
+		l.show()
+		m := b.Memory(l.now())
+		counted, replay = m.Cursor, m.Replay
+	})
+	return counted, replay, err
 }
 
 func (l *learner) put(o observed) {
@@ -78,10 +123,17 @@
 			return nil
 		case o := <-l.in:
 			l.book.Add(o.key, o.delta, l.now())
+		case work := <-l.work:
+			work(l.book)
 		case <-tick.C:
-			view := l.book.View(l.now())
-			l.current.Store(view)
-			l.publish(view)
+			l.show()
 		}
 	}
 }
+
+// show hands a new view of the book out.
+func (l *learner) show() {
+	view := l.book.View(l.now())
+	l.current.Store(view)
+	l.publish(view)
+}
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -17,20 +17,29 @@
 	ratingsBatch = 1000
 )
 
-// Rate reads new ratings from the rating service until ctx ends. While the
-// service is away the estimates stay as they are.
-func (e *Entry) Rate(ctx context.Context, ratings platform.Ratings) error {
+// Rate takes over what other entries learned, and reads new ratings from the
+// rating service until ctx ends. While the service is away the estimates stay
+// as they are. A nil recall learns from the first rating on.
+func (e *Entry) Rate(ctx context.Context, ratings platform.Ratings, recall Recall) error {
+	if !e.configured(ctx) {
+		return nil
+	}
 	tick := time.NewTicker(ratingsEvery)
 	defer tick.Stop()
-	var cursor uint64
+	before := recaller{recall: recall}
+	stream := ratingStream{ratings: ratings, limit: ratingsBatch}
 	away := false
 	for {
-		next, err := e.readRatings(ctx, ratings, cursor)
+		if before.due(e.now()) {
+			if counted, replay, ok := e.recallOnce(ctx, &before); ok {
+				stream.takeOver(counted, replay)
+			}
+		}
+		err := e.readRatings(ctx, &stream)
 		if (err != nil) != away {
 			away = err != nil
 			e.log.Warn("rating service", zap.Bool("away", away), zap.Error(err))
 		}
-		cursor = next
 		select {
 		case <-ctx.Done():
 			return nil
@@ -39,24 +48,83 @@
 	}
 }
 
-// readRatings reads until nothing is left and returns the next cursor.
-func (e *Entry) readRatings(ctx context.Context, ratings platform.Ratings, cursor uint64) (uint64, error) {
+// readRatings reads until nothing is left.
+func (e *Entry) readRatings(ctx context.Context, s *ratingStream) error {
 	for {
-		batch, next, err := ratings.Since(ctx, cursor, ratingsBatch)
+		batch, more, err := s.next(ctx)
 		if err != nil {
-			return cursor, err
+			return err
 		}
 		for _, r := range batch {
-			key := quality.ParseKey(r.Class, r.Version)
-			e.learner.rated(key, r.Good)
-			e.fleet.Rated(key, r.Good, watch.IsShadow(r.RequestID), e.now())
+			e.fleet.Rated(quality.ParseKey(r.Class, r.Version), r.Good, watch.IsShadow(r.RequestID), e.now())
 		}
 		if len(batch) > 0 {
 			e.refreshHeld()
 		}
-		cursor = next
-		if len(batch) < ratingsBatch {
-			return cursor, nil
+		if err := e.countRatings(ctx, s, batch); err != nil {
+			return err
+		}
+		if !more {
+			return nil
+		}
+	}
+}
+
+// countRatings adds the last batch to the estimates, unless they hold it.
+func (e *Entry) countRatings(ctx context.Context, s *ratingStream, batch []platform.Rating) error {
+	switch {
+	case s.cursor > s.counted:
+	case s.wentBack():
+		batch = nil
+	default:
+		return nil
+	}
+	s.counted = s.cursor
+	return e.learner.rated(ctx, batch, s.cursor)
+}
+
+// ratingStream is how far this process has read the ratings. Cursors are only
+// compared: how far they are apart means nothing.
+type ratingStream struct {
+	ratings platform.Ratings
+	// cursor is the place up to which the watch over versions has read.
+	cursor uint64
+	// counted is the place up to which the estimates hold the ratings. When
+	// they were taken over it is ahead of cursor.
+	counted uint64
+	// limit of the next batch.
+	limit int
+	// atEnd is set when the last batch was the last there is.
+	atEnd bool
+}
+
+// takeOver starts behind estimates that hold the ratings up to counted. Ratings
+// that the watch has seen are not read for it again.
+func (s *ratingStream) takeOver(counted, replay uint64) {
+	s.counted = counted
+	s.cursor = max(s.cursor, replay)
+}
+
+// next reads one batch. None reaches over the place where counting starts.
+func (s *ratingStream) next(ctx context.Context) (batch []platform.Rating, more bool, err error) {
+	for {
+		batch, next, err := s.ratings.Since(ctx, s.cursor, s.limit)
+		if err != nil {
+			return nil, false, err
+		}
+		if s.cursor < s.counted && next > s.counted && s.limit > 1 {
+			s.limit /= 2
+			continue
 		}
+		s.atEnd = len(batch) < s.limit
+		s.cursor = next
+		if s.cursor >= s.counted {
+			s.limit = ratingsBatch
+		}
+		return batch, !s.atEnd, nil
 	}
 }
+
+// wentBack reports that the rating service ends before what the estimates
+// hold: it has lost ratings, and counts from there.
+func (s *ratingStream) wentBack() bool { return s.atEnd && s.cursor < s.counted }
--- /dev/null
+++ b/internal/entry/recall.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/wait"
+)
+
+// Pace of looking for what was learned before this process started.
+const (
+	recallEvery = 10 * time.Second
+	// recallTries bounds the rounds that find nothing.
+	recallTries = 30
+)
+
+// Recall returns what other entries and the platform know: sound memories, or
+// none. It is implemented by learned.Source.
+type Recall func(ctx context.Context) []quality.Memory
+
+// Memory returns what this entry has learned.
+func (e *Entry) Memory(ctx context.Context) (quality.Memory, error) { return e.learner.memory(ctx) }
+
+// recaller asks for memories until it has one or gives up.
+type recaller struct {
+	recall Recall
+	tries  int
+	next   time.Time
+}
+
+// due reports whether another round is due.
+func (r *recaller) due(now time.Time) bool {
+	return r.recall != nil && r.tries < recallTries && !now.Before(r.next)
+}
+
+// recallOnce takes what one round finds. It reports false when that is nothing.
+func (e *Entry) recallOnce(ctx context.Context, r *recaller) (counted, replay uint64, ok bool) {
+	r.tries++
+	r.next = e.now().Add(recallEvery)
+	memories := r.recall(ctx)
+	if len(memories) == 0 {
+		return 0, 0, false
+	}
+	r.recall = nil
+	for i := range memories {
+		e.keepKnown(&memories[i])
+	}
+	counted, replay, err := e.learner.merge(ctx, memories)
+	if err != nil {
+		return 0, 0, false
+	}
+	e.log.Info("what was learned before is taken over",
+		zap.Int("copies", len(memories)), zap.Int("keys", e.learner.view().Len()), zap.Uint64("ratings to", counted))
+	return counted, replay, true
+}
+
+// keepKnown drops what the configuration does not name: it would only grow the
+// state.
+func (e *Entry) keepKnown(m *quality.Memory) {
+	set, _ := e.config.Set()
+	classes := map[string]bool{"": true}
+	for _, r := range set.Rules {
+		classes[r.Class] = true
+	}
+	dropped := m.Keep(func(k quality.Key) bool {
+		return set.Versions[catalog.VersionName(k.Version)] != nil && classes[k.Class]
+	})
+	if dropped > 0 {
+		err := result.New(result.LearnedForeign, "%d records are of another configuration", dropped)
+		e.log.Warn("records are dropped", zap.Error(err))
+	}
+}
+
+// configured waits for the first configuration.
+func (e *Entry) configured(ctx context.Context) bool {
+	for e.planner.Load() == nil {
+		if !wait.For(ctx, configuredPause) {
+			return false
+		}
+	}
+	return true
+}
+
+// configuredPause is the time between two looks for the first configuration.
+const configuredPause = 100 * time.Millisecond
--- /dev/null
+++ b/internal/learned/learned_test.go
@@ -0,0 +1,153 @@
+package learned
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/lease"
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// memory holds a record for each of n classes, the later ones with more ratings.
+func memory(n int, cursor uint64) quality.Memory {
+	m := quality.Memory{Cursor: cursor, SavedAt: epoch}
+	for i := range n {
+		m.Records = append(m.Records, quality.Record{
+			Key:  quality.Key{Class: fmt.Sprintf("class-%d", i), Version: "small@1"},
+			Good: 1 + float32(i)/100, Rated: epoch, Answers: 7, OutputTokens: float32(i), LatencyMs: float32(3 * i),
+		})
+	}
+	return m
+}
+
+func packed(t *testing.T, m quality.Memory) []byte {
+	t.Helper()
+	p, _, err := Pack(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestPackedMemoryIsBoundedAndComesBack(t *testing.T) {
+	for _, n := range []int{0, 10, 100, 1000, 5000} {
+		m := memory(n, 9)
+		p, left, err := Pack(m)
+		if err != nil || len(p) > MaxBytes {
+			t.Fatalf("%d records: %d B, %v", n, len(p), err)
+		}
+		t.Logf("%d records: %d B, %d left out", n, len(p), left)
+		got, err := Unpack(p, epoch)
+		if err != nil || len(got.Records)+left != n || got.Cursor != 9 {
+			t.Fatalf("%d records: %d came back, %d left out, %v", n, len(got.Records), left, err)
+		}
+		if left > 0 && got.Records[0].Key != m.Records[n-1].Key {
+			t.Errorf("left out the records with the most ratings: first is %+v", got.Records[0].Key)
+		}
+	}
+}
+
+func TestBadCopiesAreDroppedWithACode(t *testing.T) {
+	good := packed(t, memory(3, 9))
+	var e envelope
+	if err := json.Unmarshal(good, &e); err != nil {
+		t.Fatal(err)
+	}
+	change := func(f func(*envelope)) []byte {
+		c := e
+		f(&c)
+		p, _ := json.Marshal(c)
+		return p
+	}
+	for name, c := range map[string]struct {
+		data []byte
+		now  time.Time
+		want result.Code
+	}{
+		"cut":     {good[:len(good)/2], epoch, result.LearnedDamaged},
+		"changed": {change(func(e *envelope) { e.Body = append([]byte{1}, e.Body[1:]...) }), epoch, result.LearnedDamaged},
+		"older":   {change(func(e *envelope) { e.Format = 0 }), epoch, result.LearnedFormat},
+		"newer":   {change(func(e *envelope) { e.Format = 2 }), epoch, result.LearnedFormat},
+		"stale":   {good, epoch.Add(quality.MaxMemoryAge + 1), result.LearnedStale},
+	} {
+		if _, err := Unpack(c.data, c.now); !result.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+// saved writes the memory as the holder of the lease.
+func saved(t *testing.T, p *fake.Platform, m quality.Memory) {
+	t.Helper()
+	held, err := lease.NewManager(lease.Options{Table: p.Table, Name: "writer"}).Try(t.Context(), Item+m.SavedAt.String()+fmt.Sprint(m.Cursor))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Saver{Table: p.Table, Address: "writer", Memory: func(context.Context) (quality.Memory, error) { return m, nil }}
+	if err := s.save(t.Context(), held); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func source(p *fake.Platform, peers map[string][]byte) *Source {
+	s := &Source{
+		Table: p.Table, Self: "self", Now: func() time.Time { return epoch }, Log: zap.NewNop(),
+		Ask: func(_ context.Context, address string) ([]byte, error) {
+			if data, ok := peers[address]; ok {
+				return data, nil
+			}
+			return nil, result.New(result.NoUpstream, "nobody at %s", address)
+		},
+	}
+	for address := range peers {
+		s.Peers = append(s.Peers, address)
+	}
+	return s
+}
+
+func TestCopyIsNeverReplacedByLess(t *testing.T) {
+	p := fake.New(fake.Options{})
+	saved(t, p, memory(5, 90))
+	saved(t, p, memory(1, 10))
+	got := source(p, nil).Recall(t.Context())
+	if len(got) != 1 || got[0].Cursor != 90 {
+		t.Fatalf("recalled %+v", got)
+	}
+	saved(t, p, memory(1, 91))
+	if got := source(p, nil).Recall(t.Context()); len(got) != 1 || got[0].Cursor != 91 {
+		t.Fatalf("recalled %+v", got)
+	}
+}
+
+func TestRecallAsksTheCopyItsWriterAndPeers(t *testing.T) {
+	p := fake.New(fake.Options{})
+	saved(t, p, memory(2, 10))
+	s := source(p, map[string][]byte{"self": packed(t, memory(1, 99)), "a": packed(t, memory(1, 11)), "empty": nil, "bad": []byte("x")})
+	ask := s.Ask
+	s.Ask = func(ctx context.Context, address string) ([]byte, error) {
+		if address == "writer" {
+			return packed(t, memory(1, 12)), nil
+		}
+		return ask(ctx, address)
+	}
+	sum := uint64(0)
+	for _, m := range s.Recall(t.Context()) {
+		sum += m.Cursor
+	}
+	if sum != 10+11+12 {
+		t.Errorf("the cursors add up to %d", sum)
+	}
+	p.Table.SetFaults(fake.TableFaults{Outage: true})
+	if got := s.Recall(t.Context()); len(got) != 1 || got[0].Cursor != 11 {
+		t.Errorf("with the store away: %+v", got)
+	}
+}
--- a/internal/link/linkv1/linkv1connect/link.connect.go
+++ b/internal/link/linkv1/linkv1connect/link.connect.go
@@ -27,6 +27,8 @@
 	AgentServiceName = "tarragonbay.link.v1.AgentService"
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "tarragonbay.link.v1.PeerService"
+	// EntryServiceName is the fully-qualified name of the EntryService service.
+	EntryServiceName = "tarragonbay.link.v1.EntryService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -57,6 +59,8 @@
 	AgentServiceOrderProcedure = "/tarragonbay.link.v1.AgentService/Order"
 	// PeerServicePullProcedure is the fully-qualified name of the PeerService's Pull RPC.
 	PeerServicePullProcedure = "/tarragonbay.link.v1.PeerService/Pull"
+	// EntryServiceLearnedProcedure is the fully-qualified name of the EntryService's Learned RPC.
+	EntryServiceLearnedProcedure = "/tarragonbay.link.v1.EntryService/Learned"
 )
 
 // AgentServiceClient is a client for the tarragonbay.link.v1.AgentService service.
@@ -434,3 +438,75 @@
 func (UnimplementedPeerServiceHandler) Pull(context.Context, *connect.Request[linkv1.PullRequest]) (*connect.Response[linkv1.PullResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.PeerService.Pull is not implemented"))
 }
+
+// EntryServiceClient is a client for the tarragonbay.link.v1.EntryService service.
+type EntryServiceClient interface {
+	// Learned returns what the entry has learned of versions.
+	Learned(context.Context, *connect.Request[linkv1.LearnedRequest]) (*connect.Response[linkv1.LearnedResponse], error)
+}
+
+// NewEntryServiceClient constructs a client for the tarragonbay.link.v1.EntryService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewEntryServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) EntryServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	entryServiceMethods := linkv1.File_tarragonbay_link_v1_link_proto.Services().ByName("EntryService").Methods()
+	return &entryServiceClient{
+		learned: connect.NewClient[linkv1.LearnedRequest, linkv1.LearnedResponse](
+			httpClient,
+			baseURL+EntryServiceLearnedProcedure,
+			connect.WithSchema(entryServiceMethods.ByName("Learned")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// entryServiceClient implements EntryServiceClient.
+type entryServiceClient struct {
+	learned *connect.Client[linkv1.LearnedRequest, linkv1.LearnedResponse]
+}
+
+// Learned calls tarragonbay.link.v1.EntryService.Learned.
+func (c *entryServiceClient) Learned(ctx context.Context, req *connect.Request[linkv1.LearnedRequest]) (*connect.Response[linkv1.LearnedResponse], error) {
+	return c.learned.CallUnary(ctx, req)
+}
+
+// EntryServiceHandler is an implementation of the tarragonbay.link.v1.EntryService service.
+type EntryServiceHandler interface {
+	// Learned returns what the entry has learned of versions.
+	Learned(context.Context, *connect.Request[linkv1.LearnedRequest]) (*connect.Response[linkv1.LearnedResponse], error)
+}
+
+// NewEntryServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewEntryServiceHandler(svc EntryServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	entryServiceMethods := linkv1.File_tarragonbay_link_v1_link_proto.Services().ByName("EntryService").Methods()
+	entryServiceLearnedHandler := connect.NewUnaryHandler(
+		EntryServiceLearnedProcedure,
+		svc.Learned,
+		connect.WithSchema(entryServiceMethods.ByName("Learned")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/tarragonbay.link.v1.EntryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case EntryServiceLearnedProcedure:
+			entryServiceLearnedHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedEntryServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedEntryServiceHandler struct{}
+
+func (UnimplementedEntryServiceHandler) Learned(context.Context, *connect.Request[linkv1.LearnedRequest]) (*connect.Response[linkv1.LearnedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonbay.link.v1.EntryService.Learned is not implemented"))
+}
--- a/internal/quality/memory_test.go
+++ b/internal/quality/memory_test.go
@@ -25,7 +25,7 @@
 	ahead, behind := NewBook(Settings{}), NewBook(Settings{})
 	count(ahead, 90, 10, 100)
 	count(behind, 36, 4, 40)
-	behind.Add(small, Answered(time.Second, 8), epoch)
+	behind.Add(small, Answered(time.Second, 8, 0), epoch)
 	memory := ahead.Memory(epoch)
 	older := behind.Memory(epoch)
 	for range 2 {
