Hold errors of one version against that version alone

Cause: the first error that an upstream gave for one version made it suspect, and three ejected it, for every version beside it. Change: errors of an upstream's own are counted, ejected and probed for each target; silence and refused connections stay the whole upstream's. The state dump lists the targets that are faulty. Conclusion: a bad version no longer takes its neighbours' places.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -31,7 +31,7 @@
 
 // good reports whether there is no need to look in other failure domains.
 func (c *candidate) good() bool {
-	return c.m != nil && !c.full && !c.m.health.suspect()
+	return c.m != nil && !c.full && !c.m.suspect()
 }
 
 // consider keeps the upstream when it is cheaper than the one found. unread is
@@ -56,7 +56,7 @@
 		full = true
 		cost += batchTokens * queueFactor * waiting / slots
 	}
-	if m.health.suspect() {
+	if m.suspect() {
 		cost += suspectCost
 	}
 	return cost, full
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -41,6 +41,21 @@
 	maxEjectDoublings = 8
 )
 
+// ejected reports whether the upstream is out, or half-open.
+func (h *health) ejected() bool { return h.until.Load() != 0 }
+
+// end is when the ejection ends; zero when there is none.
+func (h *health) end() time.Time {
+	until := h.until.Load()
+	if until == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, until).UTC()
+}
+
+// well reports whether nothing speaks against the upstream.
+func (h *health) well() bool { return !h.ejected() && !h.suspect() }
+
 // probeable reports whether a probe may be sent: the ejection is over, or the
 // last failure lies back some time.
 func (h *health) probeable(now int64) bool {
@@ -55,6 +70,9 @@
 
 // takeProbe lets one caller through while the upstream is probeable.
 func (h *health) takeProbe(now int64) bool {
+	if !h.probeable(now) {
+		return false
+	}
 	out := h.probeUntil.Load()
 	if now < out {
 		return false
@@ -64,7 +82,7 @@
 
 // succeeded notes an answer. It reports whether the upstream came back.
 func (h *health) succeeded() bool {
-	if h.failures.Load() == 0 && h.until.Load() == 0 {
+	if h.well() {
 		return false
 	}
 	h.mu.Lock()
@@ -82,7 +100,7 @@
 	h.failedAt.Store(now)
 	h.probeUntil.Store(0)
 	n := h.failures.Add(1)
-	return n >= failuresToEject || h.until.Load() != 0
+	return n >= failuresToEject || h.ejected()
 }
 
 // eject takes the upstream out until now and a time that doubles with each
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 )
@@ -11,6 +12,55 @@
 type member struct {
 	*replica
 	target Target
+	// faults is the health as told by errors of the upstream's own. They may
+	// be the version's, so they speak against this target alone; health, as
+	// told by connections, is the whole upstream's.
+	faults health
+	ramp   ramp
+}
+
+// takesWork reports whether the upstream stays and is not ejected.
+func (m *member) takesWork() bool { return m.replica.takesWork() && !m.faults.ejected() }
+
+// suspect reports whether the last attempt failed.
+func (m *member) suspect() bool { return m.health.suspect() || m.faults.suspect() }
+
+// sound reports whether the upstream takes work and did not fail last.
+func (m *member) sound() bool { return m.takesWork() && !m.suspect() }
+
+// takeProbe lets one caller through while the upstream is unwell and may be
+// probed.
+func (m *member) takeProbe(now int64) bool {
+	if m.health.well() {
+		return !m.faults.well() && m.faults.takeProbe(now)
+	}
+	if m.faults.well() {
+		return m.health.takeProbe(now)
+	}
+	return m.faults.probeable(now) && m.health.takeProbe(now)
+}
+
+// endProbe lets another probe through.
+func (m *member) endProbe() {
+	m.health.probeUntil.Store(0)
+	m.faults.probeUntil.Store(0)
+}
+
+// succeeded notes an answer. What comes back from an ejection starts slowly.
+func (m *member) succeeded(now int64) {
+	if m.health.succeeded() {
+		m.replica.ramp.begin(now)
+	}
+	if m.faults.succeeded() {
+		m.ramp.begin(now)
+	}
+}
+
+// capacity is the number of slots, less during a slow start.
+func (m *member) capacity(now int64, slowStart time.Duration) float64 {
+	slots := float64(max(1, m.slots.Load()))
+	share := min(m.ramp.share(now, slowStart), m.replica.ramp.share(now, slowStart))
+	return max(1, slots*share)
 }
 
 // member returns the upstream's place for the target, made when missing.
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -73,7 +73,7 @@
 func (pl *pool) comeBack(now int64) time.Duration {
 	after := retrySoon
 	for _, m := range pl.members {
-		if until := m.health.until.Load(); until > now {
+		if until := max(m.health.until.Load(), m.faults.until.Load()); until > now {
 			after = min(after, time.Duration(until-now))
 		}
 	}
@@ -89,22 +89,25 @@
 // for each Started.
 func (p *Picker) Finished(c Choice, o Observation, now time.Time) {
 	at := now.UnixNano()
-	r := c.member.replica
-	r.own.Add(-1)
+	m := c.member
+	m.own.Add(-1)
 	if o.Load != nil {
-		r.observe(*o.Load, at)
+		m.observe(*o.Load, at)
+	}
+	if c.Probe {
+		m.endProbe()
 	}
 	switch {
 	case o.Outcome == Answered:
-		if r.health.succeeded() {
-			r.rampFrom.Store(at)
+		m.succeeded(at)
+	case o.Outcome == Failed:
+		if m.faults.failed(at) && !c.pool.shareFault() {
+			p.ejectFrom(c.pool, m, at)
 		}
 	case o.Outcome.failure():
-		if r.health.failed(at) && (o.Outcome != Failed || !c.pool.shareFault()) {
-			p.eject(r, at)
+		if m.health.failed(at) {
+			p.eject(m.replica, at)
 		}
-	case c.Probe:
-		r.health.probeUntil.Store(0)
 	}
 }
 
@@ -143,8 +146,21 @@
 			return
 		}
 	}
-	spread := float64(mix(r.hash^uint64(now))>>11) / (1 << 53)
-	r.health.eject(now, p.settings.EjectFor, spread)
+	r.health.eject(now, p.settings.EjectFor, r.spread(now))
+}
+
+// ejectFrom takes the upstream out for one target.
+func (p *Picker) ejectFrom(pl *pool, m *member, now int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl.mayEject(m.replica, p.settings.MaxEjected) {
+		m.faults.eject(now, p.settings.EjectFor, m.spread(now))
+	}
+}
+
+// spread is a number from 0 to 1 that sets the ends of many ejections apart.
+func (r *replica) spread(now int64) float64 {
+	return float64(mix(r.hash^uint64(now))>>11) / (1 << 53)
 }
 
 // sharedFault is the share of a target's upstreams with failures from which
@@ -156,7 +172,7 @@
 func (pl *pool) shareFault() bool {
 	failing := 0
 	for _, m := range pl.members {
-		if m.health.suspect() {
+		if m.faults.suspect() {
 			failing++
 		}
 	}
@@ -172,7 +188,7 @@
 			continue
 		}
 		total++
-		if m.replica != r && m.health.until.Load() != 0 {
+		if m.replica != r && !m.takesWork() {
 			out++
 		}
 	}
--- a/internal/balance/picker_test.go
+++ b/internal/balance/picker_test.go
@@ -16,13 +16,15 @@
 )
 
 // fleet builds a set of n upstreams of one version over three domains.
-func fleet(t testing.TB, n int) *catalog.Set {
+func fleet(t testing.TB, n int) *catalog.Set { return fleetOf(t, n, "m@1") }
+
+func fleetOf(t testing.TB, n int, versions ...string) *catalog.Set {
 	t.Helper()
 	var objects []catalog.Object
 	for i := range n {
 		spec, err := json.Marshal(&catalog.Upstream{
 			Host: fmt.Sprintf("h%d", i/14), Domain: fmt.Sprintf("d%d", i%3),
-			Agent: "127.0.0.1:1", Address: "127.0.0.1:2", Versions: []string{"m@1"}, Slots: 8,
+			Agent: "127.0.0.1:1", Address: "127.0.0.1:2", Versions: versions, Slots: 8,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -244,7 +246,7 @@
 	r := p.view.Load().byName["u0020"]
 	var last float64
 	for _, age := range []time.Duration{0, 5 * time.Second, 10 * time.Second} {
-		got := r.capacity(start.Add(age).UnixNano(), DefaultSlowStart)
+		got := r.member(target).capacity(start.Add(age).UnixNano(), DefaultSlowStart)
 		if got <= last {
 			t.Fatalf("capacity at %v is %v after %v", age, got, last)
 		}
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -37,9 +37,7 @@
 	leavingAgent  atomic.Bool
 	leavingHost   atomic.Bool
 
-	// rampFrom is when the slow start began, in Unix nanoseconds; 0 means
-	// that there is none.
-	rampFrom atomic.Int64
+	ramp ramp
 
 	health health
 
@@ -49,7 +47,7 @@
 
 func newReplica(name string, rampFrom int64) *replica {
 	r := &replica{hash: xxhash.Sum64String(name)}
-	r.rampFrom.Store(rampFrom)
+	r.ramp.begin(rampFrom)
 	return r
 }
 
@@ -61,10 +59,7 @@
 func (r *replica) staying() bool { return !r.leaving() }
 
 // takesWork reports whether the upstream stays and is not ejected.
-func (r *replica) takesWork() bool { return r.health.until.Load() == 0 && !r.leaving() }
-
-// sound reports whether the upstream takes work and did not fail last.
-func (r *replica) sound() bool { return r.takesWork() && !r.health.suspect() }
+func (r *replica) takesWork() bool { return !r.health.ejected() && !r.leaving() }
 
 // othersFade is the age at which a report of others' load counts half.
 const othersFade = 2 * time.Second
@@ -93,26 +88,6 @@
 	r.leavingAgent.Store(l.Leaving)
 }
 
-// minRamp is the share of its slots that an upstream takes at the start of
-// its slow start.
-const minRamp = 0.1
-
-// capacity is the number of slots, less during the slow start.
-func (r *replica) capacity(now int64, slowStart time.Duration) float64 {
-	slots := float64(max(1, r.slots.Load()))
-	from := r.rampFrom.Load()
-	if from == 0 {
-		return slots
-	}
-	age := now - from
-	if age >= int64(slowStart) {
-		r.rampFrom.CompareAndSwap(from, 0)
-		return slots
-	}
-	ramp := max(minRamp, float64(age)/float64(slowStart))
-	return max(1, slots*ramp)
-}
-
 // mix is a finaliser of 64-bit hashes (SplitMix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -68,10 +68,10 @@
 
 // mayProbe reports whether this request is the one that probes the upstream.
 func (s *search) mayProbe(m *member) bool {
-	if m == nil || m.leaving() || !m.health.probeable(s.now) {
+	if m == nil || m.leaving() || s.req.Tried.Has(m.id.Load().name) {
 		return false
 	}
-	return !s.req.Tried.Has(m.id.Load().name) && m.health.takeProbe(s.now)
+	return m.takeProbe(s.now)
 }
 
 // affinity reports whether a cached prefix would save enough to be sought.
@@ -109,7 +109,7 @@
 		if !s.usable(m) {
 			continue
 		}
-		if !m.health.suspect() {
+		if !m.suspect() {
 			return m
 		}
 		fallback = m
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -17,33 +18,66 @@
 	Leaving      bool      `json:"leaving,omitempty"`
 	Failures     int       `json:"failuresInARow,omitempty"`
 	EjectedUntil time.Time `json:"ejectedUntil,omitzero"`
+	// Faulty lists the targets for which it failed with errors of its own.
+	Faulty []TargetState `json:"faulty,omitempty"`
+}
+
+// TargetState is what speaks against an upstream for one target only.
+type TargetState struct {
+	Target       string    `json:"target"`
+	Failures     int       `json:"failuresInARow,omitempty"`
+	EjectedUntil time.Time `json:"ejectedUntil,omitzero"`
 }
 
 // States returns the state of every known upstream, sorted by name.
 func (p *Picker) States(now time.Time) []State {
 	v := p.view.Load()
+	faulty := v.faulty()
 	out := make([]State, 0, len(v.byName))
 	for _, r := range v.byName {
-		out = append(out, r.state(now.UnixNano()))
+		s := r.state(now.UnixNano())
+		s.Faulty = faulty[r]
+		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b State) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return out
 }
 
+// faulty lists what speaks against upstreams for single targets.
+func (v *view) faulty() map[*replica][]TargetState {
+	out := map[*replica][]TargetState{}
+	for _, pl := range v.pools {
+		for _, m := range pl.members {
+			if !m.faults.well() {
+				out[m.replica] = append(out[m.replica], m.state())
+			}
+		}
+	}
+	for _, states := range out {
+		slices.SortFunc(states, func(a, b TargetState) int { return strings.Compare(a.Target, b.Target) })
+	}
+	return out
+}
+
+func (m *member) state() TargetState {
+	return TargetState{
+		Target:       cmp.Or(string(m.target.Version), m.target.Service),
+		Failures:     int(m.faults.failures.Load()),
+		EjectedUntil: m.faults.end(),
+	}
+}
+
 func (r *replica) state(now int64) State {
 	id := r.id.Load()
-	s := State{
+	return State{
 		Upstream: id.name, Host: id.host, Domain: id.domain,
 		Slots:        int(r.slots.Load()),
 		OwnInFlight:  int(r.own.Load()),
 		EstimatedAll: r.inFlight(now),
 		Leaving:      r.leaving(),
 		Failures:     int(r.health.failures.Load()),
+		EjectedUntil: r.health.end(),
 	}
-	if until := r.health.until.Load(); until != 0 {
-		s.EjectedUntil = time.Unix(0, until).UTC()
-	}
-	return s
 }
 
 // TargetSlots returns the slots of the target's upstreams that take work now,
