Let the checker see a wrong "not run" in a test that fails early

Cause: A product that said "not run" for a call that ran was seen only as waits that ran out. The history showed it (a run of a refused request, a second run of the key), but the wait ended the test before Verify judged the history.

Change: The harness judges the history of a test that failed before Verify, without the ledger. The checker wants the caller's key at the upstream, and the charge of an answer that only a repeated key got.

--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -84,6 +84,8 @@
 	// Faults counts the faults injected.
 	Faults atomic.Int64
 
+	// verified is set once the promises were checked.
+	verified  bool
 	dir       string
 	certs     *Certs
 	publisher *publish.Publisher
@@ -118,6 +120,7 @@
 		c.Entries = append(c.Entries, c.newEntry(i))
 	}
 	c.WaitReady()
+	t.Cleanup(c.checkFailed)
 	return c
 }
 
--- a/integration/harness/verify.go
+++ b/integration/harness/verify.go
@@ -112,9 +112,22 @@
 	return out
 }
 
+// checkFailed judges the history of a test that failed before Verify, so that
+// a wait that ran out does not hide the promise that was broken. The ledger is
+// left out, since the daemons were not stopped.
+func (c *Cluster) checkFailed() {
+	if !c.T.Failed() || c.verified {
+		return
+	}
+	for _, v := range history.Check(c.Events(), history.Options{NoLedger: true}).Violations {
+		c.T.Errorf("promise broken before the test failed: %v", v)
+	}
+}
+
 // Verify stops the product, collects the history and checks every promise.
 func (c *Cluster) Verify() history.Report {
 	c.T.Helper()
+	c.verified = true
 	c.StopAll()
 	report := history.Check(append(c.Events(), c.Charged()...))
 	for _, v := range report.Violations {
--- a/internal/history/answers.go
+++ b/internal/history/answers.go
@@ -45,13 +45,19 @@
 	return out
 }
 
+// sameKey returns the requests with the idempotency key of a request, itself
+// included; none when it has no key.
+func (c *checker) sameKey(r *request) []*request {
+	if r.asked.Key == "" {
+		return nil
+	}
+	return c.byKey[keyOf(r.asked)]
+}
+
 func (c *checker) servedForKey(r *request) []*Event {
 	var out []*Event
-	for _, o := range c.order {
-		if o.asked != nil && o.asked.Organisation == r.asked.Organisation &&
-			o.asked.Service == r.asked.Service && o.asked.Key == r.asked.Key {
-			out = append(out, o.served...)
-		}
+	for _, o := range c.sameKey(r) {
+		out = append(out, o.served...)
 	}
 	return out
 }
--- a/internal/history/billing.go
+++ b/internal/history/billing.go
@@ -17,6 +17,26 @@
 	}
 }
 
+// delivered returns what was served for the request and reached its caller, or
+// the caller of a repeated key.
+func (c *checker) delivered(r *request) []*Event {
+	if r.asked == nil {
+		return nil
+	}
+	if r.answered != nil && r.answered.Whole && !r.answered.Replayed {
+		return sameContent(r.served, r.answered.Digest)
+	}
+	for _, o := range c.sameKey(r) {
+		if o.answered == nil || !o.answered.Replayed {
+			continue
+		}
+		if made := sameContent(r.served, o.answered.Digest); len(made) > 0 {
+			return made
+		}
+	}
+	return nil
+}
+
 // checkCharges finds charges that should not be.
 func (c *checker) checkCharges(r *request) {
 	if len(r.charged) > len(r.ran) {
@@ -41,12 +61,10 @@
 
 func sameTarget(a, b *Event) bool { return a.Version == b.Version && a.Service == b.Service }
 
-// owesCharge reports whether a whole answer lacks the charge of what made it.
+// owesCharge reports whether an answer that a caller has lacks the charge of
+// what made it.
 func (c *checker) owesCharge(r *request) bool {
-	if r.asked == nil || r.answered == nil || !r.answered.Whole || r.answered.Replayed {
-		return false
-	}
-	made := sameContent(r.served, r.answered.Digest)
+	made := c.delivered(r)
 	if len(made) == 0 {
 		return false
 	}
--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -21,6 +21,8 @@
 	// LostCharges is how many whole answers may lack their charge. It is 0
 	// unless an agent and an entry are killed together.
 	LostCharges int
+	// NoLedger is set for a history without the charges.
+	NoLedger bool
 }
 
 // Check judges a history by every promise.
@@ -28,10 +30,13 @@
 	c := newChecker(events)
 	for _, o := range opts {
 		c.opts.LostCharges += o.LostCharges
+		c.opts.NoLedger = c.opts.NoLedger || o.NoLedger
 	}
 	c.checkRuns()
 	c.checkSessions()
-	c.checkBilling()
+	if !c.opts.NoLedger {
+		c.checkBilling()
+	}
 	c.checkAnswers()
 	c.checkOnce()
 	c.checkStops()
@@ -58,16 +63,29 @@
 	// order keeps the requests in the order in which they came.
 	order     []*request
 	published []*Event
+	// byKey keeps the requests of each idempotency key.
+	byKey map[idempotencyKey][]*request
+}
+
+// idempotencyKey is a key as the product tells keys apart.
+type idempotencyKey struct{ organisation, service, key string }
+
+func keyOf(asked *Event) idempotencyKey {
+	return idempotencyKey{asked.Organisation, asked.Service, asked.Key}
 }
 
 func newChecker(events []Event) *checker {
-	c := &checker{events: slices.Clone(events), requests: map[string]*request{}}
+	c := &checker{events: slices.Clone(events), requests: map[string]*request{}, byKey: map[idempotencyKey][]*request{}}
 	slices.SortStableFunc(c.events, func(a, b Event) int { return a.At.Compare(b.At) })
 	for i := range c.events {
 		c.index(&c.events[i])
 	}
 	for _, r := range c.order {
 		c.count(r)
+		if r.asked != nil && r.asked.Key != "" {
+			k := keyOf(r.asked)
+			c.byKey[k] = append(c.byKey[k], r)
+		}
 	}
 	return c
 }
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -141,6 +141,21 @@
 		{"repeated key runs again", func(h []Event) []Event {
 			return append(h, Event{Kind: Ran, At: at(5305), Request: "b2", Service: "desk", Key: "k", Upstream: "d2"})
 		}, AtMostOnce},
+		{"told not run, run, and run again for the repeat", func(h []Event) []Event {
+			return append(h,
+				Event{Kind: Asked, At: at(5240), Request: "e", Organisation: "org", Service: "desk", Key: "k2", Once: true},
+				Event{Kind: Ran, At: at(5241), Request: "e", Attempt: "e1", Service: "desk", Key: "k2", Upstream: "d1"},
+				Event{Kind: Answered, At: at(5250), Request: "e", Outcome: "not_run", Code: 3001},
+				Event{Kind: Asked, At: at(5260), Request: "e2", Organisation: "org", Service: "desk", Key: "k2", Once: true},
+				Event{Kind: Ran, At: at(5261), Request: "e2", Attempt: "e3", Service: "desk", Key: "k2", Upstream: "d2"},
+				Event{Kind: Answered, At: at(5270), Request: "e2", Outcome: "ran", Code: 4002})
+		}, AtMostOnce},
+		{"another key at the upstream", func(h []Event) []Event {
+			return edit(h, Ran, "b", func(e *Event) { e.Key = "other" })
+		}, AtMostOnce},
+		{"replayed but not billed", func(h []Event) []Event {
+			return without(edit(h, Answered, "b", func(e *Event) { e.Whole, e.GaveUp = false, true }), Charged, "b")
+		}, BilledOnce},
 		{"work for a leaving upstream", func(h []Event) []Event {
 			return append(h, Event{Kind: Ran, At: at(9300), Request: "d", Version: "m@1", Upstream: "e2"})
 		}, NoWorkLeaving},
--- a/internal/history/runs.go
+++ b/internal/history/runs.go
@@ -93,24 +93,34 @@
 	}
 }
 
-// checkOnce counts the runs of each call that may not be repeated.
+// checkOnce counts the runs of each call that may not be repeated, over all the
+// requests that its callers made of it.
 func (c *checker) checkOnce() {
-	type call struct{ organisation, service, key string }
-	runs := map[call][]*Event{}
-	var order []call
 	for _, r := range c.order {
 		if r.asked == nil || !r.asked.Once {
 			continue
 		}
-		k := call{r.asked.Organisation, r.asked.Service, r.asked.Key}
-		if runs[k] == nil {
-			order = append(order, k)
+		c.checkKey(r)
+		all := c.sameKey(r)
+		if len(all) > 0 && all[0] != r {
+			continue
+		}
+		var runs []*Event
+		for _, o := range all {
+			runs = append(runs, o.ran...)
+		}
+		if n := len(runs); n > 1 {
+			c.add(AtMostOnce, runs[1].Request, "key %q of %s at %s ran %d times", r.asked.Key, r.asked.Organisation, r.asked.Service, n)
 		}
-		runs[k] = append(runs[k], r.ran...)
 	}
-	for _, k := range order {
-		if n := len(runs[k]); n > 1 {
-			c.add(AtMostOnce, runs[k][1].Request, "key %q of %s at %s ran %d times", k.key, k.organisation, k.service, n)
+}
+
+// checkKey finds a run whose upstream was told another key: it could not
+// recognise a repeat.
+func (c *checker) checkKey(r *request) {
+	for _, run := range r.ran {
+		if run.Key != r.asked.Key {
+			c.add(AtMostOnce, r.id, "%s ran it under key %q, its caller gave %q", run.Upstream, run.Key, r.asked.Key)
 		}
 	}
 }
