--- a/internal/publish/catchup.go
+++ b/internal/publish/catchup.go
@@ -25,7 +25,7 @@
 	current := f.log.Current()
 	f.mu.Unlock()
 	if !deltasLeadOn(current, head) {
-		if err := f.checkLine(ctx, current, head); err != nil {
+		if err := f.options.Store.checkLine(ctx, current, head); err != nil {
 			return err
 		}
 		return f.takeSnapshot(ctx, head)
@@ -37,23 +37,6 @@
 	return f.append(deltas, sourceStore)
 }
 
-// checkLine refuses a head of the same history whose line of revisions does
-// not hold the state in force. A line whose delta of that revision is no longer
-// kept cannot be checked and is taken.
-func (f *Follower) checkLine(ctx context.Context, current State, head Head) error {
-	if current.Set == nil || current.History != head.History || current.Revision < head.Oldest {
-		return nil
-	}
-	deltas, err := f.options.Store.Deltas(ctx, current.Revision-1, current.Revision)
-	if err != nil {
-		return err
-	}
-	if deltas[0].GetDigest() != current.Digest {
-		return result.New(result.HistoryReplaced, "the store's revision %d is not the one in force here", current.Revision)
-	}
-	return nil
-}
-
 // maxDeltasBehind is how many deltas a daemon reads one by one before a
 // snapshot is cheaper.
 const maxDeltasBehind = SnapshotEvery
--- a/internal/publish/log.go
+++ b/internal/publish/log.go
@@ -157,10 +157,16 @@
 // knows reports whether the digest is that of an earlier revision in force
 // here.
 func (l *Log) knows(revision uint64, digest string) bool {
+	start := l.DigestStart(revision)
+	return start != 0 && start == digestStart(digest)
+}
+
+// DigestStart returns the start of the digest of a revision that was in force
+// here, or 0 when it is not known.
+func (l *Log) DigestStart(revision uint64) uint64 {
 	back := l.current.Revision - revision
 	if back >= uint64(len(l.marks)) {
-		return false
+		return 0
 	}
-	start := digestStart(digest)
-	return start != 0 && l.marks[uint64(len(l.marks))-1-back] == start
+	return l.marks[uint64(len(l.marks))-1-back]
 }
--- a/internal/publish/peers.go
+++ b/internal/publish/peers.go
@@ -158,13 +158,15 @@
 	defer cancel()
 	f.mu.Lock()
 	f.status.Pulls++
-	history := f.log.Current().History
+	asked := f.log.Current()
 	f.mu.Unlock()
-	resp, err := f.options.Peers.Pull(ctx, address, &linkv1.PullRequest{Envelope: f.Envelope(), History: history})
+	req := &linkv1.PullRequest{Envelope: f.Envelope(), History: asked.History}
+	req.Envelope.Revision = asked.Revision
+	resp, err := f.options.Peers.Pull(ctx, address, req)
 	if err != nil {
 		return err
 	}
-	err = f.take(resp)
+	err = f.take(ctx, asked, resp)
 	if err != nil && !result.Is(err, result.RevisionBehind) {
 		f.mu.Lock()
 		f.trouble(err)
@@ -173,8 +175,8 @@
 	return err
 }
 
-// take applies a peer's answer.
-func (f *Follower) take(resp *linkv1.PullResponse) error {
+// take applies a peer's answer to what was asked with the state then in force.
+func (f *Follower) take(ctx context.Context, asked State, resp *linkv1.PullResponse) error {
 	if len(resp.GetDeltas()) > 0 {
 		return f.append(resp.GetDeltas(), sourcePeer)
 	}
@@ -185,6 +187,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.provePeer(ctx, asked, state, resp.GetDigestStart()); err != nil {
+		return err
+	}
 	return f.install(state, sourcePeer)
 }
 
@@ -227,6 +232,7 @@
 	f.mu.Lock()
 	current := f.log.Current()
 	deltas, kept := f.log.Since(req.GetEnvelope().GetRevision())
+	start := f.log.DigestStart(req.GetEnvelope().GetRevision())
 	f.mu.Unlock()
 	if current.Set == nil || current.Revision <= req.GetEnvelope().GetRevision() {
 		return resp, nil
@@ -240,6 +246,7 @@
 		return nil, result.New(result.RateLimited, "too many snapshots are asked for").WithRetryAfter(time.Second)
 	}
 	resp.Snapshot = snapshotOf(current)
+	resp.DigestStart = start
 	return resp, nil
 }
 
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -250,6 +250,9 @@
 	newHead := p.nextHead(ctx, head, next, message, intact)
 	writes := []platform.Write{{Key: DeltaKey(next.Revision), Value: value}}
 	writes = append(writes, compact(head, &newHead)...)
+	if newest(newHead) == next.Revision {
+		writes = append(writes, p.store.lineWrites(ctx, head, next)...)
+	}
 	row, err := json.Marshal(newHead)
 	if err != nil {
 		return Head{}, nil, err
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -85,6 +85,7 @@
 	LearnedFormat   Code = 6010
 	LearnedStale    Code = 6011
 	LearnedForeign  Code = 6012
+	LineUnproven    Code = 6013
 
 	LeaseHeld    Code = 7001
 	LeaseLost    Code = 7002
@@ -182,6 +183,7 @@
 	{LearnedFormat, "learned_format", http.StatusConflict, NotRun, "A copy of what an entry has learned has another format and is dropped."},
 	{LearnedStale, "learned_stale", http.StatusConflict, NotRun, "A copy of what an entry has learned is too old and is dropped."},
 	{LearnedForeign, "learned_foreign", http.StatusConflict, NotRun, "A copy of what an entry has learned names versions or classes that the configuration does not have; these are dropped."},
+	{LineUnproven, "line_unproven", http.StatusConflict, NotRun, "It cannot be shown that a newer configuration leads on from the one in force."},
 
 	{LeaseHeld, "lease_held", http.StatusConflict, NotRun, "Another process holds the lease."},
 	{LeaseLost, "lease_lost", http.StatusConflict, NotRun, "The lease is no longer held."},
