Keep the agents' listeners open in dev

Cause: dev picked a free port for each agent, closed it and opened it again later; in between another process could take it, and dev ended with TB8001 "address already in use". Change: dev hands the open listener to the agent.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,9 @@
 	LogTo io.Writer
 	// Ports replace the clients that the settings name, when set.
 	Ports *Ports
+	// Link is the open listener of the link; when nil one is opened at the
+	// address of the settings. The daemon closes it.
+	Link net.Listener
 }
 
 // Addresses are where a running daemon listens.
@@ -132,8 +135,8 @@
 	if err := d.loadTLS(); err != nil {
 		return nil, err
 	}
-	if d.linkLn, err = net.Listen("tcp", s.Link.Listen); err != nil {
-		return nil, result.Wrap(err, result.BadSettings, "the link listener cannot be opened")
+	if d.linkLn, err = linkListener(o); err != nil {
+		return nil, err
 	}
 	if s.Link.Advertise == "" {
 		d.settings.Link.Advertise = d.linkLn.Addr().String()
@@ -156,6 +159,17 @@
 	return d, nil
 }
 
+func linkListener(o Options) (net.Listener, error) {
+	if o.Link != nil {
+		return o.Link, nil
+	}
+	l, err := net.Listen("tcp", o.Settings.Link.Listen)
+	if err != nil {
+		return nil, result.Wrap(err, result.BadSettings, "the link listener cannot be opened")
+	}
+	return l, nil
+}
+
 func (d *Daemon) loadTLS() (err error) {
 	files := d.settings.Link.TLS
 	if !files.Enabled() {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -63,9 +63,11 @@
 	set      *catalog.Set
 	platform *fake.Platform
 	servers  []server
-	agents   []*daemon.Daemon
-	entry    *daemon.Daemon
-	ready    Ready
+	// links are the open link listeners of the agents, by host.
+	links  map[string]net.Listener
+	agents []*daemon.Daemon
+	entry  *daemon.Daemon
+	ready  Ready
 }
 
 // server is one stand-in and its listener.
@@ -113,18 +115,17 @@
 	if err != nil {
 		return err
 	}
-	links, err := d.listenLinks(set)
-	if err != nil {
+	if err := d.listenLinks(set); err != nil {
 		return err
 	}
-	if d.set, err = d.place(set, links); err != nil {
+	if d.set, err = d.place(set); err != nil {
 		return err
 	}
 	publisher := publish.NewPublisher(publish.Store{Table: d.platform.Table, Objects: d.platform.Objects}, publish.PublisherOptions{})
 	if _, err := publisher.Publish(ctx, publish.Change{Author: "dev", Want: d.set}); err != nil {
 		return err
 	}
-	if err := d.composeAgents(links, platformURL); err != nil {
+	if err := d.composeAgents(platformURL); err != nil {
 		return err
 	}
 	return d.composeEntry(platformURL)
@@ -144,26 +145,25 @@
 	return "http://" + addr, err
 }
 
-// listenLinks picks a free link address for the agent of each host.
-func (d *Dev) listenLinks(set *catalog.Set) (map[string]string, error) {
-	links := map[string]string{}
+// listenLinks opens the link listener of the agent of each host.
+func (d *Dev) listenLinks(set *catalog.Set) error {
+	d.links = map[string]net.Listener{}
 	for _, u := range set.Upstreams {
-		if links[u.Host] != "" {
+		if d.links[u.Host] != nil {
 			continue
 		}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, errors.Trace(err)
+			return errors.Trace(err)
 		}
-		links[u.Host] = l.Addr().String()
-		l.Close()
+		d.links[u.Host] = l
 	}
-	return links, nil
+	return nil
 }
 
 // place starts a stand-in for each upstream and returns the set with their
 // addresses.
-func (d *Dev) place(set *catalog.Set, links map[string]string) (*catalog.Set, error) {
+func (d *Dev) place(set *catalog.Set) (*catalog.Set, error) {
 	objects := set.Objects()
 	for i, o := range objects {
 		if o.Key.Kind != catalog.KindUpstream {
@@ -174,7 +174,7 @@
 		if err != nil {
 			return nil, err
 		}
-		u.Agent = links[u.Host]
+		u.Agent = d.links[u.Host].Addr().String()
 		u.Address = addr
 		if objects[i].Spec, err = encode(u); err != nil {
 			return nil, err
@@ -226,17 +226,16 @@
 	return s
 }
 
-func (d *Dev) composeAgents(links map[string]string, platformURL string) error {
+func (d *Dev) composeAgents(platformURL string) error {
 	domains := map[string]string{}
 	for _, u := range d.set.Upstreams {
 		domains[u.Host] = u.Domain
 	}
-	for host, addr := range links {
+	for host, l := range d.links {
 		s := d.settings(settings.RoleAgent, platformURL)
 		s.Name = host
 		s.Domain = domains[host]
-		s.Link.Listen = addr
-		a, err := daemon.NewAgent(daemon.Options{Settings: s, LogTo: d.options.LogTo})
+		a, err := daemon.NewAgent(daemon.Options{Settings: s, LogTo: d.options.LogTo, Link: l})
 		if err != nil {
 			return err
 		}
@@ -362,6 +361,9 @@
 	for _, s := range d.servers {
 		s.listener.Close()
 	}
+	for _, l := range d.links {
+		l.Close()
+	}
 }
 
 // Line returns the ready line without a line end.
