Say once how a command of tarragonctl runs

Cause: ten commands repeated the bounded context, three the look-up of the daemon, and diff and publish the reading of a folder beside what is published. Change: within, withDaemon and readProposal.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -114,6 +114,15 @@
 	return context.WithTimeout(cmd.Context(), a.timeout)
 }
 
+// within runs a command in the time that --timeout allows.
+func (a *app) within(run func(ctx context.Context, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		ctx, cancel := a.context(cmd)
+		defer cancel()
+		return run(ctx, args)
+	}
+}
+
 // store opens the clients of the platform's services.
 func (a *app) store() (publish.Store, error) {
 	table, objects, err := a.services()
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -151,19 +151,24 @@
 	return g
 }
 
+// withDaemon runs a command on the daemon that its first argument names.
+func (a *app) withDaemon(run func(ctx context.Context, d *adminapi.Client, args []string) error) func(*cobra.Command, []string) error {
+	return a.within(func(ctx context.Context, args []string) error {
+		d, err := a.daemon(args[0])
+		if err != nil {
+			return err
+		}
+		return run(ctx, d, args)
+	})
+}
+
 func (a *app) dumpCommand() *cobra.Command {
 	var metrics bool
 	cmd := &cobra.Command{
 		Use:   "dump IP:port",
 		Short: "Show the state of a daemon, part by part",
 		Args:  exactArgs("IP:port"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
-			d, err := a.daemon(args[0])
-			if err != nil {
-				return err
-			}
+		RunE: a.withDaemon(func(ctx context.Context, d *adminapi.Client, args []string) error {
 			if metrics {
 				return d.Metrics(ctx, a.Out)
 			}
@@ -172,7 +177,7 @@
 				return err
 			}
 			return a.print(dumpView{dump})
-		},
+		}),
 	}
 	cmd.Flags().BoolVar(&metrics, "metrics", false, "print the metrics instead")
 	return cmd
@@ -183,13 +188,7 @@
 		Use:   "loglevel IP:port [LEVEL]",
 		Short: "Show or change the log level of a daemon",
 		Args:  rangeArgs(1, 2),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
-			d, err := a.daemon(args[0])
-			if err != nil {
-				return err
-			}
+		RunE: a.withDaemon(func(ctx context.Context, d *adminapi.Client, args []string) error {
 			if len(args) == 2 {
 				if err := d.SetLogLevel(ctx, args[1]); err != nil {
 					return err
@@ -200,7 +199,7 @@
 				return err
 			}
 			return a.print(message{Message: level})
-		},
+		}),
 	}
 }
 
@@ -209,17 +208,11 @@
 		Use:   "stop IP:port",
 		Short: "Stop a daemon gracefully: no new work, running requests finish",
 		Args:  exactArgs("IP:port"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
-			d, err := a.daemon(args[0])
-			if err != nil {
-				return err
-			}
+		RunE: a.withDaemon(func(ctx context.Context, d *adminapi.Client, args []string) error {
 			if err := d.Drain(ctx); err != nil {
 				return err
 			}
 			return a.print(message{Message: args[0] + " is stopping"})
-		},
+		}),
 	}
 }
--- a/internal/ctl/export.go
+++ b/internal/ctl/export.go
@@ -37,9 +37,7 @@
 the platform's store, or with --from that of a daemon, which has it in a store
 outage as well.`,
 		Args: exactArgs(),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
+		RunE: a.within(func(ctx context.Context, _ []string) error {
 			set, revision, err := a.inForce(ctx, from)
 			if err != nil {
 				return err
@@ -53,7 +51,7 @@
 			}
 			_, err = fmt.Fprintf(a.Out, "// Revision %d.\n%s\n", revision, text)
 			return err
-		},
+		}),
 	}
 	cmd.Flags().StringVar(&from, "from", "", "admin address of a daemon, IP:port")
 	return cmd
@@ -87,9 +85,7 @@
 or that holds revisions which the daemons refuse (TB6008); name every daemon, so
 that none of them knows a higher revision. For all else use publish.`,
 		Args: exactArgs("DIR"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
+		RunE: a.within(func(ctx context.Context, args []string) error {
 			want, err := readSet(args[0])
 			if err != nil {
 				return err
@@ -113,7 +109,7 @@
 			}
 			text := fmt.Sprintf("revision %d begins a new history with %d objects", state.Revision, want.Len())
 			return a.print(message{Message: text, Revision: state.Revision})
-		},
+		}),
 	}
 	addWait(cmd, &wait)
 	return cmd
--- a/internal/ctl/ledger.go
+++ b/internal/ctl/ledger.go
@@ -63,9 +63,7 @@
 request. Costs are in millionths of the accounting unit. Requests count %v
 after they were made; single requests are kept for %v, sums for good.`, ledger.FoldAfter, ledger.Retention),
 		Args: exactArgs(),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
+		RunE: a.within(func(ctx context.Context, _ []string) error {
 			if span <= 0 {
 				return result.New(result.BadUsage, "--since must be greater than 0")
 			}
@@ -78,7 +76,7 @@
 				return a.printRequest(ctx, folder, request)
 			}
 			return a.printSums(ctx, folder, span, organisation)
-		},
+		}),
 	}
 	cmd.Flags().DurationVar(&span, "since", defaultLedgerSpan, "how far to look back")
 	cmd.Flags().StringVar(&organisation, "organisation", "", "show one organisation only")
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -87,40 +87,50 @@
 	return publish.State{Set: set}, err
 }
 
+// proposal is a folder beside the published set that it would replace.
+type proposal struct {
+	store publish.Store
+	from  publish.State
+	want  *catalog.Set
+}
+
+// readProposal reads a folder and the revision it was made from; 0 is the
+// newest. What operators set by command stays as it is.
+func (a *app) readProposal(ctx context.Context, dir string, expect uint64) (p proposal, err error) {
+	if p.want, err = readSet(dir); err != nil {
+		return p, err
+	}
+	if p.store, err = a.store(); err != nil {
+		return p, err
+	}
+	if p.from, err = base(ctx, p.store, expect); err != nil {
+		return p, err
+	}
+	p.want, err = keepOperations(p.from.Set, p.want)
+	return p, err
+}
+
 func (a *app) diffCommand() *cobra.Command {
 	var exitCode bool
 	cmd := &cobra.Command{
 		Use:   "diff DIR",
 		Short: "Show what publishing a folder would change",
 		Args:  exactArgs("DIR"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
-			want, err := readSet(args[0])
-			if err != nil {
-				return err
-			}
-			store, err := a.store()
+		RunE: a.within(func(ctx context.Context, args []string) error {
+			p, err := a.readProposal(ctx, args[0], 0)
 			if err != nil {
 				return err
 			}
-			from, err := base(ctx, store, 0)
-			if err != nil {
-				return err
-			}
-			if want, err = keepOperations(from.Set, want); err != nil {
-				return err
-			}
-			list := describe(from.Set, catalog.Diff(from.Set, want))
-			note := fmt.Sprintf("%d objects differ from revision %d", len(list), from.Revision)
-			if err := a.print(changes{from.Revision, list, note}); err != nil {
+			list := describe(p.from.Set, catalog.Diff(p.from.Set, p.want))
+			note := fmt.Sprintf("%d objects differ from revision %d", len(list), p.from.Revision)
+			if err := a.print(changes{p.from.Revision, list, note}); err != nil {
 				return err
 			}
 			if exitCode && len(list) > 0 {
 				return errDiffers
 			}
 			return nil
-		},
+		}),
 	}
 	cmd.Flags().BoolVar(&exitCode, "exit-code", false, fmt.Sprintf("exit with %d when there are differences", ExitDiffers))
 	return cmd
@@ -139,27 +149,14 @@
 States that operators set by command (withdraw, drain, rollout) stay as they
 are unless the folder writes the field.`,
 		Args: exactArgs("DIR"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
-			want, err := readSet(args[0])
-			if err != nil {
-				return err
-			}
-			store, err := a.store()
+		RunE: a.within(func(ctx context.Context, args []string) error {
+			p, err := a.readProposal(ctx, args[0], expect)
 			if err != nil {
 				return err
 			}
-			from, err := base(ctx, store, expect)
-			if err != nil {
-				return err
-			}
-			if want, err = keepOperations(from.Set, want); err != nil {
-				return err
-			}
-			done, err := a.publisher(store).Publish(ctx, publish.Change{Author: a.author, Base: from.Revision, Want: want})
-			return a.published(ctx, from.Set, done, err, wait)
-		},
+			done, err := a.publisher(p.store).Publish(ctx, publish.Change{Author: a.author, Base: p.from.Revision, Want: p.want})
+			return a.published(ctx, p.from.Set, done, err, wait)
+		}),
 	}
 	cmd.Flags().Uint64Var(&expect, "expect", 0, "the revision that the folder was made from; 0 is the newest")
 	addWait(cmd, &wait)
@@ -213,9 +210,7 @@
 		Short:     "Show published objects: one, or the names of a kind",
 		Args:      rangeArgs(1, 2),
 		ValidArgs: kindNames(),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
+		RunE: a.within(func(ctx context.Context, args []string) error {
 			kind, err := parseKind(args[0])
 			if err != nil {
 				return err
@@ -232,7 +227,7 @@
 				return err
 			}
 			return a.print(objectView{Revision: state.Revision, Kind: kind, Name: args[1], Spec: o.Spec})
-		},
+		}),
 	}
 }
 
--- a/internal/ctl/rollout.go
+++ b/internal/ctl/rollout.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"context"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -94,9 +95,7 @@
 		Use:   "status",
 		Short: "Show every roll-out with its stage and share",
 		Args:  exactArgs(),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := a.context(cmd)
-			defer cancel()
+		RunE: a.within(func(ctx context.Context, _ []string) error {
 			state, err := a.current(ctx)
 			if err != nil {
 				return err
@@ -107,6 +106,6 @@
 				list.Rollouts = append(list.Rollouts, rolloutView{name, r.From, r.To, rolloutState(r), r.Stage, r.Stages})
 			}
 			return a.print(list)
-		},
+		}),
 	}
 }
