Keep the count of a new version's ratings over a restart of all entries

Cause: Since entries take their estimates over, they no longer read the whole stream of ratings. In a roll-out agents keep the highest tally they heard, so after a restart of all entries, whose tallies began at the ratings read again, no agent granted the new version anything more.

Change: A memory holds how many ratings of callers' answers each version had at its cursor and at its replay place. The watch resumes its tally from there (Fleet.Resume, Monitor.Resume); it clears and judges nothing.

Measured: go test -run BudgetOf ./internal/entry: after 3,000 good ratings of the new version and 3,000 of the old one, a restarted entry knows 0 of them without the change and 3,000 with it; not cleared in either. go test -race ./internal/entry ./internal/quality ./internal/watch ./internal/rollout: ok.

--- a/internal/entry/learner.go
+++ b/internal/entry/learner.go
@@ -10,6 +10,7 @@
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // observationBuffer is how many observations may wait for the learner. More
@@ -79,10 +80,14 @@
 // rated counts a batch of the stream of ratings, which ends at the cursor.
 func (l *learner) rated(ctx context.Context, batch []platform.Rating, cursor uint64) error {
 	return l.do(ctx, func(b *quality.Book) {
+		totals := quality.Totals{}
 		for _, r := range batch {
 			b.Add(quality.ParseKey(r.Class, r.Version), quality.Rated(r.Good), l.now())
+			if !watch.IsShadow(r.RequestID) {
+				totals.Add(r.Version, r.Good)
+			}
 		}
-		b.Advance(cursor, len(batch))
+		b.Advance(cursor, len(batch), totals)
 	})
 }
 
@@ -92,18 +97,16 @@
 	return m, err
 }
 
-// merge takes checked memories and returns the place up to which the ratings
-// are counted from then on, and where to read them again for the watch.
-func (l *learner) merge(ctx context.Context, memories []quality.Memory) (counted, replay uint64, err error) {
+// merge takes checked memories and returns what is known from then on.
+func (l *learner) merge(ctx context.Context, memories []quality.Memory) (m quality.Memory, err error) {
 	err = l.do(ctx, func(b *quality.Book) {
 		for _, m := range memories {
 			b.Merge(m, l.now())
 		}
 		l.show()
-		m := b.Memory(l.now())
-		counted, replay = m.Cursor, m.Replay
+		m = b.Memory(l.now())
 	})
-	return counted, replay, err
+	return m, err
 }
 
 func (l *learner) put(o observed) {
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -31,9 +31,7 @@
 	away := false
 	for {
 		if before.due(e.now()) {
-			if counted, replay, ok := e.recallOnce(ctx, &before); ok {
-				stream.takeOver(counted, replay)
-			}
+			e.recallOnce(ctx, &before, &stream)
 		}
 		err := e.readRatings(ctx, &stream)
 		if (err != nil) != away {
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -38,25 +38,28 @@
 	return r.recall != nil && r.tries < recallTries && !now.Before(r.next)
 }
 
-// recallOnce takes what one round finds. It reports false when that is nothing.
-func (e *Entry) recallOnce(ctx context.Context, r *recaller) (counted, replay uint64, ok bool) {
+// recallOnce takes what one round finds and has the stream go on from there.
+func (e *Entry) recallOnce(ctx context.Context, r *recaller, s *ratingStream) {
 	r.tries++
 	r.next = e.now().Add(recallEvery)
 	memories := r.recall(ctx)
 	if len(memories) == 0 {
-		return 0, 0, false
+		return
 	}
 	r.recall = nil
 	for i := range memories {
 		e.keepKnown(&memories[i])
 	}
-	counted, replay, err := e.learner.merge(ctx, memories)
+	known, err := e.learner.merge(ctx, memories)
 	if err != nil {
-		return 0, 0, false
+		return
 	}
-	e.log.Info("what was learned before is taken over",
-		zap.Int("copies", len(memories)), zap.Int("keys", e.learner.view().Len()), zap.Uint64("ratings to", counted))
-	return counted, replay, true
+	for version, total := range known.ReplayTotals {
+		e.fleet.Resume(catalog.VersionName(version), total.Good, total.Bad)
+	}
+	s.takeOver(known.Cursor, known.Replay)
+	e.log.Info("what was learned before is taken over", zap.Int("copies", len(memories)),
+		zap.Int("keys", len(known.Records)), zap.Uint64("ratings to", known.Cursor))
 }
 
 // keepKnown drops what the configuration does not name: it would only grow the
--- a/internal/entry/recall_test.go
+++ b/internal/entry/recall_test.go
@@ -65,12 +65,14 @@
 
 	mu      sync.Mutex
 	entries map[string]*Entry
+	// version is whose answers are rated.
+	version string
 	// bad is the number of the next answers that are rated bad.
 	bad int
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, config: rollingOut(t), entries: map[string]*Entry{}}
+	s := &site{t: t, config: rollingOut(t), entries: map[string]*Entry{}, version: oldKey.Version}
 	s.platform = fake.New(fake.Options{Judge: func(platform.Sample) bool {
 		s.bad--
 		return s.bad < 0
@@ -78,11 +80,11 @@
 	return s
 }
 
-// rate has the rating service rate n answers of m@1.
+// rate has the rating service rate n answers.
 func (s *site) rate(n int) {
 	s.t.Helper()
 	for range n {
-		if err := s.platform.Ratings.Submit(s.t.Context(), platform.Sample{Version: oldKey.Version}); err != nil {
+		if err := s.platform.Ratings.Submit(s.t.Context(), platform.Sample{Version: s.version}); err != nil {
 			s.t.Fatal(err)
 		}
 	}
@@ -270,6 +272,38 @@
 	return known.Ratings
 }
 
+// TestBudgetOfANewVersionIsKept has agents that count on the ratings of a new
+// version go on after all entries restarted.
+func TestBudgetOfANewVersionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		a, stopA := s.start("a")
+		s.version = newKey.Version
+		for range 6 {
+			s.rate(500)
+			settle()
+		}
+		s.version = oldKey.Version
+		for range 6 {
+			s.rate(500)
+			settle()
+		}
+		want := a.fleet.News("m@2")
+		time.Sleep(2 * learned.SaveEvery)
+		stopA()
+		b, stopB := s.start("b")
+		defer stopB()
+		settle()
+		got := b.fleet.News("m@2")
+		if got.GetGood() != want.GetGood() || got.GetGood() != 3000 || got.GetBad() != want.GetBad() {
+			t.Errorf("the ratings of the new version were %v, and are %v after the restart", want, got)
+		}
+		if got.GetCleared() {
+			t.Error("the version is cleared without a rating that was read")
+		}
+	})
+}
+
 func TestWhatIsTakenOverJudgesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for name, good := range map[string]bool{"good": true, "bad": false} {
@@ -287,9 +321,7 @@
 			settle()
 			before := e.fleet.News("m@2")
 			rec := &recaller{recall: func(context.Context) []quality.Memory { return []quality.Memory{m} }}
-			if _, _, ok := e.recallOnce(t.Context(), rec); !ok {
-				t.Fatalf("%s: not taken over", name)
-			}
+			e.recallOnce(t.Context(), rec, &ratingStream{})
 			settle()
 			after := e.fleet.News("m@2")
 			if before.String() != after.String() || len(e.fleet.Held()) > 0 || len(e.fleet.Convicted()) > 0 {
--- a/internal/quality/memory.go
+++ b/internal/quality/memory.go
@@ -1,6 +1,7 @@
 package quality
 
 import (
+	"maps"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -23,9 +24,42 @@
 	Cursor uint64 `json:"cursor"`
 	// Replay is an earlier place. An entry that takes the memory reads the
 	// ratings from there on once more, for its watch over versions alone.
-	Replay  uint64    `json:"replay"`
-	SavedAt time.Time `json:"savedAt"`
-	Records []Record  `json:"records"`
+	Replay uint64 `json:"replay"`
+	// Totals count the ratings of callers' answers up to Cursor, and
+	// ReplayTotals those up to Replay.
+	Totals       Totals    `json:"totals,omitempty"`
+	ReplayTotals Totals    `json:"replayTotals,omitempty"`
+	SavedAt      time.Time `json:"savedAt"`
+	Records      []Record  `json:"records"`
+}
+
+// Total counts ratings of one version without forgetting any.
+type Total struct {
+	Good int `json:"good"`
+	Bad  int `json:"bad"`
+}
+
+// Totals are the totals of versions by name.
+type Totals map[string]Total
+
+// Add counts one rating.
+func (t Totals) Add(version string, good bool) {
+	x := t[version]
+	if good {
+		x.Good++
+	} else {
+		x.Bad++
+	}
+	t[version] = x
+}
+
+// keep drops the versions that do not match.
+func (t Totals) keep(match func(version string) bool) {
+	for version := range t {
+		if !match(version) {
+			delete(t, version)
+		}
+	}
 }
 
 // Empty reports whether nothing was learned.
@@ -48,8 +82,12 @@
 	return nil
 }
 
-// Keep drops the records that do not match and returns how many there were.
+// Keep drops the records that do not match and returns how many there were. It
+// drops the totals of versions that have no class which matches.
 func (m *Memory) Keep(match func(Key) bool) (dropped int) {
+	named := func(version string) bool { return match(Key{Version: version}) }
+	m.Totals.keep(named)
+	m.ReplayTotals.keep(named)
 	kept := make([]Record, 0, len(m.Records))
 	for _, r := range m.Records {
 		if match(r.Key) {
@@ -63,34 +101,58 @@
 
 // place is how far the stream of ratings is counted.
 type place struct {
-	cursor uint64
-	// older and newer are earlier cursors, replayRatings or more apart.
-	older, newer uint64
+	mark
+	// older and newer are earlier places, replayRatings or more apart.
+	older, newer mark
 	// sinceNewer counts the ratings after newer.
 	sinceNewer int
 }
 
+// mark is a place in the stream with the totals up to it.
+type mark struct {
+	cursor uint64
+	totals Totals
+}
+
+func (m mark) clone() mark { return mark{cursor: m.cursor, totals: maps.Clone(m.totals)} }
+
 // Cursor returns the place up to which the ratings are counted.
 func (b *Book) Cursor() uint64 { return b.place.cursor }
 
-// Advance notes that so many more ratings are counted, up to the cursor. A
-// cursor that is lower says that the rating service itself went back.
-func (b *Book) Advance(cursor uint64, ratings int) {
+// Advance notes that so many more ratings are counted, up to the cursor, and
+// the totals of callers' answers among them. A cursor that is lower says that
+// the rating service itself went back.
+func (b *Book) Advance(cursor uint64, ratings int, totals Totals) {
 	p := &b.place
-	if cursor < p.cursor {
-		*p = place{cursor: cursor, older: cursor, newer: cursor}
-		return
-	}
+	back := cursor < p.cursor
 	p.cursor = cursor
+	if p.totals == nil {
+		p.totals = Totals{}
+	}
+	for version, more := range totals {
+		x := p.totals[version]
+		p.totals[version] = Total{Good: x.Good + more.Good, Bad: x.Bad + more.Bad}
+	}
 	p.sinceNewer += ratings
+	if back {
+		p.older, p.newer, p.sinceNewer = p.clone(), p.clone(), 0
+	}
 	if p.sinceNewer >= replayRatings {
-		p.older, p.newer, p.sinceNewer = p.newer, cursor, 0
+		p.older, p.newer, p.sinceNewer = p.newer, p.clone(), 0
 	}
 }
 
 // Memory returns what the book has learned.
 func (b *Book) Memory(now time.Time) Memory {
-	return Memory{Cursor: b.place.cursor, Replay: b.place.older, SavedAt: now, Records: b.Export()}
+	p := &b.place
+	return Memory{
+		Cursor:       p.cursor,
+		Totals:       maps.Clone(p.totals),
+		Replay:       p.older.cursor,
+		ReplayTotals: maps.Clone(p.older.totals),
+		SavedAt:      now,
+		Records:      b.Export(),
+	}
 }
 
 // Merge takes from a checked memory what the book does not know. Ratings are
@@ -106,7 +168,9 @@
 		b.mergeRecord(&r, further)
 	}
 	if further {
-		b.place = place{cursor: m.Cursor, older: m.Replay, newer: m.Cursor}
+		at := mark{cursor: m.Cursor, totals: m.Totals}
+		older := mark{cursor: m.Replay, totals: m.ReplayTotals}
+		b.place = place{mark: at.clone(), older: older.clone(), newer: at.clone()}
 	}
 }
 
--- a/internal/quality/memory_test.go
+++ b/internal/quality/memory_test.go
@@ -13,7 +13,7 @@
 // count adds ratings to the book as the stream up to the cursor.
 func count(b *Book, good, bad uint32, cursor uint64) {
 	b.Add(small, Delta{Good: good, Bad: bad}, epoch)
-	b.Advance(cursor, int(good+bad))
+	b.Advance(cursor, int(good+bad), Totals{small.Version: {Good: int(good), Bad: int(bad)}})
 }
 
 func ratings(b *Book) float64 {
@@ -52,8 +52,11 @@
 		if back := m.Cursor - m.Replay; back > 2*replayRatings || (i > replayRatings && back < replayRatings) {
 			t.Fatalf("at %d the replay is %d ratings long", i, back)
 		}
+		if total, replayed := m.Totals[small.Version].Good, m.ReplayTotals[small.Version].Good; uint64(total) != m.Cursor || uint64(replayed) != m.Replay {
+			t.Fatalf("at %d the totals are %d and %d, the places %d and %d", i, total, replayed, m.Cursor, m.Replay)
+		}
 	}
-	b.Advance(3, 0)
+	b.Advance(3, 0, nil)
 	if m := b.Memory(epoch); m.Cursor != 3 || m.Replay != 3 {
 		t.Errorf("after the service went back: %+v", m)
 	}
--- a/internal/rollout/monitor.go
+++ b/internal/rollout/monitor.go
@@ -78,6 +78,13 @@
 // Lost counts answers whose rating will not come.
 func (m *Monitor) Lost(n int) { m.tally.Lost += n }
 
+// Resume raises the tally to the ratings that were counted before this monitor
+// began. They count towards the budget, not as evidence.
+func (m *Monitor) Resume(good, bad int) {
+	m.tally.Good = max(m.tally.Good, good)
+	m.tally.Bad = max(m.tally.Bad, bad)
+}
+
 // weighClearance tests the baseline against badRate, the other way round from
 // the detector.
 func (m *Monitor) weighClearance(good bool, baseline float64) {
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -152,6 +152,17 @@
 	return model.QualityTarget
 }
 
+// Resume tells how many ratings of callers' answers a version had before this
+// process began to read them. They raise what it may answer as they did then,
+// and judge nothing.
+func (f *Fleet) Resume(version catalog.VersionName, good, bad int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v, ok := f.versions[version]; ok {
+		v.monitor.Resume(good, bad)
+	}
+}
+
 // Lost counts answers of a version whose rating will not come.
 func (f *Fleet) Lost(version string, n int) {
 	f.mu.Lock()
