Drop the request of a stream once its answer has begun

Cause: an open stream held its request at the entry (the caller's body and the one written for the engine, twice through connect-go) and at the agent, although nothing could send it again. Change: the entry lets go of both with the first event that reaches the caller, unless a shadow follows; the link client of the message once its answer begins; the agent with the head, unless the answer is rated; the upstream client's body forgets its bytes once it is answered. Two copies may stay: one to be rated, and one in the buffer that connect-go reuses.

--- a/integration/bench/idle_test.go
+++ b/integration/bench/idle_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,10 +53,43 @@
 	return live{heap: int64(m.HeapAlloc), stacks: int64(m.StackInuse), goroutines: runtime.NumGoroutine()}
 }
 
+// promptStreams is how many streams with long prompts the counted run holds
+// open.
+const promptStreams = 80
+
+// TestPromptOfAnIdleStream counts how many copies of its prompt a stream holds
+// in entry and agent once its answer has begun.
+func TestPromptOfAnIdleStream(t *testing.T) {
+	if raceEnabled {
+		t.Skip("the race detector holds memory of its own; .ci/run runs this test without it")
+	}
+	c := compose(t, engine.Behaviour{TokenMs: float64(time.Hour.Milliseconds())}, idleVersions, false)
+	open := func(prompt string) int64 {
+		before := liveMemory()
+		for i := range promptStreams {
+			body := chatBodyOf(prompt, versions(idleVersions)[i%idleVersions], true, tokens)
+			openIdleOf(t, newRawCallerOf(t, c.entry.Addresses().Caller, body))
+		}
+		return liveMemory().heap - before.heap
+	}
+	open(prompt)
+	long := strings.Repeat("word ", longPromptBytes/len("word "))
+	short, longHeap := open(prompt), open(long)
+	copies := float64(longHeap-short) / promptStreams / float64(len(long)-len(prompt))
+	t.Logf("an idle stream holds %.2f copies of its prompt", copies)
+	if copies > maxPromptCopies {
+		t.Errorf("%.2f copies of the prompt, want at most %.2f", copies, maxPromptCopies)
+	}
+}
+
 // openIdle opens a stream and reads its first event.
 func openIdle(t testing.TB, address, model string) {
 	t.Helper()
-	c := newRawCaller(t, address, model, true, tokens)
+	openIdleOf(t, newRawCaller(t, address, model, true, tokens))
+}
+
+func openIdleOf(t testing.TB, c *rawCaller) {
+	t.Helper()
 	if _, err := c.conn.Write(c.request); err != nil {
 		t.Fatal(err)
 	}
--- a/integration/bench/inprocess_test.go
+++ b/integration/bench/inprocess_test.go
@@ -85,13 +85,18 @@
 }
 
 func newRawCaller(t testing.TB, address, model string, stream bool, tokens int) *rawCaller {
+	t.Helper()
+	return newRawCallerOf(t, address, chatBody(model, stream, tokens))
+}
+
+// newRawCallerOf sends the given body.
+func newRawCallerOf(t testing.TB, address string, body []byte) *rawCaller {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	body := chatBody(model, stream, tokens)
 	head := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\nAuthorization: Bearer %s\r\n"+
 		"Content-Type: application/json\r\nX-Deadline-Ms: 600000\r\nContent-Length: %d\r\n\r\n", key, len(body))
 	return &rawCaller{conn: conn, in: bufio.NewReader(conn), request: append([]byte(head), body...)}
--- a/integration/bench/load.go
+++ b/integration/bench/load.go
@@ -42,6 +42,10 @@
 
 // chatBody is the same for both targets but for the model.
 func chatBody(model string, stream bool, tokens int) []byte {
+	return chatBodyOf(prompt, model, stream, tokens)
+}
+
+func chatBodyOf(prompt, model string, stream bool, tokens int) []byte {
 	return fmt.Appendf(nil, `{"model":%q,"messages":[{"role":"user","content":%q}],"stream":%t,"max_tokens":%d}`,
 		model, prompt, stream, tokens)
 }
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -118,6 +118,7 @@
 
 // Head implements upstream.Sink.
 func (j *job) Head(status int, contentType string) error {
+	j.dropBody()
 	_, revision := j.agent.config.Set()
 	return j.log.Head(&linkv1.Head{
 		Status:      uint32(status),
@@ -127,6 +128,14 @@
 	})
 }
 
+// dropBody lets go of the call's body, which is read no more once the upstream
+// answers, unless the answer is to be rated with it.
+func (j *job) dropBody() {
+	if c := j.req.GetCall(); c != nil && !j.req.GetRate() {
+		c.Body = nil
+	}
+}
+
 // Data implements upstream.Sink. It blocks while the entry reads slowly.
 func (j *job) Data(data []byte) error {
 	if j.events == 0 {
--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -121,6 +121,7 @@
 		if err := o.begin(); err != nil {
 			return err
 		}
+		o.step.dropBody()
 	}
 	return callerGone(o.step.sink.Chunk(data))
 }
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -34,7 +34,9 @@
 	// exploring is set when the choice was made to learn.
 	exploring bool
 	body      []byte
-	tried     balance.Tried
+	// shadowed is set when a shadow of the plan sends the request once more.
+	shadowed bool
+	tried    balance.Tried
 	// upstream is the last one tried.
 	upstream string
 	started  time.Time
@@ -47,6 +49,7 @@
 func (r *chatRun) runStep(plan *route.Plan, i int) (kept bool, failure *result.Error) {
 	step := plan.Step(i)
 	s := &stepRun{chatRun: r, step: step, index: i, key: plan.Key(i), streams: plan.Streams(i), exploring: plan.Exploring}
+	s.shadowed = plan.Shadow.Len() > 0
 	last := i == plan.Len()-1
 	s.body = r.call.Body.Rewrite(chat.Upstream{
 		Version:  string(step.Version),
@@ -66,6 +69,15 @@
 	}
 }
 
+// dropBody lets go of the request once its answer has begun to reach the
+// caller: no attempt or step can follow.
+func (s *stepRun) dropBody() {
+	s.body = nil
+	if !s.shadowed {
+		s.call.Body = chat.Body{}
+	}
+}
+
 // exclude keeps a version that takes no work out of the next plan.
 func (s *stepRun) exclude(failure *result.Error) {
 	if !replannable(failure) {
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -69,7 +69,8 @@
 }
 
 // Attempt sends the attempt, once, and waits for its first frame: a head, a
-// heartbeat, or the end. The deadline of ctx bounds the whole stream, and the
+// heartbeat, or the end. It takes the message over: its call is gone when the
+// answer begins. The deadline of ctx bounds the whole stream, and the
 // end of ctx ends it.
 //
 // The stream is never nil, so that Load, Ending and Final can be asked. An
@@ -95,6 +96,7 @@
 		return s.peer.pooled.Attempt(ctx, connect.NewRequest(req))
 	})
 	if err == nil {
+		req.Call = nil // connect-go holds the request as long as the answer
 		err = s.peek()
 	} else {
 		err = s.recover(err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,7 +8,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -117,7 +116,8 @@
 func (c *Client) Do(ctx context.Context, call Call, sink Sink) (Usage, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := c.request(httptrace.WithClientTrace(ctx, trace), call)
+	sent := newBody(call.Body)
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), call, sent)
 	if err != nil {
 		return Usage{}, result.Wrap(err, result.Internal, "bad upstream request").WithOutcome(result.NotRun)
 	}
@@ -126,6 +126,7 @@
 		return Usage{}, transportError(ctx, err, connected.Load())
 	}
 	defer resp.Body.Close()
+	sent.forget() // an answered call is not sent again
 	if call.Engine {
 		if err := engineRefusal(resp); err != nil {
 			return Usage{}, err
@@ -143,13 +144,13 @@
 	return c.fresh
 }
 
-func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
+func (c *Client) request(ctx context.Context, call Call, sent *body) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
-	if !call.Idempotent {
-		req.GetBody = nil
+	if err := setBody(req, call, sent); err != nil {
+		return nil, err
 	}
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
@@ -163,6 +164,20 @@
 	return req, nil
 }
 
+// setBody gives the request its body. Only that of a call that may be repeated
+// can be read again.
+func setBody(req *http.Request, call Call, sent *body) (err error) {
+	if len(call.Body) == 0 {
+		return nil
+	}
+	req.ContentLength = int64(len(call.Body))
+	if call.Idempotent {
+		req.GetBody = sent.open
+	}
+	req.Body, err = sent.open()
+	return err
+}
+
 // transportError tells a call that never left from one that may have run.
 func transportError(ctx context.Context, err error, connected bool) error {
 	if !connected {
