Let a session wait for its new version's budget, before new work

Cause: A session on a version in a roll-out was refused as soon as one host had spent its share of the budget of unrated answers, and for 250 ms after any such refusal at that entry, while new work took what ratings granted next.

Change: A session asks other hosts for their shares and then waits for the next rating, bounded by its deadline less the run time and by 32 places; otherwise its final answer comes at once with the usual time of a rating as Retry-After. A host that refused a session gives what it is granted next to sessions for 2 s. What is granted, and so the bound on exposure, is as before.

The ten integration tests of sessions, versions and roll-outs pass, and packages watch, retry, rollout, agent and entry with -race. The property test keeps sessions and new work within one grant.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	if watched(req) {
-		if err := a.watch.Check(req.GetVersion(), a.now()); err != nil {
+		if err := a.watch.Check(req.GetVersion(), req.GetSession(), a.now()); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	if watched(j.req) {
-		if err := a.watch.Take(j.req.GetVersion(), a.now()); err != nil {
+		if err := a.watch.Take(j.req.GetVersion(), j.req.GetSession(), a.now()); err != nil {
 			return err
 		}
 	}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -42,6 +42,8 @@
 	slots    int
 	busy     bool
 	answered bool
+	// waited is the time in which a session waited for its version.
+	waited time.Duration
 }
 
 // Chat implements callerapi.Router.
@@ -100,7 +102,7 @@
 func (r *chatRun) run() error {
 	plan, err := r.plan()
 	if err != nil {
-		return err
+		return r.sayWhen(result.From(err))
 	}
 	if !plan.Deadline.IsZero() && plan.Deadline.Before(r.call.Deadline) {
 		r.call.Deadline = plan.Deadline
@@ -136,7 +138,7 @@
 	fb := admission.Feedback{Busy: r.busy, Queued: r.queued, Slots: r.slots}
 	now := r.entry.now()
 	if r.answered || !now.Before(r.call.Deadline) {
-		fb.RunTime = now.Sub(since)
+		fb.RunTime = now.Sub(since) - r.waited
 		fb.Late = !now.Before(r.call.Deadline)
 	}
 	return fb
@@ -159,11 +161,20 @@
 		Deadline:     r.call.Deadline,
 		PromptTokens: r.call.PromptTokens,
 		MaxTokens:    r.call.MaxTokens,
-		Without:      append(r.without, e.spent.list(e.now())...),
+		Without:      r.unable(),
 		Held:         e.heldVersions(),
 	}, e.now(), e.random())
 }
 
+// unable lists the versions that cannot take the request now. A session asks for
+// its own version all the same, since it comes before new work there.
+func (r *chatRun) unable() []catalog.VersionName {
+	if r.pin != "" {
+		return r.without
+	}
+	return append(r.without, r.entry.spent.list(r.entry.now())...)
+}
+
 // runPlans runs the plan, and plans again without a version that took no work.
 func (r *chatRun) runPlans(plan route.Plan) error {
 	r.retries = r.entry.retries.Plan(r.call.Organisation, true, r.call.Deadline)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,14 +99,16 @@
 	learner *learner
 	cancels pond.Pool
 	// ratings bounds the answers handed in for rating.
-	ratings  *rate.Limiter
-	fleet    *watch.Fleet
-	held     atomic.Pointer[[]catalog.VersionName]
-	spent    resting
-	shadows  shadowSlots
-	stopping atomic.Bool
-	running  atomic.Int64
-	metrics  counters
+	ratings *rate.Limiter
+	fleet   *watch.Fleet
+	held    atomic.Pointer[[]catalog.VersionName]
+	spent   resting
+	shadows shadowSlots
+	// sessionWaits bounds the sessions that wait for a new version.
+	sessionWaits sessionWaits
+	stopping     atomic.Bool
+	running      atomic.Int64
+	metrics      counters
 }
 
 // New returns an entry that refuses everything until Run has seen a revision.
@@ -118,24 +120,25 @@
 		o.Entries = 1
 	}
 	e := &Entry{
-		name:        o.Name,
-		config:      o.Config,
-		link:        o.Link,
-		sessions:    o.Sessions,
-		copies:      o.Copies,
-		claims:      o.Claims,
-		incarnation: o.Incarnation,
-		route:       o.Route,
-		entries:     o.Entries,
-		log:         o.Log,
-		now:         o.Now,
-		picker:      balance.New(balance.Settings{Entry: o.Name, Domain: o.Domain}),
-		retries:     retry.New(retry.Settings{}, o.Now()),
-		shadows:     make(shadowSlots, maxShadows),
-		fleet:       watch.NewFleet(),
-		ratings:     rate.NewLimiter(ratedPerSecond, ratedPerSecond),
-		cancels:     pond.NewPool(cancelWorkers, pond.WithQueueSize(cancelQueue), pond.WithNonBlocking(true)),
-		metrics:     newCounters(o.Metrics),
+		name:         o.Name,
+		config:       o.Config,
+		link:         o.Link,
+		sessions:     o.Sessions,
+		copies:       o.Copies,
+		claims:       o.Claims,
+		incarnation:  o.Incarnation,
+		route:        o.Route,
+		entries:      o.Entries,
+		log:          o.Log,
+		now:          o.Now,
+		picker:       balance.New(balance.Settings{Entry: o.Name, Domain: o.Domain}),
+		retries:      retry.New(retry.Settings{}, o.Now()),
+		shadows:      make(shadowSlots, maxShadows),
+		sessionWaits: make(sessionWaits, maxSessionWaits),
+		fleet:        watch.NewFleet(),
+		ratings:      rate.NewLimiter(ratedPerSecond, ratedPerSecond),
+		cancels:      pond.NewPool(cancelWorkers, pond.WithQueueSize(cancelQueue), pond.WithNonBlocking(true)),
+		metrics:      newCounters(o.Metrics),
 	}
 	e.learner = newLearner(o.Now, e.useView, o.Metrics)
 	e.limiter = admission.NewLimiter(admission.NewController(admission.Settings{
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -42,6 +42,9 @@
 	started  time.Time
 	// backlog is the queue for each slot that the last load report showed.
 	backlog float64
+	// granted is how many answers the version was granted when it was last
+	// asked, spentHosts how many hosts have refused since.
+	granted, spentHosts int
 }
 
 // runStep runs attempts of one step. It reports whether its answer was given
@@ -57,6 +60,7 @@
 		Logprobs: !last,
 	})
 	s.started = r.entry.now()
+	s.granted, _ = r.entry.fleet.Opening(s.key)
 	for {
 		out, failure := s.try()
 		if failure == nil {
@@ -94,6 +98,9 @@
 	if err := s.request.MayTry(); err != nil {
 		return failure
 	}
+	if s.spentHere(failure) {
+		return s.againElsewhere(failure)
+	}
 	d := s.retries.Next(s.failed(failure), s.entry.now(), rand.Float64())
 	if d.Final != nil {
 		return d.Final
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -36,6 +36,8 @@
 	// waitsSince is the first answer after the last rating; zero when there
 	// is none.
 	waitsSince time.Time
+	// ratingTime is the usual time until the next rating; 0 before one.
+	ratingTime time.Duration
 	// stalled is set while a new version waits for ratings that do not come
 	// although others do: the rating service takes samples only.
 	stalled bool
@@ -113,7 +115,7 @@
 	if !ok {
 		return
 	}
-	v.waitsSince = time.Time{}
+	v.rated(now)
 	baseline, ok := f.baseline(key, v)
 	switch {
 	case !ok:
--- a/internal/watch/host.go
+++ b/internal/watch/host.go
@@ -18,6 +18,9 @@
 	// quarantineFor is how long a version that failed on this host alone
 	// gets no work here; then it is tried again.
 	quarantineFor = 30 * time.Second
+	// sessionsFirst is how long a version's new work is refused after one of
+	// its sessions found the budget spent. Waiting sessions ask again sooner.
+	sessionsFirst = 2 * time.Second
 )
 
 // Host follows the versions on one host. It is safe for concurrent use.
@@ -42,6 +45,8 @@
 	// marked is set once it is known whether this host answered with the
 	// version before this process started. Until then nothing is granted.
 	marked bool
+	// sessionSpent is when a session last found the budget spent.
+	sessionSpent time.Time
 }
 
 // NewHost returns the watch of a host.
@@ -146,21 +151,40 @@
 }
 
 // Check refuses a version that gets no work here now: held back by an entry,
-// quarantined on this host, or with its budget spent. It takes nothing of the
-// budget.
-func (h *Host) Check(version string, now time.Time) error {
+// quarantined on this host, or with its budget spent. A session's request comes
+// before new work. It takes nothing of the budget.
+func (h *Host) Check(version string, session bool, now time.Time) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	name := catalog.VersionName(version)
 	if err := h.heldBack(name, now); err != nil {
 		return err
 	}
-	if m := h.meters[name]; m != nil && (!m.marked || m.meter.Left() <= 0) {
-		return spent(name)
+	m := h.meters[name]
+	if m == nil {
+		return nil
+	}
+	if !m.open(session, now) || m.meter.Left() <= 0 {
+		return m.refuse(name, session, now)
 	}
 	return nil
 }
 
+// open reports whether the version's answers are counted here yet and, for new
+// work, that no session has been waiting for one.
+func (m *metered) open(session bool, now time.Time) bool {
+	return m.marked && (session || !now.Before(m.sessionSpent.Add(sessionsFirst)))
+}
+
+// refuse notes a session that found the budget spent, so that it comes first
+// when more is granted.
+func (m *metered) refuse(name catalog.VersionName, session bool, now time.Time) error {
+	if session {
+		m.sessionSpent = now
+	}
+	return result.New(result.ExposureSpent, "the budget of unrated answers of %q is spent here", name)
+}
+
 func (h *Host) heldBack(name catalog.VersionName, now time.Time) error {
 	if until, ok := h.held[name]; ok {
 		if now.Before(until) {
@@ -174,12 +198,8 @@
 	return nil
 }
 
-func spent(name catalog.VersionName) error {
-	return result.New(result.ExposureSpent, "the budget of unrated answers of %q is spent here", name)
-}
-
 // Take uses one answer of the version's budget right before it is dispatched.
-func (h *Host) Take(version string, now time.Time) error {
+func (h *Host) Take(version string, session bool, now time.Time) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	name := catalog.VersionName(version)
@@ -190,8 +210,8 @@
 	if m == nil {
 		return nil
 	}
-	if !m.marked || !m.meter.Take() {
-		return spent(name)
+	if !m.open(session, now) || !m.meter.Take() {
+		return m.refuse(name, session, now)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/watch/opening_test.go
@@ -0,0 +1,73 @@
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
+	"tarragonbay.example/tarragonbay/internal/quality"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/rollout"
+)
+
+func TestWaitingSessionComesBeforeNewWork(t *testing.T) {
+	h := startHosts(rollingOut(t, 1), 1, false)[0]
+	answers([]*Host{h})
+	if err := h.Check("m@2", true, start); !result.Is(err, result.ExposureSpent) {
+		t.Fatalf("a spent budget granted a session an answer: %v", err)
+	}
+	h.News("m@2", &linkv1.VersionNews{Good: 1})
+	if h.Check("m@2", false, start) == nil || h.Take("m@2", false, start) == nil {
+		t.Error("new work took the answer for which a session waits")
+	}
+	if err := h.Take("m@2", true, start); err != nil {
+		t.Errorf("the session: %v", err)
+	}
+	if err := h.Take("m@2", false, start.Add(sessionsFirst)); err != nil {
+		t.Errorf("new work after the session: %v", err)
+	}
+}
+
+func TestSessionsAndNewWorkStayWithinOneBudget(t *testing.T) {
+	const count = 3
+	set := rollingOut(t, count)
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := startHosts(set, count, false)
+		now, good, taken := start, 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			h := hosts[rapid.IntRange(0, count-1).Draw(t, "host")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				good++
+				h.News("m@2", &linkv1.VersionNews{Good: uint32(good)})
+			case 1:
+				now = now.Add(time.Second)
+			default:
+				if h.Take("m@2", rapid.Bool().Draw(t, "session"), now) == nil {
+					taken++
+				}
+			}
+			if granted := rollout.NewBudget(0).Granted(rollout.Tally{Good: good}); taken > granted {
+				t.Fatalf("%d answers, %d granted", taken, granted)
+			}
+		}
+	})
+}
+
+func TestOpeningTellsTheUsualTimeOfARating(t *testing.T) {
+	f := NewFleet()
+	f.SetCatalog(rollingOut(t, 1), start)
+	key := quality.Key{Version: "m@2"}
+	if _, o := f.Opening(key); o.Usual != firstRatingTime {
+		t.Errorf("before any rating: %+v", o)
+	}
+	before, _ := f.Opening(key)
+	f.Ended(End{Key: key, Host: "h0"}, start)
+	f.Rated(key, true, false, start.Add(5*time.Second))
+	granted, o := f.Opening(key)
+	if granted <= before || o.Usual != 5*time.Second || !o.Coming {
+		t.Errorf("granted %d, %+v", granted, o)
+	}
+}
