Eject hosts that answer much more slowly than their peers

Cause: a host whose engine had slowed down answered all the same and was never ejected; only the counts in flight kept work from it. Change: load reports carry the time between the tokens of streamed answers (TokenMeter). The policy runs get a load with two slow engines and a bound against dead ones. TestBoundsSlowEnginesHarmNoMoreThanDeadOnes fails without the verdict.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -112,6 +112,9 @@
 	// Slots is the number of requests that may run at a time; 0 keeps the
 	// configured number.
 	Slots int
+	// TokenTime is the mean time between the tokens of its answers, from a
+	// TokenMeter; 0 when it is not known.
+	TokenTime time.Duration
 	// Leaving is set when the upstream takes no new work.
 	Leaving bool
 }
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -40,17 +40,19 @@
 	return m.faults.probeable(now) && m.health.takeProbe(now)
 }
 
-// endProbe lets another probe through.
-func (m *member) endProbe() {
+// probed notes the end of a probe and lets another one through. An answer that
+// told no speed, short or not streamed, is no reason to stay slow.
+func (m *member) probed(o Outcome) {
 	m.health.probeUntil.Store(0)
 	m.faults.probeUntil.Store(0)
+	if o == Answered && m.tokenTime.Load() == 0 {
+		m.slow.Store(false)
+	}
 }
 
 // succeeded notes an answer. What comes back from an ejection starts slowly.
 func (m *member) succeeded(now int64) {
-	if m.health.succeeded() {
-		m.replica.ramp.begin(now)
-	}
+	m.replica.succeeded(now)
 	if m.faults.succeeded() {
 		m.ramp.begin(now)
 	}
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -93,9 +93,10 @@
 	m.own.Add(-1)
 	if o.Load != nil {
 		m.observe(*o.Load, at)
+		p.judgeSpeed(m.replica, at)
 	}
 	if c.Probe {
-		m.endProbe()
+		m.probed(o.Outcome)
 	}
 	switch {
 	case o.Outcome == Answered:
@@ -116,6 +117,7 @@
 func (p *Picker) Observe(upstream string, l Load, now time.Time) {
 	if r, ok := p.view.Load().byName[upstream]; ok {
 		r.observe(l, now.UnixNano())
+		p.judgeSpeed(r, now.UnixNano())
 	}
 }
 
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -32,6 +32,11 @@
 	others   atomic.Int32
 	reportAt atomic.Int64
 
+	// tokenTime is the reported time between tokens in nanoseconds, slow the
+	// verdict on it.
+	tokenTime atomic.Int64
+	slow      atomic.Bool
+
 	// leaving is set by the configuration, the agent or the host list.
 	leavingConfig atomic.Bool
 	leavingAgent  atomic.Bool
@@ -61,6 +66,13 @@
 // takesWork reports whether the upstream stays and is not ejected.
 func (r *replica) takesWork() bool { return !r.health.ejected() && !r.leaving() }
 
+// succeeded notes an answer, which does not clear one that is slow.
+func (r *replica) succeeded(now int64) {
+	if !r.slow.Load() && r.health.succeeded() {
+		r.ramp.begin(now)
+	}
+}
+
 // othersFade is the age at which a report of others' load counts half.
 const othersFade = 2 * time.Second
 
@@ -85,6 +97,7 @@
 	others := int32(l.InFlight+l.Queued) - r.own.Load()
 	r.others.Store(max(0, others))
 	r.reportAt.Store(now)
+	r.tokenTime.Store(int64(l.TokenTime))
 	r.leavingAgent.Store(l.Leaving)
 }
 
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -18,6 +18,9 @@
 	Leaving      bool      `json:"leaving,omitempty"`
 	Failures     int       `json:"failuresInARow,omitempty"`
 	EjectedUntil time.Time `json:"ejectedUntil,omitzero"`
+	// TokenTimeMs is the reported time between tokens, Slow the verdict on it.
+	TokenTimeMs float64 `json:"tokenTimeMs,omitempty"`
+	Slow        bool    `json:"slow,omitempty"`
 	// Faulty lists the targets for which it failed with errors of its own.
 	Faulty []TargetState `json:"faulty,omitempty"`
 }
@@ -77,6 +80,8 @@
 		Leaving:      r.leaving(),
 		Failures:     int(r.health.failures.Load()),
 		EjectedUntil: r.health.end(),
+		TokenTimeMs:  float64(r.tokenTime.Load()) / float64(time.Millisecond),
+		Slow:         r.slow.Load(),
 	}
 }
 
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -33,7 +33,8 @@
 	// subset is the bounded choice of this entry over all domains.
 	subset []*member
 	// far are upstreams of other regions, used when nothing else is left.
-	far []*member
+	far     []*member
+	typical typicalSpeed
 	// changed is set while compiling when an upstream's identity differs
 	// from the view before.
 	changed bool
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -94,11 +94,16 @@
 	queue    []*Job
 	stepping bool
 	down     bool
+	// slowdown is how much longer each step takes than usual; 0 reads as 1.
+	slowdown float64
 	// epoch rises when the engine dies, so that its pending step is void.
 	epoch int
 
 	// OnCacheEvent, when set, takes cache events as they are published.
 	OnCacheEvent func(CacheEvent)
+	// OnTokens, when set, is told of the tokens that each step makes and the
+	// time it takes.
+	OnTokens func(tokens int, step time.Duration)
 	// BusyTime is the time spent in steps.
 	BusyTime time.Duration
 	// PromptRead and PromptCached count prompt tokens.
@@ -171,6 +176,10 @@
 // Revive brings the engine back with an empty cache.
 func (e *Engine) Revive() { e.down = false }
 
+// SlowDown makes each step from the next on take that many times its usual
+// time. The engine answers and reports as before.
+func (e *Engine) SlowDown(factor float64) { e.slowdown = factor }
+
 // admit moves jobs from the queue into the batch.
 func (e *Engine) admit() {
 	for len(e.queue) > 0 && len(e.batch) < e.config.Slots {
@@ -208,16 +217,34 @@
 	for _, r := range reading {
 		d += time.Duration(r.tokens) * e.config.PromptToken
 	}
+	if e.slowdown > 0 {
+		d = time.Duration(float64(d) * e.slowdown)
+	}
 	e.BusyTime += d
 	epoch := e.epoch
 	batch := append([]*Job(nil), e.batch...)
 	e.clock.After(d, func() {
 		if e.epoch == epoch {
+			e.tellTokens(batch, d)
 			e.finishStep(batch, reading)
 		}
 	})
 }
 
+// tellTokens counts the sequences that make a token in the step.
+func (e *Engine) tellTokens(batch []*Job, step time.Duration) {
+	if e.OnTokens == nil {
+		return
+	}
+	making := 0
+	for _, j := range batch {
+		if !j.gone && j.unread == 0 {
+			making++
+		}
+	}
+	e.OnTokens(making, step)
+}
+
 // read is the part of a prompt read in one step.
 type read struct {
 	job    *Job
--- a/internal/policybench/host/bounds.go
+++ b/internal/policybench/host/bounds.go
@@ -22,6 +22,13 @@
 	// domains is away at 80% load, as a share of what the other two can
 	// answer. Reason: two thirds of the capacity are left and must be used.
 	minDomainLostGoodput = 0.90
+	// maxSlowP95 is the greatest p95 latency while some engines are slow, as
+	// a share of that while the same engines are dead, and maxSlowLosses how
+	// many more requests may be lost: as many as run on them when they slow
+	// down. Reason: a host that limps must harm callers no more than one that
+	// is gone.
+	maxSlowP95    = 1.10
+	maxSlowLosses = slowEngines * 16
 	// minNoHarm is the least goodput in any load as a share of the best
 	// baseline's. Reason: no load may be left worse than a plain policy does.
 	minNoHarm = 0.95
--- a/internal/policybench/host/bounds_test.go
+++ b/internal/policybench/host/bounds_test.go
@@ -41,6 +41,18 @@
 	return own, baselines
 }
 
+// scenarioOf returns the load of the name in its full length.
+func scenarioOf(t *testing.T, load string) scenario {
+	t.Helper()
+	for _, s := range scenarios(false) {
+		if s.name == load {
+			return s
+		}
+	}
+	t.Fatalf("no load %q", load)
+	return scenario{}
+}
+
 func TestBoundsGoodputAtOverload(t *testing.T) {
 	over, _ := rowsOf(t, loadOverload)
 	var peak, peakTokens float64
@@ -90,6 +102,27 @@
 	}
 }
 
+func TestBoundsSlowEnginesHarmNoMoreThanDeadOnes(t *testing.T) {
+	slow := scenarioOf(t, loadSlow)
+	dead := slow
+	dead.slow, dead.down = nil, slow.slow
+	capacity := fleetCapacity(boundSeed)
+	run := func(s scenario, name string) policybench.Row {
+		p := policies()[slices.IndexFunc(policies(), func(p policy) bool { return p.name == name })]
+		return runOne(boundSeed, s, s.requests(boundSeed, capacity), p, capacity)
+	}
+	limping, gone, base := run(slow, ours), run(dead, ours), run(slow, bestBaseline)
+	lost := func(r policybench.Row) int { return r.Requests - r.Answered }
+	t.Logf("slow: p95 %v, %d of %d lost; dead: p95 %v, %d lost; %s, slow: p95 %v, %d lost", limping.P95,
+		lost(limping), limping.Requests, gone.P95, lost(gone), bestBaseline, base.P95, lost(base))
+	if limping.P95 > time.Duration(maxSlowP95*float64(gone.P95)) {
+		t.Errorf("p95 is %v with slow engines, want %.2f of %v with dead ones", limping.P95, maxSlowP95, gone.P95)
+	}
+	if more := lost(limping) - lost(gone); more > maxSlowLosses {
+		t.Errorf("slow engines lose %d requests more than dead ones, want %d", more, maxSlowLosses)
+	}
+}
+
 func TestBoundsNoLoadIsWorse(t *testing.T) {
 	for _, s := range scenarios(true) {
 		own, baselines := rowsOf(t, s.name)
--- a/internal/policybench/host/fleet.go
+++ b/internal/policybench/host/fleet.go
@@ -43,6 +43,7 @@
 	domain int
 	engine *enginemodel.Engine
 	gate   *admission.Controller
+	meter  balance.TokenMeter
 	// waiting and running are the attempts by ticket at the gate.
 	waiting map[admission.Ticket]*attempt
 }
@@ -79,12 +80,14 @@
 	f := &fleet{clock: clock, rnd: rand.New(rand.NewPCG(seed, 2))}
 	for i := range replicas {
 		c := enginemodel.DefaultConfig()
-		f.agents = append(f.agents, &agent{
+		a := &agent{
 			fleet: f, id: i, domain: i % domains,
 			engine:  enginemodel.NewEngine(c, clock, rand.New(rand.NewPCG(seed, uint64(100+i)))),
 			gate:    admission.NewGate(c.Slots, nil),
 			waiting: map[admission.Ticket]*attempt{},
-		})
+		}
+		a.engine.OnTokens = func(n int, gap time.Duration) { a.meter.Add(n, gap, f.now()) }
+		f.agents = append(f.agents, a)
 	}
 	clock.Every(gateTick, func() {
 		for _, a := range f.agents {
@@ -213,7 +216,9 @@
 
 func (a *agent) load() *balance.Load {
 	running, waiting := a.gate.Counts()
-	return &balance.Load{InFlight: running, Queued: waiting, Slots: a.slots()}
+	return &balance.Load{
+		InFlight: running, Queued: waiting, Slots: a.slots(), TokenTime: a.meter.Best(a.fleet.now()),
+	}
 }
 
 // kill loses the host: its engine dies and what waits gets no answer.
--- a/internal/policybench/host/policy.go
+++ b/internal/policybench/host/policy.go
@@ -35,7 +35,7 @@
 		{name: "round robin", picker: newRoundRobin},
 		{name: "least loaded (stale)", picker: newLeastLoaded},
 		{name: "power of two", picker: newPowerOfTwo},
-		{name: "power of two + affinity", picker: newAffinity},
+		{name: bestBaseline, picker: newAffinity},
 		{name: ours, picker: newOurs, admits: true},
 		{name: floor, picker: newClairvoyant, admits: true},
 	}
@@ -44,6 +44,8 @@
 const (
 	// ours is the name of the product's own policy.
 	ours = "ours"
+	// bestBaseline is the name of the baseline that knows the most.
+	bestBaseline = "power of two + affinity"
 	// floor is the name of a policy that no system can have. It shows how
 	// much is left to gain and counts as no baseline.
 	floor = "(clairvoyant floor)"
--- a/internal/policybench/host/run.go
+++ b/internal/policybench/host/run.go
@@ -53,14 +53,23 @@
 		st.began(r)
 		es[r.entry].take(r)
 	})
-	if s.down != nil {
-		clock.After(s.downFrom, func() { f.each(s.down, (*agent).kill) })
-		clock.After(s.downTo, func() { f.each(s.down, func(a *agent) { a.engine.Revive() }) })
-	}
+	s.injectFaults(f)
 	clock.RunUntil(s.duration + drainTime)
 	return st.row(p.name, seed, capacity)
 }
 
+// injectFaults sets the scenario's faults on the clock.
+func (s *scenario) injectFaults(f *fleet) {
+	if s.down != nil {
+		f.clock.After(s.faultFrom, func() { f.each(s.down, (*agent).kill) })
+		f.clock.After(s.faultTo, func() { f.each(s.down, func(a *agent) { a.engine.Revive() }) })
+	}
+	if s.slow != nil {
+		f.clock.After(s.faultFrom, func() { f.each(s.slow, func(a *agent) { a.engine.SlowDown(slowdown) }) })
+		f.clock.After(s.faultTo, func() { f.each(s.slow, func(a *agent) { a.engine.SlowDown(1) }) })
+	}
+}
+
 // arrive hands each request over when it has come from its client.
 func arrive(clock *enginemodel.Clock, reqs []*request, take func(*request)) {
 	if len(reqs) == 0 {
--- a/internal/policybench/host/scenario.go
+++ b/internal/policybench/host/scenario.go
@@ -15,11 +15,12 @@
 	rate func(at time.Duration, org int) float64
 	// most is the greatest sum of the rates.
 	most float64
-	// downFrom is when the engines picked by down die, downTo when they come
-	// back.
-	downFrom time.Duration
-	downTo   time.Duration
-	down     func(engine int) bool
+	// faultFrom is when the engines picked by down die and those picked by
+	// slow slow down, faultTo when they come back.
+	faultFrom time.Duration
+	faultTo   time.Duration
+	down      func(engine int) bool
+	slow      func(engine int) bool
 }
 
 func steady(load float64) func(time.Duration, int) float64 {
@@ -35,8 +36,15 @@
 	loadLargeFlood = "one large organisation floods"
 	loadDomainLost = "failure domain lost"
 	loadCapacity   = "capacity gone"
+	loadSlow       = "two engines slow"
 )
 
+// slowdown is how many times longer the steps of a slow engine take.
+const slowdown = 6
+
+// slowEngines is the number of engines that slow down at a time.
+const slowEngines = 2
+
 // scenarios returns the loads. A quick run is shorter; rates and bounds are
 // the same.
 func scenarios(quick bool) []scenario {
@@ -52,14 +60,19 @@
 		largeFlood(unit),
 		{
 			name: loadDomainLost, duration: 4 * unit, warm: unit, rate: steady(0.8), most: 0.8,
-			downFrom: unit, downTo: 3 * unit,
+			faultFrom: unit, faultTo: 3 * unit,
 			down: func(engine int) bool { return engine%domains == 0 },
 		},
 		{
 			name: loadCapacity, duration: 3 * unit, warm: unit, rate: steady(0.8), most: 0.8,
-			downFrom: unit, downTo: 4 * unit,
+			faultFrom: unit, faultTo: 4 * unit,
 			down: func(engine int) bool { return engine%5 < 3 },
 		},
+		{
+			name: loadSlow, duration: 4 * unit, warm: unit, rate: steady(0.8), most: 0.8,
+			faultFrom: unit, faultTo: 3 * unit,
+			slow: func(engine int) bool { return engine%(replicas/slowEngines) == 0 },
+		},
 	}
 }
 
