Count ratings that are lost for good, up to a twentieth

Cause: Answers of a new version whose rating never came stayed unrated for good. With an exposure of 50, one rating lost in a hundred stopped the version after about 4,300 answers.

Change: An entry follows its own answers of new versions. One is lost when it is ten minutes old and a later one is rated. The share lost, at most 5%, of all the version's ratings counts as lost (Fleet.Lost).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,6 +101,7 @@
 	// ratings bounds the answers handed in for rating.
 	ratings *rate.Limiter
 	fleet   *watch.Fleet
+	unrated unrated
 	held    atomic.Pointer[[]catalog.VersionName]
 	spent   resting
 	shadows shadowSlots
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/watch"
@@ -55,6 +56,7 @@
 		}
 		for _, r := range batch {
 			e.fleet.Rated(quality.ParseKey(r.Class, r.Version), r.Good, watch.IsShadow(r.RequestID), e.now())
+			e.unrated.rated(catalog.VersionName(r.Version), r.RequestID)
 		}
 		if len(batch) > 0 {
 			e.refreshHeld()
@@ -63,6 +65,7 @@
 			return err
 		}
 		if !more {
+			e.countLost()
 			return nil
 		}
 	}
--- a/internal/entry/recall_test.go
+++ b/internal/entry/recall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"testing"
@@ -34,17 +35,22 @@
 func (c inForce) Updates() <-chan publish.State { return nil }
 func (c inForce) Saw(string, uint64)            {}
 
-func rollingOut(t *testing.T) inForce {
+func rollingOut(t *testing.T, hosts int) inForce {
 	t.Helper()
 	object := func(kind catalog.Kind, name, spec string) catalog.Object {
 		return catalog.Object{Key: catalog.Key{Kind: kind, Name: name}, Spec: []byte(spec)}
 	}
-	set, err := catalog.NewSet([]catalog.Object{
+	objects := []catalog.Object{
 		object(catalog.KindModel, "m", `{"qualityTarget":0.9}`),
 		object(catalog.KindVersion, "m@1", `{"inputMicros":1,"outputMicros":1}`),
-		object(catalog.KindVersion, "m@2", `{"inputMicros":1,"outputMicros":1}`),
+		object(catalog.KindVersion, "m@2", `{"inputMicros":1,"outputMicros":1,"exposure":50}`),
 		object(catalog.KindRollout, "r", `{"from":"m@1","to":"m@2","stages":[0.5,1]}`),
-	})
+	}
+	for i := range hosts {
+		objects = append(objects, object(catalog.KindUpstream, fmt.Sprintf("u%d", i), fmt.Sprintf(
+			`{"host":"h%d","domain":"d","agent":"127.0.0.1:1","address":"127.0.0.1:2","versions":["m@1","m@2"]}`, i)))
+	}
+	set, err := catalog.NewSet(objects)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +78,7 @@
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, config: rollingOut(t), entries: map[string]*Entry{}, version: oldKey.Version}
+	s := &site{t: t, config: rollingOut(t, 0), entries: map[string]*Entry{}, version: oldKey.Version}
 	s.platform = fake.New(fake.Options{Judge: func(platform.Sample) bool {
 		s.bad--
 		return s.bad < 0
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -301,6 +301,9 @@
 	if err := out.deliver(); err != nil {
 		return false, result.From(err)
 	}
+	if s.step.RollingOut {
+		e.unrated.answered(s.step.Version, s.call.RequestID, e.now())
+	}
 	return true, nil
 }
 
