Send the end of an answer in one write with the end of its call

Cause: the agent flushed the final frame, and connect-go's end of the stream and the last chunk followed in a write of 17 bytes, seen with strace. Change: the last frames are left to the flush that ends the call.

--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -9,7 +9,7 @@
 )
 
 // sink is the connection to a reader. Flush is called when nothing more is
-// ready.
+// ready, but not at the end, which flushes what is left.
 type sink interface {
 	Send(f *linkv1.Frame) error
 	Flush()
@@ -40,7 +40,7 @@
 		}
 		next += uint64(len(batch))
 		if ended {
-			to.Flush()
+			// What is left goes out with the end of the call.
 			l.markTaken()
 			return nil
 		}
