Send a short attempt's headers and body in one write

Cause: connect-go hands net/http a body of its own type, and net/http sends the headers in a write of their own before such a body: 271 and 1,302 bytes, seen with strace. Change: calls whose answers are short gather a body that fits behind the headers into memory that net/http knows. Streamed attempts do not, as net/http would hold that memory for as long as the answer.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -40,9 +40,11 @@
 
 // peer is one agent's address.
 type peer struct {
-	// pooled reuses connections, fresh opens one for each call.
-	pooled linkv1connect.AgentServiceClient
-	fresh  linkv1connect.AgentServiceClient
+	// pooled reuses connections, fresh opens one for each call. streamed uses
+	// the connections of pooled for attempts whose answers are streams.
+	pooled   linkv1connect.AgentServiceClient
+	streamed linkv1connect.AgentServiceClient
+	fresh    linkv1connect.AgentServiceClient
 	// closeIdle drops the pooled connections that no call uses.
 	closeIdle func()
 	// incarnation is the agent's, as its last frame told it; 0 before one.
@@ -122,7 +124,8 @@
 	fresh := newTransport(c.opts.TLS, false)
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
 	return &peer{
-		pooled:    linkv1connect.NewAgentServiceClient(httpClient{pooled}, scheme+addr, plain),
+		pooled:    linkv1connect.NewAgentServiceClient(gatheringClient{httpClient{pooled}}, scheme+addr, plain),
+		streamed:  linkv1connect.NewAgentServiceClient(httpClient{pooled}, scheme+addr, plain),
 		fresh:     linkv1connect.NewAgentServiceClient(httpClient{fresh}, scheme+addr, plain),
 		closeIdle: pooled.CloseIdleConnections,
 	}
--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"bytes"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -84,3 +86,26 @@
 func (c httpClient) Do(r *http.Request) (*http.Response, error) {
 	return c.transport.RoundTrip(r)
 }
+
+// gatheringClient is an httpClient for calls whose answers are short. It puts
+// a small body into memory that net/http knows, because net/http sends the
+// headers in a write of their own before any other body. The memory is held as
+// long as the answer.
+type gatheringClient struct{ httpClient }
+
+// maxGathered is the largest body that fits behind the headers.
+const maxGathered = connectionBuffer - 512
+
+// Do implements connect.HTTPClient.
+func (c gatheringClient) Do(r *http.Request) (*http.Response, error) {
+	if r.ContentLength <= 0 || r.ContentLength > maxGathered {
+		return c.httpClient.Do(r)
+	}
+	data := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, data); err != nil {
+		return nil, err
+	}
+	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(data)), nil }
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	return c.httpClient.Do(r)
+}
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -92,8 +92,12 @@
 	if deadline, ok := ctx.Deadline(); ok && req.GetBudgetMs() == 0 {
 		req.BudgetMs = deadline.Sub(now).Milliseconds()
 	}
+	via := p.pooled
+	if req.GetCall().GetStream() {
+		via = p.streamed
+	}
 	err := s.open(func(ctx context.Context) (*connect.ServerStreamForClient[linkv1.Frame], error) {
-		return s.peer.pooled.Attempt(ctx, connect.NewRequest(req))
+		return via.Attempt(ctx, connect.NewRequest(req))
 	})
 	if err == nil {
 		req.Call = nil // connect-go holds the request as long as the answer
