Send a short call to an upstream in one write

Cause: headers and a prompt of 1 KiB did not fit the 1 KiB buffer that was chosen for idle streams, so each short call took two writes (266 and 1,077 bytes). Change: calls with short answers have connections of their own with buffers of 4 KiB and a body that net/http knows; streams keep theirs of 1 KiB and the body that lets go of its bytes. Five writes are the least: one each for the caller's request, the attempt, the upstream's call, and the two answers on the way back.

--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -102,7 +102,9 @@
 		return c.httpClient.Do(r)
 	}
 	data := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, data); err != nil {
+	_, err := io.ReadFull(r.Body, data)
+	_ = r.Body.Close() // it was read to its end, or err tells of it
+	if err != nil {
 		return nil, err
 	}
 	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(data)), nil }
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -8,9 +8,10 @@
 	"sync/atomic"
 )
 
-// body is the body of one call. net/http keeps the request for as long as the
-// answer is read; a body lets go of its bytes before that, once they cannot be
-// sent again.
+// body is the body of one streamed call. net/http keeps the request for as long
+// as the answer is read; a body lets go of its bytes before that, once they
+// cannot be sent again. net/http sends the headers in a write of their own
+// before it, so calls with short answers go without.
 type body struct {
 	data atomic.Pointer[[]byte]
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,6 +8,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -35,11 +36,16 @@
 	dialTimeout         = time.Second
 	idleTimeout         = 60 * time.Second
 	maxIdlePerUpstream  = 256
-	readBufferBytes     = 1 << 10
-	writeBufferBytes    = 1 << 10
 	maxUnaryAnswerBytes = 16 << 20
 )
 
+// Buffers of one connection, each way. A short call goes out in one write; a
+// stream keeps its buffers for long, and is one write more.
+const (
+	shortBufferBytes  = 4 << 10
+	streamBufferBytes = 1 << 10
+)
+
 // Call is one call of an upstream.
 type Call struct {
 	RequestID string
@@ -78,36 +84,42 @@
 
 // Client calls one upstream. It is safe for concurrent use.
 type Client struct {
-	base   string
-	pooled *http.Transport
-	fresh  *http.Transport
+	base string
+	// pooled and streamed reuse connections, for answers in one piece and for
+	// streams; fresh opens one for each call.
+	pooled   *http.Transport
+	streamed *http.Transport
+	fresh    *http.Transport
 }
 
 // NewClient returns a client of the upstream at the IP:port address.
 func NewClient(address string) *Client {
-	return &Client{
-		base:   "http://" + address,
-		pooled: newTransport(false),
-		fresh:  newTransport(true),
+	c := &Client{
+		base:     "http://" + address,
+		pooled:   newTransport(shortBufferBytes),
+		streamed: newTransport(streamBufferBytes),
+		fresh:    newTransport(shortBufferBytes),
 	}
+	c.fresh.DisableKeepAlives = true
+	return c
 }
 
-func newTransport(fresh bool) *http.Transport {
+func newTransport(bufferBytes int) *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext:         d.DialContext,
-		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      readBufferBytes,
-		WriteBufferSize:     writeBufferBytes,
+		ReadBufferSize:      bufferBytes,
+		WriteBufferSize:     bufferBytes,
 	}
 }
 
 // Close drops idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
+	c.streamed.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
 }
 
@@ -138,19 +150,28 @@
 // transport returns the one for the call. Neither follows redirects: what an
 // upstream answers goes to the caller.
 func (c *Client) transport(call Call) *http.Transport {
-	if call.Idempotent {
-		return c.pooled
+	switch {
+	case !call.Idempotent:
+		return c.fresh
+	case call.Stream:
+		return c.streamed
 	}
-	return c.fresh
+	return c.pooled
 }
 
 func (c *Client) request(ctx context.Context, call Call, sent *body) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
 	}
-	if err := setBody(req, call, sent); err != nil {
-		return nil, err
+	if call.Stream && len(call.Body) > 0 {
+		req.GetBody = sent.open
+		if req.Body, err = sent.open(); err != nil {
+			return nil, err
+		}
+	}
+	if !call.Idempotent {
+		req.GetBody = nil
 	}
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
@@ -164,20 +185,6 @@
 	return req, nil
 }
 
-// setBody gives the request its body. Only that of a call that may be repeated
-// can be read again.
-func setBody(req *http.Request, call Call, sent *body) (err error) {
-	if len(call.Body) == 0 {
-		return nil
-	}
-	req.ContentLength = int64(len(call.Body))
-	if call.Idempotent {
-		req.GetBody = sent.open
-	}
-	req.Body, err = sent.open()
-	return err
-}
-
 // transportError tells a call that never left from one that may have run.
 func transportError(ctx context.Context, err error, connected bool) error {
 	if !connected {
