--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,52 +13,61 @@
 	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
+// onceCase is a once call whose first attempt fails.
+type onceCase struct {
+	name  string
+	first script
+	// tries is the number of attempts; the second one answers.
+	tries   int
+	outcome result.Outcome
+	// repeat is what the same key gets afterwards; OK for an answer.
+	repeat result.Code
+}
+
 // TestOnceCallAfterAFailedAttempt says which failures let a call that may not be
 // repeated go to another host, and what its caller is told.
 func TestOnceCallAfterAFailedAttempt(t *testing.T) {
-	tests := []struct {
-		name    string
-		first   script
-		tries   int
-		outcome result.Outcome
-		// repeat is what the same key gets afterwards; OK for an answer.
-		repeat result.Code
-	}{
+	for _, tt := range []onceCase{
 		{"refused before the dispatch", refuses(result.UpstreamBusy), 2, result.Ran, result.OK},
 		{"no connection to the upstream", ends(result.UpstreamRefused, result.NotRun), 2, result.Ran, result.OK},
 		{"unknown", ends(result.OutcomeUnknown, result.Unknown), 1, result.Unknown, result.OutcomeUnknown},
 		{"ran and failed", ends(result.UpstreamFailed, result.Ran), 1, result.Ran, result.AnswerCut},
+	} {
+		t.Run(tt.name, tt.check)
 	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			r := newRig(t, "", tt.first)
-			_, err := r.Service(t.Context(), book("k"))
-			if whole := err == nil; whole != (tt.tries == 2) {
-				t.Fatalf("got %v", err)
-			}
-			if err != nil && result.From(err).Outcome != tt.outcome {
-				t.Errorf("told %v, want %v", err, tt.outcome)
-			}
-			again, err := r.Service(t.Context(), book("k"))
-			if tt.repeat == result.OK && (err != nil || !again.Replayed) {
-				t.Errorf("the repeat got %+v, %v", again, err)
-			}
-			if tt.repeat != result.OK && !result.Is(err, tt.repeat) {
-				t.Errorf("the repeat got %v, want code %d", err, tt.repeat)
-			}
-			seen := r.agents.seen()
-			if len(seen) != tt.tries {
-				t.Fatalf("%d attempts, want %d", len(seen), tt.tries)
-			}
-			if tt.tries == 2 && seen[0].GetUpstream() == seen[1].GetUpstream() {
-				t.Error("the second attempt went to the upstream that refused")
-			}
-			for _, a := range seen {
-				if a.GetAgentIncarnation() != testIncarnation {
-					t.Errorf("the attempt names incarnation %d", a.GetAgentIncarnation())
-				}
-			}
-		})
+}
+
+func (tt onceCase) check(t *testing.T) {
+	r := newRig(t, "", tt.first)
+	_, err := r.Service(t.Context(), book("k"))
+	if whole := err == nil; whole != (tt.tries == 2) {
+		t.Fatalf("got %v", err)
+	}
+	if err != nil && result.From(err).Outcome != tt.outcome {
+		t.Errorf("told %v, want %v", err, tt.outcome)
+	}
+	again, err := r.Service(t.Context(), book("k"))
+	if tt.repeat == result.OK && (err != nil || !again.Replayed) {
+		t.Errorf("the repeat got %+v, %v", again, err)
+	}
+	if tt.repeat != result.OK && !result.Is(err, tt.repeat) {
+		t.Errorf("the repeat got %v, want code %d", err, tt.repeat)
+	}
+	tt.checkAttempts(t, r.agents.seen())
+}
+
+func (tt onceCase) checkAttempts(t *testing.T, seen []*linkv1.AttemptRequest) {
+	t.Helper()
+	if len(seen) != tt.tries {
+		t.Fatalf("%d attempts, want %d", len(seen), tt.tries)
+	}
+	if tt.tries == 2 && seen[0].GetUpstream() == seen[1].GetUpstream() {
+		t.Error("the second attempt went to the upstream that refused")
+	}
+	for _, a := range seen {
+		if a.GetAgentIncarnation() != testIncarnation {
+			t.Errorf("the attempt names incarnation %d", a.GetAgentIncarnation())
+		}
 	}
 }
 
