Delete the lease rows of roll-outs that have ended

Cause: Each name of a roll-out ever used kept three lease rows for good, since a row made anew counts fencing numbers and versions from the start.

Change: Each tenure has a row of its own, keyed by its fencing number, which stands in the conditions of what its holder writes in place of the owner row's version. Manager.Retire takes the lease of an item, deletes its rows and raises a floor from which items count on, in one transaction.

Rows of a roll-out that has ended: 3 for good before; 4 while it is open and 0 after one look now.

Lease rows written by an earlier build have no tenure row and must be deleted at the upgrade.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -196,6 +196,7 @@
 		{"copies", r.copies.Run},
 		{"orders", r.untilStop(r.orders.Run)},
 		{"rollouts", r.untilStop(r.rollouts.Run)},
+		{"retire", r.untilStop(r.rollouts.Retire)},
 		{"judge", func(ctx context.Context) error { return r.entry.Judge(ctx, r.rollouts) }},
 		{"fold", r.untilStop(r.daemon.fold(r.leases))},
 		{"collect", r.untilStop(r.daemon.collect(r.leases))},
--- a/internal/lease/held.go
+++ b/internal/lease/held.go
@@ -17,8 +17,6 @@
 	item     string
 	owner    Owner
 	duration time.Duration
-	// ownerVersion is the version of the owner row for the whole tenure.
-	ownerVersion uint64
 
 	mu          sync.Mutex
 	beatVersion uint64
@@ -52,7 +50,7 @@
 // Condition returns what a transaction must hold to be this tenure's. It
 // stays the same through renewals.
 func (h *Held) Condition() platform.Condition {
-	return platform.Condition{Key: OwnerKey(h.item), Version: h.ownerVersion}
+	return platform.Condition{Key: TenureKey(h.item, h.owner.Fence), Version: 1}
 }
 
 // Commit writes under the lease: the transaction takes effect only while this
@@ -68,8 +66,8 @@
 	if !result.Is(err, result.TableConflict) {
 		return err
 	}
-	row, _, readErr := h.table.Get(ctx, OwnerKey(h.item))
-	if readErr != nil || row.Version == h.ownerVersion {
+	_, lasts, readErr := h.table.Get(ctx, h.Condition().Key)
+	if readErr != nil || lasts {
 		return err
 	}
 	h.lose()
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -154,23 +154,27 @@
 	if err != nil {
 		return nil, err
 	}
-	owner := Owner{Holder: m.options.Name, Token: uuid.NewString(), Fence: before.Fence + 1}
-	ownerWrite, err := write(OwnerKey(item), owner)
+	last, lastKept, err := m.lastFence(ctx, item, before)
 	if err != nil {
 		return nil, err
 	}
-	beatWrite, err := write(BeatKey(item), beat{Token: owner.Token, DurationMs: m.options.Duration.Milliseconds()})
+	owner := Owner{Holder: m.options.Name, Token: uuid.NewString(), Fence: last + 1}
+	writes, err := tenureWrites(item, owner, m.options.Duration)
 	if err != nil {
 		return nil, err
 	}
+	if before.Fence > 0 {
+		writes = append(writes, platform.Write{Key: TenureKey(item, before.Fence), Delete: true})
+	}
 	started := time.Now()
 	err = platform.CommitResolved(ctx, m.options.Table, platform.Txn{
 		OperationID: owner.Token,
 		Conditions: []platform.Condition{
 			{Key: OwnerKey(item), Version: row.Version},
 			{Key: BeatKey(item), Version: beatVersion},
+			lastKept,
 		},
-		Writes: []platform.Write{ownerWrite, beatWrite},
+		Writes: writes,
 	})
 	if result.Is(err, result.TableConflict) {
 		return nil, result.Wrap(err, result.LeaseHeld, "another process took the lease of %s first", item)
@@ -179,16 +183,49 @@
 		return nil, err
 	}
 	return &Held{
-		table:        m.options.Table,
-		item:         item,
-		owner:        owner,
-		duration:     m.options.Duration,
-		ownerVersion: row.Version + 1,
-		beatVersion:  beatVersion + 1,
-		validUntil:   started.Add(m.options.Duration),
+		table:       m.options.Table,
+		item:        item,
+		owner:       owner,
+		duration:    m.options.Duration,
+		beatVersion: beatVersion + 1,
+		validUntil:  started.Add(m.options.Duration),
 	}, nil
 }
 
+// lastFence returns the fencing number of the item's last tenure, and the
+// condition that it is still the last: its tenure row, or for an item without
+// rows the floor.
+func (m *Manager) lastFence(ctx context.Context, item string, before Owner) (uint64, platform.Condition, error) {
+	if before.Fence > 0 {
+		return before.Fence, platform.Condition{Key: TenureKey(item, before.Fence), Version: 1}, nil
+	}
+	f, version, err := readFloor(ctx, m.options.Table)
+	return f.Fence, platform.Condition{Key: FloorKey, Version: version}, err
+}
+
+func readFloor(ctx context.Context, t platform.Table) (floor, uint64, error) {
+	row, _, err := t.Get(ctx, FloorKey)
+	if err != nil {
+		return floor{}, 0, err
+	}
+	f, err := decode[floor](row)
+	return f, row.Version, err
+}
+
+// tenureWrites returns the rows of a tenure that begins.
+func tenureWrites(item string, owner Owner, duration time.Duration) ([]platform.Write, error) {
+	ownerWrite, err := write(OwnerKey(item), owner)
+	if err != nil {
+		return nil, err
+	}
+	beatWrite, err := write(BeatKey(item), beat{Token: owner.Token, DurationMs: duration.Milliseconds()})
+	if err != nil {
+		return nil, err
+	}
+	tenure := platform.Write{Key: TenureKey(item, owner.Fence), Value: []byte(owner.Holder)}
+	return []platform.Write{ownerWrite, beatWrite, tenure}, nil
+}
+
 // do runs the work and renews the lease beside it.
 func (m *Manager) do(ctx context.Context, held *Held, work Work) {
 	m.options.Log.Info("lease: taken", zap.String("item", held.item), zap.Uint64("fence", held.Fence()))
@@ -267,13 +304,18 @@
 	return out
 }
 
-// HighestFence returns the fencing number of an item's last tenure, or 0. An
-// agent that has restarted reads it before it passes any order.
+// HighestFence returns the fencing number of an item's last tenure, or that of
+// all items whose rows were deleted. An agent that has restarted reads it before
+// it passes any order.
 func HighestFence(ctx context.Context, t platform.Table, item string) (uint64, error) {
-	row, _, err := t.Get(ctx, OwnerKey(item))
+	row, found, err := t.Get(ctx, OwnerKey(item))
 	if err != nil {
 		return 0, err
 	}
+	if !found {
+		f, _, err := readFloor(ctx, t)
+		return f.Fence, err
+	}
 	owner, err := decode[Owner](row)
 	return owner.Fence, err
 }
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -1,19 +1,20 @@
 // Package lease lets any daemon take a work item, and lets no two of them act
-// on it. A lease is two rows of the table service: the owner row changes only
-// when the lease is taken, and carries the fencing number; the beat row
-// changes with every renewal.
+// on it. A lease is three rows of the table service: the owner row changes only
+// when the lease is taken, and carries the fencing number; the tenure row stands
+// as long as the tenure; the beat row changes with every renewal.
 //
 // No wall clock is compared. A holder reckons its time from before it sent the
 // last renewal, on its own monotonic clock; a challenger takes the lease after
 // it has itself seen the beat row unchanged for longer than that. The rates of
 // two monotonic clocks are taken to differ by less than clockMargin. A holder
 // that was paused past its lease is stopped by what it writes: each
-// transaction has the owner row as a condition, and each order carries the
+// transaction has the tenure row as a condition, and each order carries the
 // fencing number.
 package lease
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/platform"
@@ -22,9 +23,8 @@
 
 const keyPrefix = "lease/"
 
-// OwnerKey returns the key of the row that names an item's holder. Its version
-// stands in the conditions of what the holder writes.
-func OwnerKey(item string) string { return keyPrefix + item + "/owner" }
+// OwnerKey returns the key of the row that names an item's holder.
+func OwnerKey(item string) string { return keyPrefix + item + ownerSuffix }
 
 // BeatKey returns the key of the row that a holder renews.
 func BeatKey(item string) string { return keyPrefix + item + "/beat" }
@@ -32,13 +32,31 @@
 // NoteKey returns the key of the row in which a holder leaves its progress.
 func NoteKey(item string) string { return keyPrefix + item + "/note" }
 
-// Owner is the value of an owner row. The row is never deleted: a new one
-// would count fencing numbers and versions from the start.
+// TenureKey returns the key of the row that stands as long as a tenure lasts.
+// It is in the conditions of what the holder writes. Fencing numbers are used
+// once, so no other tenure ever has a row of this key.
+func TenureKey(item string, fence uint64) string {
+	return fmt.Sprintf("%s%s/tenure/%d", keyPrefix, item, fence)
+}
+
+// FloorKey is the key of the row that holds the highest fencing number of all
+// items whose rows were deleted. Items that begin anew count on from it.
+const FloorKey = "lease-floor"
+
+const ownerSuffix = "/owner"
+
+// Owner is the value of an owner row. It is deleted with the item's other rows
+// when the item's work is over for good; see Manager.Retire.
 type Owner struct {
 	// Holder is the name of the daemon, Token this one tenure of it.
 	Holder string `json:"holder"`
 	Token  string `json:"token"`
-	// Fence rises by one with each tenure.
+	// Fence rises with each tenure.
+	Fence uint64 `json:"fence"`
+}
+
+// floor is the value of the floor row.
+type floor struct {
 	Fence uint64 `json:"fence"`
 }
 
--- /dev/null
+++ b/internal/lease/retire_test.go
@@ -0,0 +1,116 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// retired deletes the item's rows once its lease has lapsed.
+func retired(t testing.TB, m *Manager, item string) {
+	t.Helper()
+	for m.Retire(t.Context(), item) != nil {
+		time.Sleep(DefaultDuration)
+	}
+}
+
+// TestStaleHolderIsRefusedAfterItsRowsAreGone compares a lapsed lease that is
+// taken over in place with one whose rows were deleted first.
+func TestStaleHolderIsRefusedAfterItsRowsAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		for _, remove := range []bool{false, true} {
+			table := fake.New(fake.Options{}).Table
+			a, b := NewManager(Options{Table: table, Name: "a"}), NewManager(Options{Table: table, Name: "b"})
+			old, err := a.Try(ctx, "item")
+			if err != nil {
+				t.Fatal(err)
+			}
+			wantCode(t, b.Retire(ctx, "item"), result.LeaseHeld)
+			if remove {
+				retired(t, b, "item")
+				if rows, _ := table.Scan(ctx, keyPrefix, keyPrefix+"\xff", 10); len(rows) != 0 {
+					t.Errorf("rows are left: %v", rows)
+				}
+			}
+			var next *Held
+			for next == nil {
+				time.Sleep(time.Second)
+				next, _ = b.Try(ctx, "item")
+			}
+			stale := platform.Txn{OperationID: "stale", Conditions: []platform.Condition{old.Condition()}, Writes: []platform.Write{{Key: "work", Value: []byte("x")}}}
+			wantCode(t, table.Commit(ctx, stale), result.TableConflict)
+			wantCode(t, old.renew(ctx), result.LeaseLost)
+			if next.Fence() <= old.Fence() || next.Check() != nil {
+				t.Errorf("rows deleted %v: fencing numbers %d and %d", remove, old.Fence(), next.Fence())
+			}
+		}
+	})
+}
+
+func TestFencingNumbersNeverFall(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ctx := t.Context()
+		table := fake.New(fake.Options{}).Table
+		m := NewManager(Options{Table: table, Name: "m"})
+		highest := map[string]uint64{}
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			item := fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "item"))
+			if rapid.Bool().Draw(rt, "retire") {
+				if err := m.Retire(ctx, item); err != nil {
+					rt.Fatal(err)
+				}
+			} else {
+				highest[item] = tenureAbove(rt, m, item, highest[item])
+			}
+			if got, err := HighestFence(ctx, table, item); err != nil || got < highest[item] {
+				rt.Fatalf("%s: the highest number is %d, %v; it was %d", item, got, err, highest[item])
+			}
+		}
+	})
+}
+
+// tenureAbove holds the item for one write and returns its fencing number, which
+// must be above the last.
+func tenureAbove(rt *rapid.T, m *Manager, item string, last uint64) uint64 {
+	ctx := context.Background()
+	held, err := m.Try(ctx, item)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	if held.Fence() <= last {
+		rt.Fatalf("%s: fencing number %d after %d", item, held.Fence(), last)
+	}
+	if err := held.Commit(ctx, platform.Txn{OperationID: held.owner.Token + "work"}); err != nil {
+		rt.Fatal(err)
+	}
+	if err := held.release(ctx); err != nil {
+		rt.Fatal(err)
+	}
+	return held.Fence()
+}
+
+func TestItemsAreListedPastAPage(t *testing.T) {
+	m := NewManager(Options{Table: fake.New(fake.Options{}).Table, Name: "m"})
+	for i := range scanLimit {
+		if _, err := m.Try(t.Context(), fmt.Sprintf("rollout/%03d", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := m.Try(t.Context(), "orders"); err != nil {
+		t.Fatal(err)
+	}
+	items, err := m.Items(t.Context(), "rollout/")
+	if err != nil || len(items) != scanLimit || !slices.IsSorted(items) || items[0] != "rollout/000" {
+		t.Errorf("%d items, %v", len(items), err)
+	}
+}
--- a/internal/rolloutrun/runner.go
+++ b/internal/rolloutrun/runner.go
@@ -121,7 +121,7 @@
 }
 
 // Item is the work item of a roll-out.
-func Item(name string) string { return "rollout/" + name }
+func Item(name string) string { return itemPrefix + name }
 
 func (r *Runner) compete(ctx context.Context, name string) {
 	err := r.options.Leases.Run(ctx, Item(name), func(ctx context.Context, held *lease.Held) error {
--- a/internal/rolloutrun/runner_test.go
+++ b/internal/rolloutrun/runner_test.go
@@ -232,3 +232,32 @@
 		t.Errorf("version %+v, roll-out %+v", set.Versions["m@2"], set.Rollouts["r"])
 	}
 }
+
+func TestRowsOfEndedRolloutsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		ctx, stop := context.WithCancel(t.Context())
+		r := s.runner("first")
+		go func() { _ = r.Run(ctx) }()
+		time.Sleep(time.Minute)
+		rows := func() int {
+			found, err := s.platform.Table.Scan(t.Context(), "lease/rollout/", "lease/rollout0", 100)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return len(found)
+		}
+		other := s.runner("second")
+		_ = other.RetireOnce(ctx)
+		if n := rows(); n != 4 {
+			t.Errorf("an open roll-out has %d rows, want owner, beat, note and tenure", n)
+		}
+		s.evidence.set(rollout.Observation{Verdict: rollout.Withdraw})
+		time.Sleep(time.Minute)
+		if err := other.RetireOnce(ctx); err != nil || rows() != 0 {
+			t.Errorf("%d rows are left of a roll-out that ended, %v", rows(), err)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
