Bound how often a waiting session asks, and spare other requests the look

Cause: A session asked again after the usual time of a rating, which is milliseconds under a heavy load: 32 sessions at 8 hosts each 50 ms. And every chat request looked up the grant, under the lock of the watch.

Change: A session asks again after 0.5 s at least unless more was granted, looked up each 100 ms; its final answer comes at once when less than that is left. Only requests of a session look the grant up.

How many asks it saves under load was not measured.

--- a/internal/entry/opening.go
+++ b/internal/entry/opening.go
@@ -16,7 +16,10 @@
 	// maxSessionWaits is how many sessions wait at a time on this entry.
 	maxSessionWaits = 32
 	// grantPoll is the pause between two looks at what is granted.
-	grantPoll = 50 * time.Millisecond
+	grantPoll = 100 * time.Millisecond
+	// askAgain is how long a session waits at least before it asks again
+	// although nothing more was granted.
+	askAgain = 500 * time.Millisecond
 )
 
 // sessionWaits bounds the sessions that wait for their version.
@@ -62,11 +65,13 @@
 }
 
 // awaitOpening waits until more answers are granted, or as long as that usually
-// takes. It returns the final error when the deadline comes before.
+// takes, since a host may get room in another way. It returns the final error
+// when the deadline comes before.
 func (s *stepRun) awaitOpening(failure *result.Error) *result.Error {
 	e := s.entry
 	began := e.now()
 	_, opening := e.fleet.Opening(s.key)
+	opening.Usual = max(opening.Usual, askAgain)
 	d := s.retries.Await(failure, opening, began)
 	if d.Final != nil {
 		return d.Final
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -60,7 +60,9 @@
 		Logprobs: !last,
 	})
 	s.started = r.entry.now()
-	s.granted, _ = r.entry.fleet.Opening(s.key)
+	if r.pin != "" {
+		s.granted, _ = r.entry.fleet.Opening(s.key)
+	}
 	for {
 		out, failure := s.try()
 		if failure == nil {
