Share the in-memory listener of the server tests

Cause: callerapi and httpserver each had the same listener in their tests. Change: it is package standin/pipe; no check changed.

--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -4,11 +4,9 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,48 +15,15 @@
 	"tarragonbay.example/tarragonbay/internal/httpserver"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
+	"tarragonbay.example/tarragonbay/internal/standin/pipe"
 )
 
-// pipeListener hands out in-memory connections, whose deadlines run on the
-// virtual clock of a synctest bubble.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (l *pipeListener) dial() net.Conn {
-	client, server := net.Pipe()
-	l.conns <- server
-	return client
-}
-
 // serving runs a server around the router until the test's end.
-func serving(t *testing.T, r Router) (ln *pipeListener, stop func() error) {
+func serving(t *testing.T, r Router) (ln *pipe.Listener, stop func() error) {
 	set := testSet(t)
 	s := settings.Default(settings.RoleEntry)
 	h := NewHandler(Options{Router: r, Set: func() *catalog.Set { return set }, Limits: s.Limits, Timeouts: s.Timeouts})
-	ln = newPipeListener()
+	ln = pipe.Listen()
 	server := httpserver.New(serverConfig(s), h, ln)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -83,7 +48,7 @@
 			ended <- err
 			return err
 		}})
-		c := ln.dial()
+		c := ln.Dial()
 		if _, err := io.WriteString(c, rawChat(streamBody)); err != nil {
 			t.Fatal(err)
 		}
@@ -104,7 +69,7 @@
 func TestSlowBodyIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ln, stop := serving(t, &fakeRouter{})
-		c := ln.dial()
+		c := ln.Dial()
 		half := rawChat(goodBody)
 		half = half[:len(half)-10]
 		if _, err := io.WriteString(c, half); err != nil {
@@ -128,7 +93,7 @@
 func TestSlowHeadersAreCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ln, stop := serving(t, &fakeRouter{})
-		c := ln.dial()
+		c := ln.Dial()
 		if _, err := io.WriteString(c, "POST /v1/chat"); err != nil {
 			t.Fatal(err)
 		}
@@ -149,7 +114,7 @@
 			ended <- context.Cause(ctx)
 			return ctx.Err()
 		}})
-		c := ln.dial()
+		c := ln.Dial()
 		if _, err := io.WriteString(c, rawChat(streamBody)); err != nil {
 			t.Fatal(err)
 		}
@@ -171,7 +136,7 @@
 			<-release
 			return answer(`{"id":"c1"}`)(ctx, c, sink)
 		}})
-		c := ln.dial()
+		c := ln.Dial()
 		if _, err := io.WriteString(c, rawChat(goodBody)); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -3,54 +3,31 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
-)
-
-// pipeListener hands out in-memory connections, whose deadlines run on the
-// virtual clock of a synctest bubble.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
 
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+	"tarragonbay.example/tarragonbay/internal/standin/pipe"
+)
 
-// get sends a request over a connection of its own, once it is accepted.
-func (l *pipeListener) get() net.Conn {
-	client, server := net.Pipe()
+// get starts a request over a connection of its own. It may wait for a place;
+// the connection is closed to end it.
+func get(ln *pipe.Listener) (end func()) {
+	ended := make(chan struct{})
 	go func() {
-		l.conns <- server
-		_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") // a test that ends closes the pipe
-		_, _ = io.Copy(io.Discard, client)
+		c := ln.Dial()
+		go func() {
+			<-ended
+			c.Close()
+		}()
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") // a test that ends closes the pipe
+		_, _ = io.Copy(io.Discard, c)
 	}()
-	return client
+	return func() { close(ended) }
 }
 
 var testConfig = Config{
@@ -61,24 +38,24 @@
 func TestConnectionsOverTheLimitWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var served atomic.Int32
-		ln := newPipeListener()
+		ln := pipe.Listen()
 		s := New(testConfig, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }), ln)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Run(ctx) }()
-		first := ln.get()
+		endFirst := get(ln)
 		synctest.Wait()
-		second := ln.get()
+		endSecond := get(ln)
 		synctest.Wait()
 		if n := served.Load(); n != 1 {
 			t.Errorf("%d requests were served, want 1", n)
 		}
-		first.Close()
+		endFirst()
 		synctest.Wait()
 		if n := served.Load(); n != 2 {
 			t.Errorf("%d requests were served after the first closed, want 2", n)
 		}
-		second.Close()
+		endSecond()
 		cancel()
 		if err := <-done; err != nil {
 			t.Error(err)
@@ -88,7 +65,7 @@
 
 func TestRequestThatNeverEndsIsCutAfterTheDrainTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ln := newPipeListener()
+		ln := pipe.Listen()
 		cut := make(chan struct{})
 		s := New(testConfig, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
@@ -97,7 +74,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Run(ctx) }()
-		c := ln.get()
+		end := get(ln)
 		synctest.Wait()
 		cancel()
 		began := time.Now()
@@ -108,6 +85,6 @@
 			t.Errorf("the drain took %v", took)
 		}
 		<-cut
-		c.Close()
+		end()
 	})
 }
