--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,7 +137,7 @@
 		shadows:      make(shadowSlots, maxShadows),
 		sessionWaits: make(sessionWaits, maxSessionWaits),
 		fleet:        watch.NewFleet(),
-		ratings:      rate.NewLimiter(ratedPerSecond, ratedPerSecond),
+		ratings:      newRatedLimiter(o.Entries),
 		cancels:      pond.NewPool(cancelWorkers, pond.WithQueueSize(cancelQueue), pond.WithNonBlocking(true)),
 		metrics:      newCounters(o.Metrics),
 	}
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 
 	"tarragonbay.example/tarragonbay/internal/attempt"
 	"tarragonbay.example/tarragonbay/internal/balance"
@@ -200,11 +201,21 @@
 	}
 }
 
-// ratedPerSecond bounds the answers that one entry has rated beside those of
-// new versions and of tries. Up to that rate every answer is rated: a version in
-// use that turns bad is found by its ratings.
+// ratedPerSecond bounds the answers that all entries together have rated beside
+// those of new versions and of tries; each has an equal share. Up to that rate
+// every answer is rated: a version in use that turns bad is found by its ratings.
+// Every entry reads every rating, so the bound is not one for each.
 const ratedPerSecond = 100
 
+// leastRated is the least share of an entry.
+const leastRated = 1
+
+// newRatedLimiter returns the bound of one of so many entries.
+func newRatedLimiter(entries int) *rate.Limiter {
+	share := max(leastRated, ratedPerSecond/entries)
+	return rate.NewLimiter(rate.Limit(share), share)
+}
+
 // rated reports whether the answer is handed in for rating.
 func (s *stepRun) rated() bool {
 	return s.step.RollingOut || s.exploring || s.entry.ratings.Allow()
