Let agents report the time between tokens

Cause: the verdict on slow hosts needs a speed that only the agent sees, and the dump of an entry did not show what the choice of host knows. Change: agents measure the time between the parts of streamed answers, without waits for the reader, and send it with the load; entries hand it to the choice of host and dump the state of the upstreams. Two peers with a known speed are enough for a verdict, and none under 20 ms a token is slow.

--- a/internal/agent/hosted.go
+++ b/internal/agent/hosted.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/admission"
+	"tarragonbay.example/tarragonbay/internal/balance"
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/upstream"
@@ -26,8 +27,11 @@
 	// healthy is false while the upstream cannot be reached.
 	healthy    atomic.Bool
 	firstToken smoothed
+	// tokens measures the time between the tokens of streamed answers.
+	tokens *balance.TokenMeter
 	// loaded lists the versions that the engine said it holds.
 	loaded atomic.Pointer[[]string]
+	now    func() time.Time
 	// stop ends the goroutine that ticks the gate.
 	stop context.CancelFunc
 }
@@ -92,13 +96,18 @@
 			config: *u,
 			client: upstream.NewClient(u.Address),
 			gate:   admission.NewLimiter(admission.NewGate(slots, rand.Float64), h.now),
+			tokens: &balance.TokenMeter{},
+			now:    h.now,
 		}
 		up.healthy.Store(true)
 		up.gate.Configure(set, 1)
 		up.stop = runGate(up.gate)
 		return up
 	}
-	up := &hostedUpstream{name: name, config: *u, client: old.client, gate: old.gate, stop: old.stop}
+	up := &hostedUpstream{
+		name: name, config: *u, client: old.client, gate: old.gate,
+		tokens: old.tokens, now: old.now, stop: old.stop,
+	}
 	up.leaving.Store(old.leaving.Load())
 	up.healthy.Store(old.healthy.Load())
 	up.loaded.Store(old.loaded.Load())
@@ -159,6 +168,7 @@
 		Queued:       uint32(waiting),
 		Slots:        uint32(slotsOf(&u.config)),
 		FirstTokenUs: uint32(u.firstToken.get().Microseconds()),
+		TokenUs:      uint32(u.tokens.Best(u.now()).Microseconds()),
 		Leaving:      leaving || u.leaving.Load() || u.config.Leaving,
 	}
 }
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -30,8 +30,10 @@
 	ctx        context.Context
 	dispatched time.Time
 	firstData  time.Time
-	events     uint64
-	answer     []byte
+	// waiting is when the job began to wait for the next part of the answer.
+	waiting time.Time
+	events  uint64
+	answer  []byte
 }
 
 func (j *job) run(ctx context.Context) {
@@ -138,18 +140,29 @@
 
 // Data implements upstream.Sink. It blocks while the entry reads slowly.
 func (j *job) Data(data []byte) error {
-	if j.events == 0 {
-		j.firstData = j.agent.now()
-		j.up.firstToken.observe(j.firstData.Sub(j.dispatched))
-	}
+	j.measure(j.agent.now())
 	j.events++
 	if err := j.log.Data(j.ctx, data); err != nil {
 		return err
 	}
 	j.keep(data)
+	j.waiting = j.agent.now()
 	return nil
 }
 
+// measure notes how long the engine took for the part of the answer that came,
+// a token in a streamed one.
+func (j *job) measure(now time.Time) {
+	if j.events == 0 {
+		j.firstData = now
+		j.up.firstToken.observe(now.Sub(j.dispatched))
+		return
+	}
+	if j.req.GetCall().GetStream() {
+		j.up.tokens.Add(1, now.Sub(j.waiting), now)
+	}
+}
+
 // maxRatedBytes bounds the text of an answer kept for rating.
 const maxRatedBytes = 64 << 10
 
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -10,9 +10,12 @@
 	// slowFactor is how many times the typical time between tokens is slow.
 	// An engine with a full batch takes about twice as long as an idle one.
 	slowFactor = 3
+	// minSlowTokenTime is the time between tokens under which none is slow:
+	// below it callers notice nothing and delays of the machine outweigh it.
+	minSlowTokenTime = 20 * time.Millisecond
 	// slowPeers is how many upstreams of a pool must tell their speed before
 	// any of them counts as slow.
-	slowPeers = 3
+	slowPeers = 2
 	// typicalFor is how long a typical speed is used before it is worked out
 	// again.
 	typicalFor = 500 * time.Millisecond
@@ -89,5 +92,5 @@
 }
 
 func isSlow(tokenTime, typical int64) bool {
-	return typical > 0 && tokenTime > slowFactor*typical
+	return typical > 0 && tokenTime > max(slowFactor*typical, int64(minSlowTokenTime))
 }
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -4,6 +4,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"tarragonbay.example/tarragonbay/internal/admission"
+	"tarragonbay.example/tarragonbay/internal/balance"
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
@@ -48,6 +49,7 @@
 	Link      link.Counts           `json:"link"`
 	Held      []catalog.VersionName `json:"held,omitempty"`
 	Estimates int                   `json:"estimates"`
+	Upstreams []balance.State       `json:"upstreams"`
 }
 
 // Dump implements telemetry.Dumper.
@@ -62,5 +64,6 @@
 		Link:      e.link.Counts(),
 		Held:      e.heldVersions(),
 		Estimates: e.learner.view().Len(),
+		Upstreams: e.picker.States(e.now()),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -266,9 +266,6 @@
 // Fleet returns the watch over all versions.
 func (e *Entry) Fleet() *watch.Fleet { return e.fleet }
 
-// Picker returns the chooser of upstreams, to which membership reports.
-func (e *Entry) Picker() *balance.Picker { return e.picker }
-
 // Ready implements callerapi.Router.
 func (e *Entry) Ready() error {
 	if e.stopping.Load() {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -55,10 +55,11 @@
 
 func loadOf(l *linkv1.Load) balance.Load {
 	return balance.Load{
-		InFlight: int(l.GetInFlight()),
-		Queued:   int(l.GetQueued()),
-		Slots:    int(l.GetSlots()),
-		Leaving:  l.GetLeaving(),
+		InFlight:  int(l.GetInFlight()),
+		Queued:    int(l.GetQueued()),
+		Slots:     int(l.GetSlots()),
+		TokenTime: time.Duration(l.GetTokenUs()) * time.Microsecond,
+		Leaving:   l.GetLeaving(),
 	}
 }
 
