Part the end of an attempt from its start, and keep a session's wait out of latency

And the latency learned of a version held the time in which a session waited for its budget.

The wait is taken off the step's time.

Measured: TestWaitOfASessionIsNoLatencyOfItsVersion fails to compile without the function it asks (no run before).

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -155,6 +155,15 @@
 	}
 }
 
+func TestWaitOfASessionIsNoLatencyOfItsVersion(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	e := &Entry{now: func() time.Time { return start.Add(5 * time.Second) }}
+	s := &stepRun{chatRun: &chatRun{entry: e, waited: 3 * time.Second}, started: start}
+	if got := s.ran(); got != 2*time.Second {
+		t.Errorf("the step took %v, want 2s", got)
+	}
+}
+
 // TestSessionWithASpentBudget refuses a session at both hosts.
 func TestSessionWithASpentBudget(t *testing.T) {
 	tests := []struct {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -146,7 +146,7 @@
 		answer, err = r.read(stream)
 	}
 	stream.Close()
-	return answer, e.closeAttempt(r.ctx, r.request, id, choice, sent, stream, err)
+	return answer, e.closeAttempt(r.ctx, r.request, sentAttempt{id, choice, sent, stream, err})
 }
 
 func (r *serviceRun) message(id string, choice balance.Choice) *linkv1.AttemptRequest {
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -9,11 +8,9 @@
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
-	"tarragonbay.example/tarragonbay/internal/attempt"
 	"tarragonbay.example/tarragonbay/internal/balance"
 	"tarragonbay.example/tarragonbay/internal/callerapi"
 	"tarragonbay.example/tarragonbay/internal/chat"
-	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -150,7 +147,7 @@
 		err = out.read(stream)
 	}
 	stream.Close()
-	return out, s.close(id, choice, sent, stream, err)
+	return out, s.close(sentAttempt{id, choice, sent, stream, err})
 }
 
 // pick chooses an upstream. For a version in a roll-out those that have spent
@@ -222,10 +219,10 @@
 }
 
 // close records the end of the attempt and what it told of the load.
-func (s *stepRun) close(id string, choice balance.Choice, sent time.Time, stream *link.Stream, err error) *result.Error {
-	failure := s.entry.closeAttempt(s.ctx, s.request, id, choice, sent, stream, err)
-	s.entry.tellFleet(s.key, choice.Host, s.entry.now().Sub(sent), failure)
-	if load := stream.Load(); load != nil {
+func (s *stepRun) close(a sentAttempt) *result.Error {
+	failure := s.entry.closeAttempt(s.ctx, s.request, a)
+	s.entry.tellFleet(s.key, a.choice.Host, s.entry.now().Sub(a.at), failure)
+	if load := a.stream.Load(); load != nil {
 		s.queued = int(load.GetQueued())
 		s.slots = int(load.GetSlots())
 		s.backlog = quality.Backlog(s.queued, s.slots)
@@ -234,72 +231,16 @@
 	return failure
 }
 
-// closeAttempt records the end of an attempt with every part that learns from
-// it, and returns its failure, if any.
-func (e *Entry) closeAttempt(ctx context.Context, req *attempt.Request, id string, choice balance.Choice,
-	sent time.Time, stream *link.Stream, err error) *result.Error {
-	ending := stream.Ending()
-	var failure *result.Error
-	if err != nil {
-		failure = result.From(err)
-		if !ending.Whole {
-			ending = attempt.Ending{Outcome: failure.Outcome, Code: failure.Code}
-		}
-		if unwanted(ctx, req, failure) {
-			e.cancel(stream, ctx.Err() == nil && failure.Code != result.CallerGone)
-		}
-	}
-	if concludeErr := req.Conclude(id, ending); concludeErr != nil {
-		failure = result.Wrap(concludeErr, result.Internal, "attempt cannot be closed")
-	}
-	e.agents.heard(choice.Agent, stream.Incarnation())
-	if failure != nil && (failure.Code == result.WrongIncarnation || failure.Code == result.NoUpstream) {
-		e.agents.forget(choice.Agent)
-	}
-	e.tellMembers(choice.Host, sent, stream, failure)
-	e.config.Saw(choice.Agent, stream.Revision())
-	e.picker.Finished(choice, observation(failure, stream.Load()), e.now())
-	if c := stream.Final().GetCharge(); c != nil {
-		e.copies.Keep(choice.Agent, c)
-	}
-	return failure
-}
-
-// Bounds of telling agents that an answer is no longer wanted.
-const (
-	cancelTimeout = 2 * time.Second
-	cancelWorkers = 16
-	cancelQueue   = 1024
-)
-
-// cancel tells the agent in the background that nobody waits for the answer.
-// One that is not told finishes in vain: its charge counts once all the same.
-func (e *Entry) cancel(stream *link.Stream, superseded bool) {
-	err := e.cancels.Go(func() {
-		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
-		defer stop()
-		if err := stream.Cancel(ctx, superseded); err != nil {
-			e.metrics.cancelLost.Inc(1)
-		}
-	})
-	if err != nil {
-		e.metrics.cancelLost.Inc(1)
-	}
-}
-
-// unwanted reports whether an attempt may go on at its agent although its
-// answer is no longer wanted. A call that may not be repeated goes on.
-func unwanted(ctx context.Context, req *attempt.Request, failure *result.Error) bool {
-	if !req.Idempotent() {
-		return false
-	}
-	return ctx.Err() != nil || failure.Code == result.CallerGone || failure.Outcome == result.Unknown
+// ran is how long the step has taken, without the time in which a session
+// waited for its version's budget.
+func (s *stepRun) ran() time.Duration {
+	return s.entry.now().Sub(s.started) - s.waited
 }
 
 // conclude gives the answer to the caller, or drops a draft.
 func (s *stepRun) conclude(out *output, last bool) (kept bool, failure *result.Error) {
 	e := s.entry
-	e.learner.answered(s.key, e.now().Sub(s.started), out.usage.OutputTokens, s.backlog)
+	e.learner.answered(s.key, s.ran(), out.usage.OutputTokens, s.backlog)
 	if !last {
 		escalated := out.confidence() < s.step.Escalate
 		e.learner.drafted(s.key, escalated)
@@ -332,32 +273,3 @@
 		Revision:     s.revision,
 	}, nil
 }
-
-// observation turns the end of an attempt into what it tells of the upstream.
-func observation(failure *result.Error, load *linkv1.Load) balance.Observation {
-	o := balance.Observation{Outcome: balance.Answered}
-	if load != nil {
-		l := loadOf(load)
-		o.Load = &l
-	}
-	if failure == nil {
-		return o
-	}
-	switch failure.Code {
-	case result.UpstreamLeaving:
-		// The agent may know it from the host list before this entry does.
-		o.Outcome = balance.Busy
-		o.Load = &balance.Load{Leaving: true}
-	case result.CallerGone:
-		o.Outcome = balance.Cancelled
-	case result.UpstreamRefused, result.NoUpstream:
-		o.Outcome = balance.Refused
-	case result.OutcomeUnknown, result.DeadlineExceeded, result.BadFrame:
-		o.Outcome = balance.TimedOut
-	case result.UpstreamFailed, result.AnswerCut:
-		o.Outcome = balance.Failed
-	default:
-		o.Outcome = balance.Busy
-	}
-	return o
-}
