--- a/cmd/tarragonctl/main_test.go
+++ b/cmd/tarragonctl/main_test.go
@@ -108,7 +108,7 @@
 	env.Setenv("BILLED", id)
 	charger := ledger.NewCharger(ledger.ChargerOptions{
 		Agent: "pasay-1", Incarnation: 1, Table: p.Table, Objects: p.Objects,
-		Every: ledger.FlushEvery, NewID: uuid.NewString,
+		Every: func() time.Duration { return ledger.FlushEvery }, NewID: uuid.NewString,
 	})
 	now := time.Now()
 	chat := func(requestID string) *linkv1.Charge {
--- a/integration/harness/caller.go
+++ b/integration/harness/caller.go
@@ -5,12 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -74,6 +74,8 @@
 	Replayed   bool
 	Err        error
 	Body       string
+	// connected is set when there was a connection to the entry.
+	connected bool
 	// FirstByte and Total are latencies, for reports only.
 	FirstByte, Total time.Duration
 }
@@ -139,30 +141,28 @@
 	if !r.Whole && ctx.Err() != nil {
 		e.GaveUp = true
 	}
-	if noConnection(r.Err) {
+	if r.Err != nil && !r.connected {
 		e.Outcome = "not_run"
 	}
 	return e
 }
 
-// noConnection reports whether a request failed because no connection could be
-// made, so that nothing was sent.
-func noConnection(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func (c *Caller) send(ctx context.Context, n *Node, a Ask) Reply {
 	req, err := c.request(ctx, n, a)
 	if err != nil {
 		return Reply{Err: err}
 	}
-	resp, err := c.client.Do(req)
+	// The client sends a request again over another connection when the one
+	// it used breaks. Nothing was sent only if there never was any.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return Reply{Err: err}
+		return Reply{Err: err, connected: connected.Load()}
 	}
 	defer resp.Body.Close()
 	r := Reply{
+		connected:  true,
 		Status:     resp.StatusCode,
 		Version:    resp.Header.Get("X-Tarragonbay-Version"),
 		Session:    resp.Header.Get("X-Session"),
--- a/integration/harness/faults.go
+++ b/integration/harness/faults.go
@@ -57,6 +57,7 @@
 	stop    chan struct{}
 	workers sync.WaitGroup
 	done    atomic.Int64
+	whole   atomic.Int64
 
 	mu      sync.Mutex
 	replies []Reply
@@ -79,7 +80,9 @@
 				l.replies = append(l.replies, r)
 				l.mu.Unlock()
 				l.done.Add(1)
-				if !r.Whole {
+				if r.Whole {
+					l.whole.Add(1)
+				} else {
 					time.Sleep(refusedPause)
 				}
 			}
@@ -109,6 +112,13 @@
 	c.Eventually("the load goes on", func() bool { return l.Answered() >= goal })
 }
 
+// WaitWhole waits until n more requests have got their whole answer.
+func (l *Load) WaitWhole(c *Cluster, n int64) {
+	c.T.Helper()
+	goal := l.whole.Load() + n
+	c.Eventually("the load is answered", func() bool { return l.whole.Load() >= goal })
+}
+
 // Stop ends the load and returns every reply.
 func (l *Load) Stop() []Reply {
 	close(l.stop)
