Test with real processes that restarted entries know what was learned

Cause: The hand-over of estimates was tested with fakes alone. The first copy could come a minute late, since the holder of the lease paused that long after it had found nothing learned yet.

Change: An integration test kills and restarts all entries while the rating service is away. The holder looks every 5 s until something is learned.

--- a/integration/recovery_test.go
+++ b/integration/recovery_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"tarragonbay.example/tarragonbay/integration/harness"
+	"tarragonbay.example/tarragonbay/internal/adminapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/entry"
+	"tarragonbay.example/tarragonbay/internal/learned"
+	"tarragonbay.example/tarragonbay/internal/platform/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
@@ -45,6 +50,51 @@
 	c.Verify()
 }
 
+// TestRestartedEntriesKnowWhatWasLearned restarts all entries while the rating
+// service is away, so that nothing can be learned anew.
+func TestRestartedEntriesKnowWhatWasLearned(t *testing.T) {
+	t.Parallel()
+	c := harness.New(t, harness.Spec{Entries: 2, Agents: 2, Engine: quick})
+	load := c.StartLoad(4, c.Entries, unaryAsk)
+	load.WaitFor(c, 100)
+	wholeReplies(t, load.Stop())
+	c.Eventually("the platform has a copy", func() bool {
+		_, found, err := c.Direct.Table.Get(t.Context(), learned.RowKey)
+		return err == nil && found
+	})
+	c.SetFaults(fake.Faults{Ratings: fake.RatingFaults{Away: true}})
+	for _, n := range c.Entries {
+		c.Kill(n)
+	}
+	for _, n := range c.Entries {
+		c.Restart(n)
+	}
+	for _, n := range c.Entries {
+		c.Eventually(n.Name()+" knows the version", func() bool { return estimatesOf(t, n) > 0 })
+	}
+	c.SetFaults(healthy())
+	load = c.StartLoad(4, c.Entries, unaryAsk)
+	load.WaitFor(c, 50)
+	wholeReplies(t, load.Stop())
+	c.Verify()
+}
+
+// estimatesOf returns of how many keys an entry has an estimate.
+func estimatesOf(t *testing.T, n *harness.Node) int {
+	t.Helper()
+	d, err := adminapi.NewClient(n.Proc.Ready.Admin, "").Dump(t.Context())
+	if err != nil {
+		return 0
+	}
+	for _, p := range d.Parts {
+		var s entry.State
+		if p.Part == "entry" && json.Unmarshal(p.State, &s) == nil {
+			return s.Estimates
+		}
+	}
+	return 0
+}
+
 // TestStoreRestoredFromABackupRevertsNothing puts the rows from before a
 // withdrawal back.
 func TestStoreRestoredFromABackupRevertsNothing(t *testing.T) {
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -92,8 +92,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := Saver{Table: p.Table, Address: "writer", Memory: func(context.Context) (quality.Memory, error) { return m, nil }}
-	if err := s.save(t.Context(), held); err != nil {
+	s := Saver{Table: p.Table, Address: "writer"}
+	if err := s.save(t.Context(), held, m); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/learned/store.go
+++ b/internal/learned/store.go
@@ -20,8 +20,12 @@
 // Item is the work item under whose lease the copy is written.
 const Item = "learned/save"
 
-// SaveEvery is the pause between two writes of the copy.
-const SaveEvery = time.Minute
+const (
+	// SaveEvery is the pause between two writes of the copy.
+	SaveEvery = time.Minute
+	// emptyPause is the pause while nothing is learned yet.
+	emptyPause = 5 * time.Second
+)
 
 // row is the value of the copy's row.
 type row struct {
@@ -43,22 +47,27 @@
 // the work of the lease of Item.
 func (s *Saver) Work(ctx context.Context, held *lease.Held) error {
 	for {
-		if err := s.save(ctx, held); err != nil {
+		memory, err := s.Memory(ctx)
+		if err != nil {
+			return err
+		}
+		pause := emptyPause
+		if !memory.Empty() {
+			pause = SaveEvery
+			err = s.save(ctx, held, memory)
+		}
+		if err != nil {
 			return err
 		}
-		if !wait.For(ctx, SaveEvery) {
+		if !wait.For(ctx, pause) {
 			return nil
 		}
 	}
 }
 
-// save writes what this entry knows, unless the copy holds more ratings: then
-// this entry has not learned from it yet.
-func (s *Saver) save(ctx context.Context, held *lease.Held) error {
-	memory, err := s.Memory(ctx)
-	if err != nil || memory.Empty() {
-		return err
-	}
+// save writes the memory, unless the copy holds more ratings: then this entry
+// has not learned from it yet.
+func (s *Saver) save(ctx context.Context, held *lease.Held, memory quality.Memory) error {
 	before, found, err := s.Table.Get(ctx, RowKey)
 	if err != nil {
 		return err
