Weigh upstreams of every failure domain

Cause: the draws went to the entry's own failure domain until an upstream there was full, so that domains without an entry stood idle beside half full ones. Change: two draws from the own domain and two from the others, which cost 16 prompt tokens more. TestReturningDomainIsNotFlooded wanted most requests in the own domain once the slow start is over; it wants the even share now, which is what the choice is to give. TestLoadSpreadsOverDomainsBeforeTheOwnIsFull is new and fails without the change.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -4,7 +4,6 @@
 type candidate struct {
 	m      *member
 	affine bool
-	full   bool
 	cost   float64
 }
 
@@ -16,6 +15,8 @@
 	// reading a prompt must save to make a full upstream as good as an idle
 	// one.
 	batchTokens = 2048.0
+	// domainCost is that of the way to another failure domain and back.
+	domainCost = 16.0
 	// suspectCost keeps work from an upstream whose last attempt failed.
 	suspectCost = 1e9
 )
@@ -29,35 +30,32 @@
 	unreadElsewhere  = 1.0
 )
 
-// good reports whether there is no need to look in other failure domains.
-func (c *candidate) good() bool {
-	return c.m != nil && !c.full && !c.m.suspect()
-}
-
 // consider keeps the upstream when it is cheaper than the one found. unread is
 // the part of the prompt that it must read.
 func (c *candidate) consider(s *search, m *member, unread float64) {
 	if m == nil || (m == c.m && unread == unreadElsewhere) {
 		return
 	}
-	cost, full := s.cost(m, unread)
+	cost := s.cost(m, unread)
 	if c.m == nil || cost < c.cost {
-		*c = candidate{m: m, affine: unread < unreadElsewhere, full: full, cost: cost}
+		*c = candidate{m: m, affine: unread < unreadElsewhere, cost: cost}
 	}
 }
 
 // cost estimates the time to an answer in prompt tokens: reading what is not
-// cached, sharing the batch, and waiting for a slot.
-func (s *search) cost(m *member, unread float64) (cost float64, full bool) {
+// cached, sharing the batch, waiting for a slot and the way there.
+func (s *search) cost(m *member, unread float64) float64 {
 	slots := m.capacity(s.now, s.slowStart)
 	load := m.inFlight(s.now)
-	cost = batchTokens*load/slots + unread*float64(s.req.PromptTokens)
+	cost := batchTokens*load/slots + unread*float64(s.req.PromptTokens)
 	if waiting := load + 1 - slots; waiting > 0 {
-		full = true
 		cost += batchTokens * queueFactor * waiting / slots
 	}
+	if !m.id.Load().near {
+		cost += domainCost
+	}
 	if m.suspect() {
 		cost += suspectCost
 	}
-	return cost, full
+	return cost
 }
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -14,6 +14,8 @@
 	agent  string
 	domain string
 	region string
+	// near is set in the entry's own failure domain.
+	near bool
 }
 
 // replica is the state of one upstream as this entry sees it. It outlives
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -79,16 +79,14 @@
 	return s.req.Prefix != 0 && s.req.PromptTokens >= minAffinityTokens
 }
 
-// best weighs the homes of the prefix against two random upstreams, first of
-// the own failure domain, then of the others.
+// best weighs the homes of the prefix against two random upstreams of the own
+// failure domain and two of the others.
 func (s *search) best(pl *pool) (m *member, affine bool) {
 	var found candidate
 	found.consider(s, s.draw(pl.near), unreadElsewhere)
 	found.consider(s, s.draw(pl.near), unreadElsewhere)
-	if !found.good() {
-		found.consider(s, s.draw(pl.away), unreadElsewhere)
-		found.consider(s, s.draw(pl.away), unreadElsewhere)
-	}
+	found.consider(s, s.draw(pl.away), unreadElsewhere)
+	found.consider(s, s.draw(pl.away), unreadElsewhere)
 	if s.affinity() {
 		first, second := pl.homes(s.req.Prefix, (*member).sound)
 		found.consider(s, s.ifUsable(first), unreadFirstHome)
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -61,7 +61,7 @@
 		if !known {
 			r = p.newReplica(name, now.UnixNano(), first)
 		}
-		changed := r.configure(name, u)
+		changed := r.configure(name, u, u.Domain == p.settings.Domain)
 		v.add(r, u, region, changed)
 	}
 	for t, pl := range v.pools {
@@ -101,8 +101,8 @@
 // configure takes the configured fields. Slots that the agent reported stay
 // until the configuration names another number. It reports whether the
 // identity changed.
-func (r *replica) configure(name string, u *catalog.Upstream) bool {
-	next := identity{name: name, host: u.Host, agent: u.Agent, domain: u.Domain, region: u.Region}
+func (r *replica) configure(name string, u *catalog.Upstream, near bool) bool {
+	next := identity{name: name, host: u.Host, agent: u.Agent, domain: u.Domain, region: u.Region, near: near}
 	cur := r.id.Load()
 	changed := cur == nil || *cur != next
 	if changed {
