Drop the budget of a version whose roll-out is done

Cause: An agent kept the meter of a version with an exposure after its roll-out was done, until the agent restarted.

Change: The meter goes when the roll-out is done or gone. After an abort it stays.

--- a/internal/watch/host.go
+++ b/internal/watch/host.go
@@ -82,7 +82,7 @@
 		}
 	}
 	for name, m := range h.meters {
-		if _, ok := fresh[name]; !ok && m.budget.Unrated == 0 {
+		if _, ok := fresh[name]; !ok && (m.budget.Unrated == 0 || !aborted(set, name)) {
 			delete(h.meters, name)
 		}
 	}
@@ -90,6 +90,18 @@
 	return unmarked
 }
 
+// aborted reports whether a roll-out of the version was aborted. Such a version
+// stays bounded, while one whose roll-out is done is new no longer: its answers
+// are not all handed in for rating then, and would use a budget up for good.
+func aborted(set *catalog.Set, version catalog.VersionName) bool {
+	for _, r := range set.Rollouts {
+		if catalog.VersionName(r.To) == version && r.State == catalog.RolloutAborted {
+			return true
+		}
+	}
+	return false
+}
+
 // rank returns the place of this host among those that serve the version, in
 // order of name, and their number; -1 when it does not serve it.
 func (h *Host) rank(set *catalog.Set, version catalog.VersionName) (rank, hosts int) {
