--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
@@ -28,7 +27,6 @@
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
-	"tarragonbay.example/tarragonbay/internal/tlsfiles"
 	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
@@ -159,85 +157,6 @@
 	return d, nil
 }
 
-func linkListener(o Options) (net.Listener, error) {
-	if o.Link != nil {
-		return o.Link, nil
-	}
-	l, err := net.Listen("tcp", o.Settings.Link.Listen)
-	if err != nil {
-		return nil, result.Wrap(err, result.BadSettings, "the link listener cannot be opened")
-	}
-	return l, nil
-}
-
-func (d *Daemon) loadTLS() (err error) {
-	files := d.settings.Link.TLS
-	if !files.Enabled() {
-		return nil
-	}
-	d.serverTLS, d.clientTLS, err = tlsfiles.Mutual(files.CertFile, files.KeyFile, files.CAFile)
-	return err
-}
-
-// dial returns connections to other daemons for pulling configurations.
-func (d *Daemon) dial() publish.Dial {
-	transport := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: d.settings.Timeouts.Connect}).DialContext,
-		TLSClientConfig:   d.clientTLS,
-		DisableKeepAlives: true,
-	}
-	httpClient := &http.Client{Transport: transport, Timeout: d.settings.Timeouts.Platform}
-	scheme := "http://"
-	if d.clientTLS != nil {
-		scheme = "https://"
-	}
-	return func(address string) (connect.HTTPClient, string) { return httpClient, scheme + address }
-}
-
-// maxPeers bounds the daemons asked for the configuration.
-const maxPeers = 8
-
-// peerAddresses lists daemons to ask for the configuration: those in the
-// settings, and some agents of the configuration in force.
-func (d *Daemon) peerAddresses() []string {
-	out := append([]string(nil), d.settings.Peers...)
-	set, _ := d.follower.Set()
-	if set == nil {
-		return out
-	}
-	seen := map[string]bool{d.settings.Link.Address(): true}
-	for _, u := range set.Upstreams {
-		if len(out) >= maxPeers {
-			break
-		}
-		if !seen[u.Agent] {
-			seen[u.Agent] = true
-			out = append(out, u.Agent)
-		}
-	}
-	return out
-}
-
-// linkClient returns a client of agents.
-func (d *Daemon) linkClient() *link.Client {
-	return link.NewClient(link.Options{
-		Sender:      d.settings.Name,
-		Address:     d.settings.Link.Address(),
-		Incarnation: d.incarnation,
-		Revision:    d.follower.Revision,
-		TLS:         d.clientTLS,
-		Timing:      d.timing(),
-	})
-}
-
-func (d *Daemon) timing() link.Timing {
-	t := link.DefaultTiming()
-	if d.settings.Timeouts.Heartbeat > 0 {
-		t.BeatEvery = d.settings.Timeouts.Heartbeat
-	}
-	return t
-}
-
 // setRole gives the daemon its role and opens the admin listener.
 func (d *Daemon) setRole(r role) error {
 	d.role = r
--- a/internal/orderrun/runner.go
+++ b/internal/orderrun/runner.go
@@ -5,8 +5,11 @@
 package orderrun
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -81,6 +84,17 @@
 		}
 		r.reports[u.GetName()] = rep
 	}
+	r.forgetGone()
+}
+
+// forgetGone drops the reports of engines that have left the configuration once
+// they are as many as the others. The caller holds the lock.
+func (r *Runner) forgetGone() {
+	set := r.options.Set()
+	if set == nil || len(r.reports) <= 2*len(set.Upstreams) {
+		return
+	}
+	maps.DeleteFunc(r.reports, func(name string, _ report) bool { return set.Upstreams[name] == nil })
 }
 
 // Run competes for the lease and gives orders while it is held, until ctx
@@ -143,6 +157,8 @@
 	return err == nil
 }
 
+// send gives the order to the agent of its engine. An order that is lost is
+// planned again from the next reports.
 func (r *Runner) send(ctx context.Context, set *catalog.Set, o order.Order) {
 	u := set.Upstreams[o.Upstream]
 	if u == nil {
@@ -193,12 +209,7 @@
 		}
 		in.Replicas = append(in.Replicas, replica)
 	}
-	slices.SortFunc(in.Replicas, func(a, b order.Replica) int {
-		if a.Upstream < b.Upstream {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(in.Replicas, func(a, b order.Replica) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return in
 }
 
@@ -208,6 +219,8 @@
 	minDomains  = 2
 )
 
+// demands returns what each version needs, from what runs and waits here: all
+// entries are taken to be as busy.
 func (r *Runner) demands(set *catalog.Set) []order.Demand {
 	slots := map[string]float64{}
 	for _, t := range r.options.Demand() {
@@ -227,11 +240,6 @@
 		}
 		out = append(out, d)
 	}
-	slices.SortFunc(out, func(a, b order.Demand) int {
-		if a.Version < b.Version {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b order.Demand) int { return cmp.Compare(a.Version, b.Version) })
 	return out
 }
