Count the rating of an answer once when it was handed in twice

Cause: The client hands an answer in a second time when the reply is lost, and its comment says that readers count each request once. They did not: a rating counted twice in the estimates, and in the tally that a new version's budget grows by.

--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -93,6 +93,8 @@
 	// counted is the place up to which the estimates hold the ratings. When
 	// they were taken over it is ahead of cursor.
 	counted uint64
+	// seen drops ratings of answers that were handed in twice.
+	seen seenRatings
 	// limit of the next batch.
 	limit int
 	// atEnd is set when the last batch was the last there is.
@@ -122,7 +124,7 @@
 		if s.cursor >= s.counted {
 			s.limit = ratingsBatch
 		}
-		return batch, !s.atEnd, nil
+		return s.seen.firsts(batch), !s.atEnd, nil
 	}
 }
 
--- a/internal/entry/recall_test.go
+++ b/internal/entry/recall_test.go
@@ -69,8 +69,9 @@
 	config   inForce
 	platform *fake.Platform
 
-	mu      sync.Mutex
-	entries map[string]*Entry
+	mu       sync.Mutex
+	entries  map[string]*Entry
+	requests int
 	// version is whose answers are rated.
 	version string
 	// bad is the number of the next answers that are rated bad.
@@ -90,7 +91,9 @@
 func (s *site) rate(n int) {
 	s.t.Helper()
 	for range n {
-		if err := s.platform.Ratings.Submit(s.t.Context(), platform.Sample{Version: s.version}); err != nil {
+		s.requests++
+		sample := platform.Sample{RequestID: fmt.Sprint(s.requests), Version: s.version}
+		if err := s.platform.Ratings.Submit(s.t.Context(), sample); err != nil {
 			s.t.Fatal(err)
 		}
 	}
