Let short deadlines speak against no host

Cause: each deadline that passed counted as a silent host, so that three calls in a row whose deadlines are shorter than their answers ejected a host for every organisation. Change: a deadline that passed within 5 s tells nothing of the upstream. Conclusion: a caller's own limit no longer takes capacity from others. Longer deadlines count as before, since an engine that hangs is found by nothing else.

--- a/internal/entry/shadow.go
+++ b/internal/entry/shadow.go
@@ -76,6 +76,7 @@
 		return 0, err
 	}
 	e.picker.Started(choice)
+	sent := e.now()
 	stream, err := e.link.Attempt(ctx, choice.Agent, &linkv1.AttemptRequest{
 		RequestId:    r.call.RequestID,
 		AttemptId:    uuid.NewString(),
@@ -98,7 +99,8 @@
 	if err != nil {
 		failure = result.From(err)
 	}
-	e.picker.Finished(choice, observation(failure, stream.Load()), e.now())
+	now := e.now()
+	e.picker.Finished(choice, observation(failure, stream.Load(), now.Sub(sent)), now)
 	return conf, err
 }
 
