Let callers of the harness go on while an entry restarts

Cause: the load read the address of an entry that the test replaced (race detector, TestEveryPairOfFaults). Change: the address is kept apart and swapped atomically.

--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -56,6 +56,8 @@
 	name     string
 	role     string
 	settings string
+	// url is where callers reach an entry; they go on while it restarts.
+	url atomic.Pointer[string]
 	// admin is one client for each incarnation, since a daemon bounds the
 	// connections of operators.
 	admin *adminapi.Client
@@ -65,7 +67,7 @@
 func (n *Node) Admin() *adminapi.Client { return n.admin }
 
 // URL is where callers reach an entry.
-func (n *Node) URL() string { return "http://" + n.Proc.Ready.Caller }
+func (n *Node) URL() string { return *n.url.Load() }
 
 // Name is the daemon's name.
 func (n *Node) Name() string { return n.name }
@@ -221,6 +223,8 @@
 	c.T.Helper()
 	p := Start(c.T, n.name, nil, Binary(c.T), n.role, "--settings", n.settings)
 	n.admin = adminapi.NewClient(p.Ready.Admin, "")
+	url := "http://" + p.Ready.Caller
+	n.url.Store(&url)
 	return p
 }
 
