Part the tests of health from those of the choice

Change: the tests of ejection and slow start move to health_test.go unchanged; two fields say whose slow start they are. Conclusion: each file has one subject.

--- /dev/null
+++ b/internal/balance/health_test.go
@@ -0,0 +1,172 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestOutlierIsEjectedAndComesBackHalfOpen(t *testing.T) {
+	for _, o := range []Outcome{Refused, TimedOut, Failed} {
+		p := newPicker(t, 20)
+		req := Request{Target: target}
+		fail(t, p, "u0000", o, start, failuresToEject)
+		if n := pickMany(t, p, req, start, 500)["u0000"]; n != 0 {
+			t.Fatalf("an ejected upstream was picked %d times", n)
+		}
+		later := start.Add(DefaultEjectFor * 2)
+		if n := pickMany(t, p, req, later, 500)["u0000"]; n != 1 {
+			t.Fatalf("%d probes at a time, want 1", n)
+		}
+		fail(t, p, "u0000", Answered, later, 1)
+		if n := pickMany(t, p, req, later.Add(DefaultSlowStart), 500)["u0000"]; n == 0 {
+			t.Fatal("the upstream did not come back")
+		}
+	}
+}
+
+func TestAFaultOfTheVersionEjectsFewHosts(t *testing.T) {
+	p := newPicker(t, 20)
+	for range failuresToEject * 2 {
+		for i := range 20 {
+			fail(t, p, fmt.Sprintf("u%04d", i), Failed, start, 1)
+		}
+	}
+	if got := p.TargetSlots(target); got != 20*8 {
+		t.Fatalf("%d slots take work, want all", got)
+	}
+	for _, s := range p.States(start) {
+		if !s.EjectedUntil.IsZero() {
+			t.Fatalf("%s is ejected though all fail alike", s.Upstream)
+		}
+	}
+}
+
+func TestOneFailureIsForgottenAfterAProbe(t *testing.T) {
+	p := newPicker(t, 20)
+	req := Request{Target: target}
+	fail(t, p, "u0000", TimedOut, start, 1)
+	if n := pickMany(t, p, req, start, 500)["u0000"]; n != 0 {
+		t.Fatalf("an upstream that just failed was picked %d times beside sound ones", n)
+	}
+	later := start.Add(suspectFor)
+	if n := pickMany(t, p, req, later, 500)["u0000"]; n != 1 {
+		t.Fatalf("%d probes at a time, want 1", n)
+	}
+	fail(t, p, "u0000", Answered, later, 1)
+	if n := pickMany(t, p, req, later, 500)["u0000"]; n < 10 {
+		t.Fatalf("picked %d of 500 times after a good probe", n)
+	}
+}
+
+func TestASuspectInTheOwnDomainIsPassedOver(t *testing.T) {
+	p := newPicker(t, 3)
+	fail(t, p, "u0000", TimedOut, start, 1)
+	if n := pickMany(t, p, Request{Target: target}, start, 100)["u0000"]; n != 0 {
+		t.Fatalf("the only upstream of the own domain was picked %d times after a failure", n)
+	}
+}
+
+func TestPrefixesOfALostUpstreamSpread(t *testing.T) {
+	p := newPicker(t, 20)
+	homeOf := func(prefix uint64) string {
+		c, err := p.Pick(&Request{Target: target, Prefix: prefix, PromptTokens: 4000}, start, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.Upstream
+	}
+	const prefixes = 400
+	before := map[uint64]string{}
+	for i := range uint64(prefixes) {
+		before[i+1] = homeOf(i + 1)
+	}
+	fail(t, p, "u0000", Refused, start, failuresToEject)
+	moved, heirs := 0, map[string]bool{}
+	for prefix, home := range before {
+		now := homeOf(prefix)
+		if home == "u0000" {
+			heirs[now] = true
+		} else if now != home {
+			moved++
+		}
+	}
+	if moved != 0 || len(heirs) < 5 {
+		t.Fatalf("%d prefixes of others moved, the lost ones went to %d upstreams", moved, len(heirs))
+	}
+}
+
+func TestEjectedShareIsCapped(t *testing.T) {
+	p := newPicker(t, 20)
+	for i := range 20 {
+		fail(t, p, fmt.Sprintf("u%04d", i), TimedOut, start, 10)
+	}
+	out := 0
+	for _, r := range p.view.Load().byName {
+		if r.health.until.Load() != 0 {
+			out++
+		}
+	}
+	if out != 10 {
+		t.Fatalf("%d of 20 ejected, want 10", out)
+	}
+	if _, err := p.Pick(&Request{Target: target}, start, 1); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestNewUpstreamStartsSlowly(t *testing.T) {
+	p := newPicker(t, 20)
+	p.Rebuild(fleet(t, 21), start)
+	r := p.view.Load().byName["u0020"]
+	var last float64
+	for _, age := range []time.Duration{0, 5 * time.Second, 10 * time.Second} {
+		got := r.member(target).capacity(start.Add(age).UnixNano(), DefaultSlowStart)
+		if got <= last {
+			t.Fatalf("capacity at %v is %v after %v", age, got, last)
+		}
+		last = got
+	}
+	if last != 8 {
+		t.Fatalf("capacity after the slow start is %v, want 8", last)
+	}
+}
+
+// TestReturningDomainIsNotFlooded brings this entry's own failure domain back
+// while 100 requests run: it is idle and near, and still gets few at first.
+func TestReturningDomainIsNotFlooded(t *testing.T) {
+	p := newPicker(t, 21)
+	near := p.view.Load().pools[target].near
+	for _, r := range near {
+		fail(t, p, r.id.Load().name, Refused, start, failuresToEject)
+	}
+	back := start.Add(maxEjectFor)
+	for _, r := range near {
+		fail(t, p, r.id.Load().name, Answered, back, 1)
+	}
+	req := Request{Target: target, PromptTokens: 100}
+	share := func(now time.Time) int {
+		n := 0
+		var sent []Choice
+		for i := range 100 {
+			c, err := p.Pick(&req, now, uint64(i)*7919+3)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Started(c)
+			sent = append(sent, c)
+			if c.Domain == "d0" {
+				n++
+			}
+		}
+		for _, c := range sent {
+			p.Finished(c, Observation{}, now)
+		}
+		return n
+	}
+	first, later := share(back), share(back.Add(DefaultSlowStart))
+	even := 100 * len(near) / 21
+	if first > 2*len(near) || later < even {
+		t.Fatalf("%d of 100 at once and %d later went to the domain that came back", first, later)
+	}
+}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -16,7 +16,9 @@
 	// be the version's, so they speak against this target alone; health, as
 	// told by connections, is the whole upstream's.
 	faults health
-	ramp   ramp
+	// ramp is the slow start after an ejection for this target; that of the
+	// replica is the whole upstream's.
+	ramp ramp
 }
 
 // takesWork reports whether the upstream stays and is not ejected.
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -44,6 +44,7 @@
 	leavingAgent  atomic.Bool
 	leavingHost   atomic.Bool
 
+	// ramp is the slow start of the whole upstream.
 	ramp ramp
 
 	health health
