Let a deadline speak only against an upstream that answers nobody

Cause: with the bound of 5 s a hung upstream was never found by callers with shorter deadlines, such as those of plain services. Change: the entry tells that a deadline passed, and the choice of host takes it for a failure when the upstream has answered nothing to this entry for 5 s. The policy runs tell it the same way.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -73,6 +73,8 @@
 
 	member *member
 	pool   *pool
+	// at is when it was made, in Unix nanoseconds.
+	at int64
 }
 
 // Outcome is how an attempt ended, as far as it tells about the upstream.
@@ -87,6 +89,9 @@
 	Busy
 	// Cancelled means that the caller went away; it tells nothing.
 	Cancelled
+	// Expired means that the caller's deadline passed first. It speaks against
+	// an upstream that answers nobody.
+	Expired
 	// Refused means that no connection could be made.
 	Refused
 	// TimedOut means that no answer came in time or the connection is silent.
--- a/internal/balance/health_test.go
+++ b/internal/balance/health_test.go
@@ -170,3 +170,21 @@
 		t.Fatalf("%d of 100 at once and %d later went to the domain that came back", first, later)
 	}
 }
+
+func TestDeadlinesSpeakAgainstAnUpstreamThatAnswersNobody(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		p := newPicker(t, 20)
+		now := start
+		for range 10 {
+			if answers {
+				fail(t, p, "u0000", Answered, now, 1)
+			}
+			fail(t, p, "u0000", Expired, now, failuresToEject)
+			now = now.Add(time.Second)
+		}
+		n := pickMany(t, p, Request{Target: target}, now, 500)["u0000"]
+		if picked := n > 1; picked != answers {
+			t.Errorf("picked %d of 500 times after deadlines that passed; answers others: %v", n, answers)
+		}
+	}
+}
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -83,6 +83,7 @@
 // Started notes that an attempt was sent to the choice.
 func (p *Picker) Started(c Choice) {
 	c.member.own.Add(1)
+	c.member.silentFrom.CompareAndSwap(0, c.at)
 }
 
 // Finished notes the end of an attempt that was started. It is called once
@@ -100,12 +101,14 @@
 	}
 	switch {
 	case o.Outcome == Answered:
+		m.silentFrom.Store(0)
 		m.succeeded(at)
 	case o.Outcome == Failed:
+		m.silentFrom.Store(0)
 		if m.faults.failed(at) && !c.pool.shareFault() {
 			p.ejectFrom(c.pool, m, at)
 		}
-	case o.Outcome.failure():
+	case o.Outcome.failure(), o.Outcome == Expired && m.hung(at):
 		if m.health.failed(at) {
 			p.eject(m.replica, at)
 		}
--- a/internal/balance/replica.go
+++ b/internal/balance/replica.go
@@ -39,6 +39,10 @@
 	tokenTime atomic.Int64
 	slow      atomic.Bool
 
+	// silentFrom is when the first attempt since its last answer was sent, in
+	// Unix nanoseconds; 0 when there is none.
+	silentFrom atomic.Int64
+
 	// leaving is set by the configuration, the agent or the host list.
 	leavingConfig atomic.Bool
 	leavingAgent  atomic.Bool
@@ -76,6 +80,17 @@
 	}
 }
 
+// hungAfter is how long an upstream answers nothing until deadlines that pass
+// speak against it. A caller whose deadline is shorter than its answers would
+// have it ejected for everyone otherwise.
+const hungAfter = 5 * time.Second
+
+// hung reports whether nobody got an answer for long.
+func (r *replica) hung(now int64) bool {
+	from := r.silentFrom.Load()
+	return from != 0 && now-from >= int64(hungAfter)
+}
+
 // othersFade is the age at which a report of others' load counts half.
 const othersFade = 2 * time.Second
 
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -152,6 +152,6 @@
 	return Choice{
 		Upstream: id.name, Host: id.host, Agent: id.agent, Domain: id.domain,
 		Affine: affine, Probe: probe,
-		member: m, pool: s.pool,
+		member: m, pool: s.pool, at: s.now,
 	}
 }
--- a/internal/entry/shadow.go
+++ b/internal/entry/shadow.go
@@ -76,7 +76,6 @@
 		return 0, err
 	}
 	e.picker.Started(choice)
-	sent := e.now()
 	stream, err := e.link.Attempt(ctx, choice.Agent, &linkv1.AttemptRequest{
 		RequestId:    r.call.RequestID,
 		AttemptId:    uuid.NewString(),
@@ -99,8 +98,7 @@
 	if err != nil {
 		failure = result.From(err)
 	}
-	now := e.now()
-	e.picker.Finished(choice, observation(failure, stream.Load(), now.Sub(sent)), now)
+	e.picker.Finished(choice, observation(failure, stream.Load()), e.now())
 	return conf, err
 }
 
--- a/internal/policybench/host/entry.go
+++ b/internal/policybench/host/entry.go
@@ -203,8 +203,7 @@
 	now := e.fleet.clock.Now()
 	e.stats.ended(c.req, how, now+client)
 	if c.current != nil {
-		// Every deadline is long enough to speak against the upstream.
-		e.picker.finished(c.req, c.to, reply{outcome: balance.TimedOut})
+		e.picker.finished(c.req, c.to, reply{outcome: balance.Expired})
 		at, to := c.current, e.fleet.agents[c.to]
 		e.fleet.clock.After(latency(e.id, to.domain), func() { to.cancel(at) })
 	}
