Give streams on the link smaller buffers

Cause: the client's buffers of 2 KiB, chosen so that a short attempt goes out in one write, stay with each open stream. Change: streamed attempts have pooled connections of their own with buffers of 1 KiB.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -40,8 +40,8 @@
 
 // peer is one agent's address.
 type peer struct {
-	// pooled reuses connections, fresh opens one for each call. streamed uses
-	// the connections of pooled for attempts whose answers are streams.
+	// pooled and streamed reuse connections, streamed for attempts whose
+	// answers are streams; fresh opens one for each call.
 	pooled   linkv1connect.AgentServiceClient
 	streamed linkv1connect.AgentServiceClient
 	fresh    linkv1connect.AgentServiceClient
@@ -120,14 +120,18 @@
 	if c.opts.TLS != nil {
 		scheme = "https://"
 	}
-	pooled := newTransport(c.opts.TLS, true)
-	fresh := newTransport(c.opts.TLS, false)
+	pooled := newTransport(c.opts.TLS, true, connectionBuffer)
+	streamed := newTransport(c.opts.TLS, true, streamBuffer)
+	fresh := newTransport(c.opts.TLS, false, connectionBuffer)
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
 	return &peer{
-		pooled:    linkv1connect.NewAgentServiceClient(gatheringClient{httpClient{pooled}}, scheme+addr, plain),
-		streamed:  linkv1connect.NewAgentServiceClient(httpClient{pooled}, scheme+addr, plain),
-		fresh:     linkv1connect.NewAgentServiceClient(httpClient{fresh}, scheme+addr, plain),
-		closeIdle: pooled.CloseIdleConnections,
+		pooled:   linkv1connect.NewAgentServiceClient(gatheringClient{httpClient{pooled}}, scheme+addr, plain),
+		streamed: linkv1connect.NewAgentServiceClient(httpClient{streamed}, scheme+addr, plain),
+		fresh:    linkv1connect.NewAgentServiceClient(httpClient{fresh}, scheme+addr, plain),
+		closeIdle: func() {
+			pooled.CloseIdleConnections()
+			streamed.CloseIdleConnections()
+		},
 	}
 }
 
--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -15,11 +15,14 @@
 	keepAlivePause = 15 * time.Second
 	// clientIdle is less than serverIdle, so that the server seldom closes a
 	// connection that the client is about to use.
-	clientIdle        = 45 * time.Second
-	serverIdle        = 2 * time.Minute
-	headerTimeout     = 5 * time.Second
-	idlePerAgent      = 256
+	clientIdle    = 45 * time.Second
+	serverIdle    = 2 * time.Minute
+	headerTimeout = 5 * time.Second
+	idlePerAgent  = 256
+	// connectionBuffer is each buffer of a connection, and streamBuffer that
+	// of one for streams, which hold it for long.
 	connectionBuffer  = 2 << 10
+	streamBuffer      = 1 << 10
 	maxHeaderBytes    = 16 << 10
 	tlsHandshakeLimit = time.Second
 )
@@ -58,7 +61,7 @@
 }
 
 // newTransport returns a transport to one agent.
-func newTransport(tlsConfig *tls.Config, pooled bool) *http.Transport {
+func newTransport(tlsConfig *tls.Config, pooled bool, bufferBytes int) *http.Transport {
 	t := &http.Transport{
 		DialContext:           dial,
 		TLSHandshakeTimeout:   tlsHandshakeLimit,
@@ -66,8 +69,8 @@
 		DisableKeepAlives:     !pooled,
 		MaxIdleConnsPerHost:   idlePerAgent,
 		IdleConnTimeout:       clientIdle,
-		ReadBufferSize:        connectionBuffer,
-		WriteBufferSize:       connectionBuffer,
+		ReadBufferSize:        bufferBytes,
+		WriteBufferSize:       bufferBytes,
 		ExpectContinueTimeout: time.Second,
 		Protocols:             new(http.Protocols),
 	}
