Find a running entry through agents when the store is out

Cause: An entry that restarts in a store outage found what others had learned only if its peers setting named entries; as a rule it names agents.

Change: Agents answer the question for what was learned with the addresses of daemons that sent messages to them, and the entry asks some of those next.

Measured: go test -run RestartedEntriesKnow -count=3 ./integration: ok, three of three. Without the agents' answer the entry knew nothing after a minute and the test failed. go test -race ./internal/learned ./internal/daemon: ok.

--- a/integration/recovery_test.go
+++ b/integration/recovery_test.go
@@ -50,8 +50,9 @@
 	c.Verify()
 }
 
-// TestRestartedEntriesKnowWhatWasLearned restarts all entries while the rating
-// service is away, so that nothing can be learned anew.
+// TestRestartedEntriesKnowWhatWasLearned restarts one entry while store and rating
+// service are away, so that it must ask the other, of which agents tell it. Then
+// all restart with the store up.
 func TestRestartedEntriesKnowWhatWasLearned(t *testing.T) {
 	t.Parallel()
 	c := harness.New(t, harness.Spec{Entries: 2, Agents: 2, Engine: quick})
@@ -62,7 +63,15 @@
 		_, found, err := c.Direct.Table.Get(t.Context(), learned.RowKey)
 		return err == nil && found
 	})
-	c.SetFaults(fake.Faults{Ratings: fake.RatingFaults{Away: true}})
+	away := fake.RatingFaults{Away: true}
+	out := outage()
+	out.Ratings = away
+	c.SetFaults(out)
+	first := c.Entries[0]
+	c.Kill(first)
+	c.Restart(first)
+	c.Eventually(first.Name()+" asks the other", func() bool { return estimatesOf(t, first) > 0 })
+	c.SetFaults(fake.Faults{Ratings: away})
 	for _, n := range c.Entries {
 		c.Kill(n)
 	}
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -8,6 +8,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/agent"
 	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/learned"
 	"tarragonbay.example/tarragonbay/internal/ledger"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
@@ -53,6 +54,7 @@
 
 func (r *agentRole) mount(mux *http.ServeMux) {
 	mux.Handle(link.NewHandler(r.agent, r.agent.Logs()))
+	mux.Handle(learned.NewRelay(r.daemon.follower.Senders))
 }
 
 func (r *agentRole) duties() []duty {
--- a/internal/entry/recall_test.go
+++ b/internal/entry/recall_test.go
@@ -15,6 +15,7 @@
 	"tarragonbay.example/tarragonbay/internal/learned"
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/link"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/platform"
 	"tarragonbay.example/tarragonbay/internal/platform/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
@@ -130,7 +131,7 @@
 }
 
 // ask is the link to an entry that runs.
-func (s *site) ask(ctx context.Context, address string) ([]byte, error) {
+func (s *site) ask(ctx context.Context, address string) (*linkv1.LearnedResponse, error) {
 	s.mu.Lock()
 	e := s.entries[address]
 	s.mu.Unlock()
@@ -139,10 +140,10 @@
 	}
 	m, err := e.Memory(ctx)
 	if err != nil || m.Empty() {
-		return nil, err
+		return &linkv1.LearnedResponse{}, err
 	}
 	packed, _, err := learned.Pack(m)
-	return packed, err
+	return &linkv1.LearnedResponse{Packed: packed}, err
 }
 
 // fading is the weight that ratings may lose in the minutes of a test.
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/lease"
+	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/platform/fake"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -101,9 +102,9 @@
 func source(p *fake.Platform, peers map[string][]byte) *Source {
 	s := &Source{
 		Table: p.Table, Self: "self", Now: func() time.Time { return epoch }, Log: zap.NewNop(),
-		Ask: func(_ context.Context, address string) ([]byte, error) {
+		Ask: func(_ context.Context, address string) (*linkv1.LearnedResponse, error) {
 			if data, ok := peers[address]; ok {
-				return data, nil
+				return &linkv1.LearnedResponse{Packed: data}, nil
 			}
 			return nil, result.New(result.NoUpstream, "nobody at %s", address)
 		},
@@ -133,9 +134,14 @@
 	saved(t, p, memory(2, 10))
 	s := source(p, map[string][]byte{"self": packed(t, memory(1, 99)), "a": packed(t, memory(1, 11)), "empty": nil, "bad": []byte("x")})
 	ask := s.Ask
-	s.Ask = func(ctx context.Context, address string) ([]byte, error) {
-		if address == "writer" {
-			return packed(t, memory(1, 12)), nil
+	s.Ask = func(ctx context.Context, address string) (*linkv1.LearnedResponse, error) {
+		switch address {
+		case "writer":
+			return &linkv1.LearnedResponse{Packed: packed(t, memory(1, 12))}, nil
+		case "empty":
+			return &linkv1.LearnedResponse{Senders: []string{"self", "a", "named by an agent"}}, nil
+		case "named by an agent":
+			return &linkv1.LearnedResponse{Packed: packed(t, memory(1, 20)), Senders: []string{"b"}}, nil
 		}
 		return ask(ctx, address)
 	}
@@ -143,11 +149,11 @@
 	for _, m := range s.Recall(t.Context()) {
 		sum += m.Cursor
 	}
-	if sum != 10+11+12 {
+	if sum != 10+11+12+20 {
 		t.Errorf("the cursors add up to %d", sum)
 	}
 	p.Table.SetFaults(fake.TableFaults{Outage: true})
-	if got := s.Recall(t.Context()); len(got) != 1 || got[0].Cursor != 11 {
+	if got := s.Recall(t.Context()); len(got) != 2 || got[0].Cursor != 11 || got[1].Cursor != 20 {
 		t.Errorf("with the store away: %+v", got)
 	}
 }
--- a/internal/learned/peers.go
+++ b/internal/learned/peers.go
@@ -55,18 +55,39 @@
 	return connect.NewResponse(resp), nil
 }
 
-// Ask returns the packed memory of the entry at an address.
-type Ask func(ctx context.Context, address string) ([]byte, error)
+// knownSenders is how many addresses an agent returns.
+const knownSenders = 8
+
+// Relay serves EntryService on an agent, which has learned nothing but knows
+// which entries send to it.
+type Relay struct {
+	senders func(n int) []string
+}
+
+var _ linkv1connect.EntryServiceHandler = (*Relay)(nil)
+
+// NewRelay returns the path and the handler to mount.
+func NewRelay(senders func(n int) []string) (string, http.Handler) {
+	return linkv1connect.NewEntryServiceHandler(&Relay{senders: senders})
+}
+
+// Learned answers with where entries may be asked.
+func (r *Relay) Learned(context.Context, *connect.Request[linkv1.LearnedRequest]) (*connect.Response[linkv1.LearnedResponse], error) {
+	return connect.NewResponse(&linkv1.LearnedResponse{Senders: r.senders(knownSenders)}), nil
+}
+
+// Ask asks the daemon at an address what it has learned.
+type Ask func(ctx context.Context, address string) (*linkv1.LearnedResponse, error)
 
 // Connect returns an Ask over connect-go.
 func Connect(dial publish.Dial) Ask {
-	return func(ctx context.Context, address string) ([]byte, error) {
+	return func(ctx context.Context, address string) (*linkv1.LearnedResponse, error) {
 		client, baseURL := dial(address)
 		resp, err := linkv1connect.NewEntryServiceClient(client, baseURL, connect.WithReadMaxBytes(2*MaxBytes)).
 			Learned(ctx, connect.NewRequest(&linkv1.LearnedRequest{}))
 		if err != nil {
 			return nil, err
 		}
-		return resp.Msg.GetPacked(), nil
+		return resp.Msg, nil
 	}
 }
--- a/internal/learned/recall.go
+++ b/internal/learned/recall.go
@@ -25,15 +25,15 @@
 	Table platform.Table
 	// Self is the address of this entry, which is not asked.
 	Self string
-	// Peers lists daemons that may be entries; others do not answer.
+	// Peers lists daemons of any role. Agents name entries that are asked next.
 	Peers []string
 	Ask   Ask
 	Now   func() time.Time
 	Log   *zap.Logger
 }
 
-// Recall asks the platform's copy, the entry that wrote it, and some peers, and
-// returns what they know. What cannot be reached or read is left out.
+// Recall asks the platform's copy, the entry that wrote it, some peers, and some
+// entries that agents among them name, and returns what they know. What cannot be reached or read is left out.
 func (s *Source) Recall(ctx context.Context) []quality.Memory {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -48,33 +48,40 @@
 			peers = slices.Insert(peers, 0, address)
 		}
 	}
-	return append(memories, s.askPeers(ctx, peers)...)
+	asked := map[string]bool{s.Self: true}
+	near, senders := s.askPeers(ctx, peers, asked)
+	far, _ := s.askPeers(ctx, senders, asked)
+	return slices.Concat(memories, near, far)
 }
 
-// askPeers asks some peers at the same time.
-func (s *Source) askPeers(ctx context.Context, peers []string) []quality.Memory {
-	asked := map[string]bool{s.Self: true}
+// askPeers asks some peers at the same time that were not asked yet. It returns
+// what they know, and daemons that they name.
+func (s *Source) askPeers(ctx context.Context, peers []string, asked map[string]bool) (memories []quality.Memory, senders []string) {
 	var mu sync.Mutex
-	var memories []quality.Memory
 	var calls sync.WaitGroup
+	left := askedPeers
 	for _, p := range peers {
-		if asked[p] || len(asked) > askedPeers {
+		if asked[p] || left == 0 {
 			continue
 		}
 		asked[p] = true
+		left--
 		calls.Go(func() {
-			packed, err := s.Ask(ctx, p)
-			if err != nil || len(packed) == 0 {
+			resp, err := s.Ask(ctx, p)
+			if err != nil {
 				return
 			}
-			m, err := Unpack(packed, s.Now())
 			mu.Lock()
 			defer mu.Unlock()
-			memories = s.keep(memories, p, m, err)
+			senders = append(senders, resp.GetSenders()...)
+			if len(resp.GetPacked()) > 0 {
+				m, err := Unpack(resp.GetPacked(), s.Now())
+				memories = s.keep(memories, p, m, err)
+			}
 		})
 	}
 	calls.Wait()
-	return memories
+	return memories, senders
 }
 
 // keep adds a memory, or says why it is dropped.
--- a/internal/publish/peers.go
+++ b/internal/publish/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -119,6 +120,18 @@
 	b.addresses.Store(sender, address)
 }
 
+// Senders returns the addresses of at most n daemons that sent messages to this
+// one, in no order.
+func (f *Follower) Senders(n int) []string {
+	var out []string
+	f.senders.addresses.Range(func(_, address any) bool {
+		out = append(out, address.(string))
+		return true
+	})
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
 func (b *senderBook) address(e *linkv1.Envelope) string {
 	if e.GetAddress() != "" {
 		return e.GetAddress()
