Count the load that rides on an answer in the cost of a choice

Cause: BenchmarkPick ended its attempts without a load report, though each answer brings one and the speed is judged by it. Change: the benchmark hands a load over with each end.

--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -16,6 +16,7 @@
 	p := newPicker(b, replicas)
 	req := Request{Target: target, PromptTokens: 2000}
 	rnd := uint64(1)
+	load := Load{InFlight: 1, Slots: 8, TokenTime: usualTokenTime}
 	b.ReportAllocs()
 	for b.Loop() {
 		rnd = mix(rnd + 1)
@@ -25,7 +26,7 @@
 			b.Fatal(err)
 		}
 		p.Started(c)
-		p.Finished(c, Observation{}, start)
+		p.Finished(c, Observation{Load: &load}, start)
 	}
 	b.ReportMetric(float64(b.Elapsed())/float64(b.N)/float64(bound), "of-bound")
 }
