--- a/internal/route/try.go
+++ b/internal/route/try.go
@@ -46,6 +46,14 @@
 	return max(0, saved)
 }
 
+// worth returns what a request would save for each unit that the try costs.
+func (c *chooser) worth(sc *score) float64 {
+	if sc.cost <= 0 {
+		return 1
+	}
+	return max(0, c.bestScore.cost-sc.cost) / sc.cost
+}
+
 // explore puts the try beside the choice, or in its place.
 func (c *chooser) explore(plan *Plan, options []option) {
 	u := &c.open[c.try]
@@ -113,7 +121,7 @@
 		return s.ExploreKnown
 	}
 	if c.objective == catalog.ObjectiveExposure {
-		return s.ExploreShadow * min(1, 2*u.chance) * min(1, 2*c.saving(&u.score))
+		return s.ExploreShadow * min(1, square(2*u.chance*c.worth(&u.score)))
 	}
 	rate := s.ExploreMost
 	if loss := c.bestScore.mean - u.score.mean; loss > 0 && u.score.mean < u.target {
