--- a/internal/policybench/version/bounds_test.go
+++ b/internal/policybench/version/bounds_test.go
@@ -73,23 +73,49 @@
 	}
 }
 
+// The numbers of seeds, from 0, of the loads that the cost is checked in. One
+// fault at a time has many more loads than two.
+const (
+	combinedSeeds = 5
+	singleSeeds   = 3
+)
+
 // TestBoundsCostOfClairvoyantCombined checks the loads with two faults at a
 // time, with several seeds.
 func TestBoundsCostOfClairvoyantCombined(t *testing.T) {
-	const seeds = 5
+	checkCostOfSeeds(t, combinedSeeds, func(l *load) bool { return l.combined })
+}
+
+// TestBoundsCostOfClairvoyantSeeds checks the loads with one fault with
+// several seeds.
+func TestBoundsCostOfClairvoyantSeeds(t *testing.T) {
+	checkCostOfSeeds(t, singleSeeds, func(l *load) bool { return !l.combined && l.learned > 0 })
+}
+
+func checkCostOfSeeds(t *testing.T, seeds int, match func(*load) bool) {
+	t.Helper()
+	pool := pond.NewPool(workers)
+	defer pool.StopAndWait()
 	for _, g := range groups(t) {
 		l := g[policyProduct].load
-		if !l.combined {
+		if !match(&l) {
 			continue
 		}
 		s := g[policyProduct].site
-		for seed := range uint64(seeds) {
-			p := outcome{site: s, load: l, policy: policyProduct, learned: learnedAt(t, s.name)}
-			c := outcome{site: s, load: l, policy: policyClairvoyant}
-			if err := errors.Join(p.measure(seed), c.measure(seed)); err != nil {
-				t.Fatal(err)
-			}
-			checkCost(t, g.name(), seed, &p, &c)
+		p, c := make([]outcome, seeds), make([]outcome, seeds)
+		tasks := pool.NewGroup()
+		for seed := range p {
+			p[seed] = outcome{site: s, load: l, policy: policyProduct, learned: learnedAt(t, s.name)}
+			c[seed] = outcome{site: s, load: l, policy: policyClairvoyant}
+			tasks.SubmitErr(func() error {
+				return errors.Join(p[seed].measure(uint64(seed)), c[seed].measure(uint64(seed)))
+			})
+		}
+		if err := tasks.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		for seed := range p {
+			checkCost(t, g.name(), uint64(seed), &p[seed], &c[seed])
 		}
 	}
 }
