Probe a host at once when its heartbeats are back

Cause: a host that had been silent was left out until its ejection ended, up to 90 s after it was back, since each probe of a dead host doubles the time. Change: the entry tells the choice of host that the heartbeats are back, and the next request may probe; a good answer brings it back by the slow start. TestAHostThatIsBackIsProbedAtOnce fails without the change.

--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -68,6 +68,16 @@
 // suspect reports whether the last attempt failed.
 func (h *health) suspect() bool { return h.failures.Load() > 0 }
 
+// probeFrom ends an ejection early: a probe may be sent now.
+func (h *health) probeFrom(now int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until := h.until.Load(); until > now {
+		h.until.Store(now)
+	}
+	h.probeUntil.Store(0)
+}
+
 // takeProbe lets one caller through while the upstream is probeable.
 func (h *health) takeProbe(now int64) bool {
 	if !h.probeable(now) {
--- a/internal/balance/health_test.go
+++ b/internal/balance/health_test.go
@@ -188,3 +188,25 @@
 		}
 	}
 }
+
+func TestAHostThatIsBackIsProbedAtOnce(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		p := newPicker(t, 20)
+		p.HostSilent("h0", start)
+		now := start.Add(suspectFor / 2)
+		if back {
+			p.HostBack("h0", now)
+		}
+		probed := false
+		for i := range uint64(100) {
+			c, err := p.Pick(&Request{Target: target}, now, i)
+			if err != nil {
+				t.Fatal(err)
+			}
+			probed = probed || c.Probe
+		}
+		if probed != back {
+			t.Errorf("probed: %v, though back: %v", probed, back)
+		}
+	}
+}
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -141,6 +141,14 @@
 	}
 }
 
+// HostBack notes that a host's heartbeats came back. Its upstreams are probed
+// now and not only when their ejections end.
+func (p *Picker) HostBack(host string, now time.Time) {
+	for _, r := range p.view.Load().byHost[host] {
+		r.health.probeFrom(now.UnixNano())
+	}
+}
+
 // eject takes the upstream out, unless that would take out more than the
 // allowed share of a target's upstreams.
 func (p *Picker) eject(r *replica, now int64) {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -24,6 +24,7 @@
 	now := e.now()
 	switch ev.Kind {
 	case membership.HostBack, membership.HostRestarted:
+		e.picker.HostBack(ev.Host.Name, now)
 		e.agents.heard(ev.Host.Agent, ev.Incarnation)
 		e.copies.Observe(ev.Host.Agent, ev.Incarnation, 0)
 	case membership.HostSilent:
--- a/internal/policybench/host/baseline.go
+++ b/internal/policybench/host/baseline.go
@@ -45,6 +45,8 @@
 
 func (k *knowledge) silent(to int) { k.away[to] = true }
 
+func (k *knowledge) back(to int) { k.away[to] = false }
+
 func (k *knowledge) load(to int) int { return k.own[to] + k.others[to] }
 
 func (k *knowledge) usable(to int, tried []int) bool {
--- a/internal/policybench/host/entry.go
+++ b/internal/policybench/host/entry.go
@@ -88,7 +88,10 @@
 
 func (e *entry) reported(i int, l balance.Load) {
 	e.heard[i] = e.fleet.clock.Now()
-	e.lost[i] = false
+	if e.lost[i] {
+		e.lost[i] = false
+		e.picker.back(i)
+	}
 	e.picker.report(i, l)
 }
 
--- a/internal/policybench/host/ours.go
+++ b/internal/policybench/host/ours.go
@@ -97,4 +97,6 @@
 
 func (p *product) silent(to int) { p.picker.HostSilent(hostName(to), p.fleet.now()) }
 
+func (p *product) back(to int) { p.picker.HostBack(hostName(to), p.fleet.now()) }
+
 func (p *product) slots() int { return p.picker.Slots() }
--- a/internal/policybench/host/policy.go
+++ b/internal/policybench/host/policy.go
@@ -13,9 +13,11 @@
 	// started and finished frame each attempt.
 	started(r *request, to int)
 	finished(r *request, to int, rep reply)
-	// report takes a load report, silent the end of a host's reports.
+	// report takes a load report, silent the end of a host's reports and back
+	// their return.
 	report(to int, l balance.Load)
 	silent(to int)
+	back(to int)
 }
 
 // policy is one column of the comparison.
