Pause between resumes whose connection is refused

Cause: connect-go tells of a refused connection only when the first frame is read, so resume saw its connection as open, and the next failure came back without a pause: the six tries of a stream were over in some 20 ms, and every answer that ran over a link that refused connections for a moment was cut.

--- a/internal/link/fake_test.go
+++ b/internal/link/fake_test.go
@@ -193,8 +193,10 @@
 	silent chan struct{}
 }
 
-func newProxy(tb testing.TB, target string) *proxy {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(tb testing.TB, target string) *proxy { return newProxyAt(tb, "127.0.0.1:0", target) }
+
+func newProxyAt(tb testing.TB, address, target string) *proxy {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -203,6 +205,14 @@
 	return p
 }
 
+// away refuses connections for a while, and returns the proxy after it.
+func (p *proxy) away(tb testing.TB, d time.Duration) *proxy {
+	address := p.addr()
+	p.close()
+	time.Sleep(d)
+	return newProxyAt(tb, address, p.target)
+}
+
 func (p *proxy) addr() string { return p.ln.Addr().String() }
 
 func (p *proxy) accept() {
--- a/internal/link/recover.go
+++ b/internal/link/recover.go
@@ -100,10 +100,20 @@
 	return nil
 }
 
-// resume opens a new connection at the next frame.
+// resume opens a new connection at the next frame. It pauses between tries, also
+// those that failed after open: connect-go tells of a refused connection only
+// when the first frame is read.
 func (s *Stream) resume(cause error) error {
-	pause := s.pauses()
+	if s.tries == 0 {
+		s.pause = s.pauses()
+	}
 	for s.tries < s.client.opts.Timing.MaxResumes {
+		if s.tries > 0 {
+			s.sleep(s.pause.NextBackOff())
+		}
+		if err := s.ended(); err != nil {
+			return err
+		}
 		s.tries++
 		err := s.open(func(ctx context.Context) (*connect.ServerStreamForClient[linkv1.Frame], error) {
 			return s.peer.fresh.Resume(ctx, connect.NewRequest(&linkv1.ResumeRequest{
@@ -118,10 +128,6 @@
 			return nil
 		}
 		cause = err
-		if err := s.ended(); err != nil {
-			return err
-		}
-		s.sleep(pause.NextBackOff())
 	}
 	if s.seq.head {
 		return result.Wrap(cause, result.AnswerCut, "the connection to the agent is lost")
@@ -132,6 +138,7 @@
 func (s *Stream) pauses() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = s.client.opts.Timing.ResumePause
+	b.Multiplier = 2
 	return b
 }
 
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cenkalti/backoff/v5"
 
 	"tarragonbay.example/tarragonbay/internal/attempt"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
@@ -40,8 +41,10 @@
 	seq     *sequencer
 	conn    *connection
 	// seen is set when any frame of the attempt has arrived.
-	seen  bool
+	seen bool
+	// tries counts the resumes since the last frame, pause spaces them.
 	tries int
+	pause *backoff.ExponentialBackOff
 	stray int
 	// unacked counts data bytes since the last acknowledgement.
 	unacked int
--- a/internal/link/stream_test.go
+++ b/internal/link/stream_test.go
@@ -128,6 +128,37 @@
 	}
 }
 
+func TestAnswerResumesAfterConnectionsWereRefused(t *testing.T) {
+	const away = 200 * time.Millisecond
+	more := make(chan struct{})
+	r := newRig(t, func(l *AnswerLog, req *linkv1.AttemptRequest) {
+		_ = l.Head(&linkv1.Head{Status: http.StatusOK})
+		_ = l.Data(context.Background(), event(req.GetAttemptId(), 0))
+		<-more
+		_ = l.Data(context.Background(), event(req.GetAttemptId(), 1))
+		_ = l.End(&linkv1.Final{})
+	})
+	s, err := r.client.Attempt(t.Context(), r.proxy.addr(), request("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	back := make(chan *proxy)
+	go func() { back <- r.proxy.away(t, away) }()
+	got := make(chan error, 1)
+	var body []byte
+	go func() {
+		var err error
+		body, err = readAll(t.Context(), s)
+		got <- err
+	}()
+	defer (<-back).close()
+	close(more)
+	if err := <-got; err != nil || !bytes.Equal(body, wholeAnswer("a", 2)) {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
 func TestDeadPooledConnectionIsSettled(t *testing.T) {
 	r := newRig(t, answer(1))
 	s, err := r.client.Attempt(t.Context(), r.proxy.addr(), request("a"))
