Acknowledge in the test of Fetch only once the answer is read

Cause: TestFetch/start_acknowledged acknowledged frames before its first reader came, who was then refused: one failure in the runs so far.

Change: The acknowledgement follows the first frame at the sender.

--- a/internal/link/fetch_test.go
+++ b/internal/link/fetch_test.go
@@ -13,16 +13,15 @@
 		run  func(l *AnswerLog, req *linkv1.AttemptRequest)
 		// incarnation asked of; the agent's when 0.
 		incarnation uint64
-		code        result.Code
+		// ack is acknowledged once the sender reads the answer.
+		ack  uint64
+		code result.Code
 	}{
 		{name: "whole answer", run: answer(3)},
 		{name: "runs", run: func(l *AnswerLog, _ *linkv1.AttemptRequest) {
 			_ = l.Head(&linkv1.Head{})
 		}, code: result.InProgress},
-		{name: "start acknowledged", run: func(l *AnswerLog, req *linkv1.AttemptRequest) {
-			answer(3)(l, req)
-			l.Ack(2)
-		}, code: result.BufferSpent},
+		{name: "start acknowledged", run: answer(3), ack: 2, code: result.BufferSpent},
 		{name: "cut", run: func(l *AnswerLog, _ *linkv1.AttemptRequest) {
 			_ = l.Head(&linkv1.Head{})
 			_ = l.Fail(&linkv1.Final{}, result.New(result.UpstreamFailed, "died"))
@@ -42,6 +41,7 @@
 			}
 			defer s.Close()
 			<-done
+			r.agent.logs.Find("a").Ack(tt.ack)
 			req := &linkv1.FetchRequest{AttemptId: "a", AgentIncarnation: tt.incarnation}
 			for range 2 {
 				got, err := r.client.Fetch(t.Context(), r.proxy.addr(), req)
