Give the test of a suspicion that survives a reference of some age

Cause: TestWatchReadsTheLastRatingsAgain failed once in a run of all packages: a version in use is judged by estimates of ten minutes ago, and whether the first reading of them held the ratings hung on the order of goroutines.

Change: The test lets 25 minutes of virtual time pass before the version turns bad. What it asks for is unchanged.

Measured: go test -run on the eight hand-over tests, -count=40: ok; -race -cpu 1,2,8 -count=5: ok. With the recall switched off the test fails as before.

--- a/internal/entry/recall_test.go
+++ b/internal/entry/recall_test.go
@@ -158,6 +158,10 @@
 	}
 }
 
+// referenceTime is more than the age of the estimates by which a version in use is
+// judged.
+const referenceTime = 25 * time.Minute
+
 func settle() {
 	time.Sleep(3 * time.Second)
 	synctest.Wait()
@@ -260,7 +264,7 @@
 		a, stopA := s.start("a")
 		defer stopA()
 		s.rate(1500)
-		settle()
+		time.Sleep(referenceTime)
 		s.bad = 30
 		s.rate(30)
 		settle()
