--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -17,6 +17,7 @@
 	"tarragonbay.example/tarragonbay/internal/retry"
 	"tarragonbay.example/tarragonbay/internal/route"
 	"tarragonbay.example/tarragonbay/internal/wait"
+	"tarragonbay.example/tarragonbay/internal/watch"
 )
 
 // engineChatPath is the path of chat completions at a model engine.
@@ -221,12 +222,13 @@
 // close records the end of the attempt and what it told of the load.
 func (s *stepRun) close(a sentAttempt) *result.Error {
 	failure := s.entry.closeAttempt(s.ctx, s.request, a)
-	s.entry.tellFleet(s.key, a.choice.Host, s.entry.now().Sub(a.at), failure)
+	latency := s.entry.now().Sub(a.at)
 	if load := a.stream.Load(); load != nil {
 		s.queued = int(load.GetQueued())
 		s.slots = int(load.GetSlots())
 		s.backlog = quality.Backlog(s.queued, s.slots)
 	}
+	s.entry.tellFleet(watch.End{Key: s.key, Host: a.choice.Host, Latency: latency, Backlog: s.backlog}, failure)
 	s.busy = s.busy || (failure != nil && failure.Code == result.UpstreamBusy)
 	return failure
 }
--- a/internal/watch/failures.go
+++ b/internal/watch/failures.go
@@ -17,6 +17,9 @@
 	Failed, Cut bool
 	// Latency of a whole answer.
 	Latency time.Duration
+	// Backlog is the number of requests queued for each slot of the upstream
+	// at the end.
+	Backlog float64
 }
 
 // attemptSignals are the signals that come from attempts.
@@ -79,19 +82,25 @@
 	if e.Cut {
 		return
 	}
-	if limit, known := f.slowLimit(e.Key, v); known {
+	if limit, known := f.slowLimit(e, v); known {
 		t[slowness].add(e.Latency > limit)
 	}
 }
 
 // slowLimit returns the latency above which an answer is slow: what was usual
-// some time ago, of the version itself or of the one it replaces.
-func (f *Fleet) slowLimit(key quality.Key, v *followed) (time.Duration, bool) {
+// some time ago, of the version itself or of the one it replaces, and the wait
+// for a slot, by the queue at the answer's end or those at the ends of others.
+// That a version has too few replicas is no fault of it.
+func (f *Fleet) slowLimit(e End, v *followed) (time.Duration, bool) {
+	key := e.Key
+	now, _ := f.now.Get(key)
 	if v.replaces != "" {
 		key.Version = string(v.replaces)
 	}
 	reference, ok := f.before.Get(key)
-	return reference.LatencyHigh, ok && reference.Answers >= minReference
+	usual := reference.LatencyHigh
+	waited := max(now.Wait, time.Duration(e.Backlog*float64(usual)))
+	return usual + waited, ok && reference.Answers >= minReference
 }
 
 // Weigh adds what ended since the last call to the evidence, and finds new
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -214,6 +214,39 @@
 	}
 }
 
+// TestAQueueSpeaksAgainstNoVersion leaves one version with too few replicas:
+// its answers wait, those of the other do not.
+func TestAQueueSpeaksAgainstNoVersion(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		backlog float64
+		held    bool
+	}{{"slow with a queue", 4, false}, {"slow without one", 0, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			fleet := NewFleet()
+			fleet.SetCatalog(rollingOut(t, 3), start)
+			warm(fleet)
+			book := quality.NewBook(quality.Settings{})
+			for range 100 {
+				book.Add(m1, quality.Answered(time.Second, 10, 0), start)
+			}
+			for second := range 40 {
+				now := start.Add(time.Duration(second) * time.Second)
+				for _, host := range []string{"h0", "h1", "h2"} {
+					book.Add(m1, quality.Answered(5*time.Second, 10, tt.backlog), now)
+					fleet.SetView(book.View(now), now)
+					fleet.Ended(End{Key: m1, Host: host, Latency: 5 * time.Second, Backlog: tt.backlog}, now)
+					fleet.Ended(End{Key: m2, Host: host, Latency: time.Second}, now)
+				}
+				fleet.Weigh(now)
+			}
+			if held := fleet.Held(); (len(held) > 0) != tt.held {
+				t.Errorf("held %v, want held: %v", held, tt.held)
+			}
+		})
+	}
+}
+
 func TestNewVersionWithoutRatingsIsHeldForShadows(t *testing.T) {
 	fleet := NewFleet()
 	fleet.SetCatalog(rollingOut(t, 3), start)
