--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -58,6 +58,7 @@
 		{"host name for an address", `127.0.0.1:2`, `localhost:2`, `address: must be IP:port with an IP number`},
 		{"plain key", `sha256:`, `secret:`, `keys[0]: must be sha256: and 64 hex digits`},
 		{"share out of range", `"qualityTarget": 0.9}}`, `"qualityTarget": 1.9}}`, `models/small: qualityTarget: must be from 0 to 1, not 1.9`},
+		{"hold level out of range", `"qualityTarget": 0.9}}`, `"holdLevel": 0.5}}`, `models/small: holdLevel: must be from 2 to 10, not 0.5`},
 		{"wrong type", `"class": "tag"`, `"class": 7`, `rules/tags: class: must be of type string, not number`},
 		{"syntax error", `"rules": {`, `"rules": [`, `a.jsonc:7:`},
 	}
--- a/internal/catalog/check.go
+++ b/internal/catalog/check.go
@@ -173,6 +173,9 @@
 
 func (c *checker) checkModel(k Key, m *Model) {
 	c.checkShare(k, "qualityTarget", m.QualityTarget)
+	if h := m.HoldLevel; h != 0 && (h < MinHoldLevel || h > MaxHoldLevel) {
+		c.add(k, "holdLevel", "must be from %v to %v, not %v", MinHoldLevel, MaxHoldLevel, h)
+	}
 	if len(c.set.VersionsOf(k.Name)) == 0 {
 		c.add(k, "", "the model has no version")
 	}
--- a/internal/catalog/objects.go
+++ b/internal/catalog/objects.go
@@ -111,6 +111,10 @@
 	// QualityTarget is the share of answers that must be rated good, 0 to 1,
 	// for requests that name the model and match no rule. Default 0.9.
 	QualityTarget float64 `json:"qualityTarget,omitempty"`
+	// HoldLevel is the suspicion, in nats, from which a version of the model
+	// is held back, 2 to 10. A lower one holds sooner, and more often by
+	// mistake. Default 4.5.
+	HoldLevel float64 `json:"holdLevel,omitempty"`
 }
 
 // VersionState is the life stage of a version.
@@ -247,10 +251,13 @@
 	RolloutDone    = "done"
 )
 
-// Defaults of the objects' fields.
+// Defaults and bounds of the objects' fields.
 const (
 	DefaultQualityTarget   = 0.9
 	DefaultPriorQuality    = 0.5
+	DefaultHoldLevel       = 4.5
+	MinHoldLevel           = 2.0
+	MaxHoldLevel           = 10.0
 	DefaultEscalate        = 0.5
 	DefaultWeight          = 1.0
 	DefaultSlots           = 8
--- a/internal/rollout/detector.go
+++ b/internal/rollout/detector.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
 )
 
 // Signal is a kind of observation about an answer.
@@ -57,7 +59,7 @@
 // Defaults of DetectorSettings.
 const (
 	DefaultFalseWithdrawals = 1.0 / 2000
-	DefaultHoldLevel        = 4.5
+	DefaultHoldLevel        = catalog.DefaultHoldLevel
 )
 
 const (
@@ -126,14 +128,21 @@
 	if s.FalseWithdrawals <= 0 {
 		s.FalseWithdrawals = DefaultFalseWithdrawals
 	}
-	if s.HoldLevel <= 0 {
-		s.HoldLevel = DefaultHoldLevel
-	}
 	d := &Detector{set: s, last: now}
+	d.SetHoldLevel(s.HoldLevel)
 	d.addMass(newMass)
 	return d
 }
 
+// SetHoldLevel changes the suspicion from which the version is held; zero is
+// the default. It takes effect with the next observation.
+func (d *Detector) SetHoldLevel(level float64) {
+	if level <= 0 {
+		level = DefaultHoldLevel
+	}
+	d.set.HoldLevel = level
+}
+
 // Observe counts one observation against the bad rate that is tolerated.
 func (d *Detector) Observe(s Signal, bad bool, baseline float64, now time.Time) Verdict {
 	if bad {
--- a/internal/rollout/monitor.go
+++ b/internal/rollout/monitor.go
@@ -36,6 +36,10 @@
 	}
 }
 
+// SetHoldLevel changes the suspicion from which the version is held; zero is
+// the default.
+func (m *Monitor) SetHoldLevel(level float64) { m.detector.SetHoldLevel(level) }
+
 // Rating counts a rating of an answer that reached a caller.
 func (m *Monitor) Rating(good bool, baseline float64, now time.Time) Verdict {
 	m.count(good)
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -66,12 +66,14 @@
 	for name, v := range set.Versions {
 		replaces, isNew := fresh[name]
 		old, known := f.versions[name]
+		level := holdLevel(set, name)
 		if known && (old.replaces == replaces || !isNew) {
 			old.replaces = replaces
+			old.monitor.SetHoldLevel(level)
 			continue
 		}
 		f.versions[name] = &followed{
-			monitor:  rollout.NewMonitor(rollout.DetectorSettings{}, rollout.NewBudget(v.Exposure), isNew, now),
+			monitor:  rollout.NewMonitor(rollout.DetectorSettings{HoldLevel: level}, rollout.NewBudget(v.Exposure), isNew, now),
 			replaces: replaces,
 			hosts:    map[string]*hostTally{},
 		}
@@ -83,6 +85,14 @@
 	}
 }
 
+// holdLevel returns the level that the version's model sets, or 0.
+func holdLevel(set *catalog.Set, name catalog.VersionName) float64 {
+	if m := set.Models[name.Model()]; m != nil {
+		return m.HoldLevel
+	}
+	return 0
+}
+
 // newVersions maps the new version of each roll-out that has not ended to the
 // one it replaces.
 func newVersions(set *catalog.Set) map[catalog.VersionName]catalog.VersionName {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// TestTheHoldLevelIsThatOfTheModel counts the failures that hold a version, with
+// a level in the first catalogue and with one published later.
+func TestTheHoldLevelIsThatOfTheModel(t *testing.T) {
+	failures := func(first, later float64) (n int) {
+		fleet := NewFleet()
+		set := rollingOut(t, 3)
+		for _, level := range []float64{first, later} {
+			set.Models["m"].HoldLevel = level
+			fleet.SetCatalog(set, start)
+		}
+		for ; n < 100 && len(fleet.Held()) == 0; n++ {
+			for _, host := range []string{"h0", "h1", "h2"} {
+				fleet.Ended(End{Key: m1, Host: host, Failed: n >= 10}, start)
+				fleet.Ended(End{Key: m2, Host: host}, start)
+			}
+			fleet.Weigh(start)
+		}
+		return n
+	}
+	usual, strict, lax, later := failures(0, 0), failures(2, 2), failures(10, 10), failures(2, 10)
+	if strict >= usual || usual >= lax || later != lax {
+		t.Errorf("held after %d rounds by default, %d at level 2, %d at 10, %d when it was raised to 10", usual, strict, lax, later)
+	}
+}
+
 // warm gives both versions 100 answers of one second, as the reference.
 func warm(f *Fleet) {
 	book := quality.NewBook(quality.Settings{})
