--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -143,7 +143,7 @@
 	best       int
 	bestScore  score
 	bestRank   int
-	bestFilled [MaxSteps]candidate
+	bestFilled [MaxSteps]*candidate
 	bestTarget float64
 
 	// open holds the options that do not meet the target yet.
@@ -205,7 +205,7 @@
 	if c.req.NewSession && len(o.stages) > 1 {
 		return
 	}
-	var filled [MaxSteps]candidate
+	var filled [MaxSteps]*candidate
 	if !c.fill(o, &filled) {
 		return
 	}
@@ -234,29 +234,29 @@
 }
 
 // fill picks a candidate for each stage and reports whether there is one.
-func (c *chooser) fill(o *option, filled *[MaxSteps]candidate) bool {
+func (c *chooser) fill(o *option, filled *[MaxSteps]*candidate) bool {
 	for i := range o.stages {
-		best, ok := c.pick(o.stages[i].candidates, o.named)
-		if !ok {
+		filled[i] = c.pick(o.stages[i].candidates, o.named)
+		if filled[i] == nil {
 			return false
 		}
-		filled[i] = best
 	}
 	return true
 }
 
-// pick returns the usable candidate with the best known quality.
-func (c *chooser) pick(candidates []candidate, named bool) (best candidate, ok bool) {
+// pick returns the usable candidate with the best known quality, or nil.
+func (c *chooser) pick(candidates []candidate, named bool) (best *candidate) {
 	low := -1.0
-	for _, cd := range candidates {
+	for i := range candidates {
+		cd := &candidates[i]
 		if !c.usable(cd.version, named) {
 			continue
 		}
 		if e := &c.row[cd.slot]; e.Low > low {
-			best, low, ok = cd, e.Low, true
+			best, low = cd, e.Low
 		}
 	}
-	return best, ok
+	return best
 }
 
 func (c *chooser) usable(i int, named bool) bool {
@@ -326,7 +326,7 @@
 
 // chain fills the steps. Roll-outs apply to choices, not to tries, whose bad
 // answers would speak against the new version.
-func (c *chooser) chain(o *option, filled *[MaxSteps]candidate, rollOut bool) Chain {
+func (c *chooser) chain(o *option, filled *[MaxSteps]*candidate, rollOut bool) Chain {
 	out := Chain{count: len(o.stages)}
 	for i := range o.stages {
 		out.steps[i] = c.step(filled[i].version, rollOut && !o.named)
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -63,12 +63,12 @@
 }
 
 // score works out an option whose stages are filled with the candidates.
-func (s *scoring) score(o *option, filled *[MaxSteps]candidate) score {
+func (s *scoring) score(o *option, filled *[MaxSteps]*candidate) score {
 	var total score
 	reach := 1.0
 	last := len(o.stages) - 1
 	for i := range o.stages {
-		cd := &filled[i]
+		cd := filled[i]
 		e := &s.row[cd.slot]
 		keep := 1.0
 		if i < last {
--- a/internal/route/try.go
+++ b/internal/route/try.go
@@ -9,7 +9,7 @@
 type unproven struct {
 	option int
 	score  score
-	filled [MaxSteps]candidate
+	filled [MaxSteps]*candidate
 	target float64
 	// chance is the probability that the option meets the target.
 	chance float64
