--- a/internal/rollout/detector.go
+++ b/internal/rollout/detector.go
@@ -68,13 +68,6 @@
 	newMass = 0.1
 	// shift is the rise of a bad rate that suspicion looks for.
 	shift = 0.1
-	// briefShift is the rise that it looks for during a brief hold: the one
-	// that must be found soon. A version held by mistake is released after
-	// half the ratings, and one with such a rise seldom is.
-	briefShift = 0.2
-	// briefEvery is the time in which one hold is brief. A version that is
-	// held again is not given the benefit of the doubt twice.
-	briefEvery = 24 * time.Hour
 	// wide and gross are the other rises that conviction looks for; gross
 	// is a rate, not a rise.
 	wide  = 0.3
@@ -117,10 +110,8 @@
 	suspicion [signalCount]float64
 	evidence  [signalCount][alternativeCount]float64
 	last      time.Time
-	// briefAfter is when a hold may be brief again.
-	briefAfter time.Time
-	held       bool
-	withdrawn  bool
+	held      bool
+	withdrawn bool
 }
 
 // NewDetector starts a detector for a version first served at the time now.
@@ -159,22 +150,14 @@
 	for i, p1 := range alternatives(p0) {
 		llr := logRatio(good, bad, p0, p1)
 		d.evidence[s][i] = min(d.evidence[s][i]*math.Exp(llr), maxEvidence)
+		if i == 0 {
+			d.suspicion[s] = max(0, d.suspicion[s]+llr)
+		}
 	}
-	d.suspicion[s] = max(0, d.suspicion[s]+logRatio(good, bad, p0, p0+d.sought()))
 	d.judge()
 	return d.Verdict()
 }
 
-// sought returns the rise of the bad rate that suspicion looks for now.
-func (d *Detector) sought() float64 {
-	if d.held && d.mayBeBrief() {
-		return briefShift
-	}
-	return shift
-}
-
-func (d *Detector) mayBeBrief() bool { return !d.last.Before(d.briefAfter) }
-
 // alternatives returns the bad rates that are tested against the baseline.
 func alternatives(p0 float64) [alternativeCount]float64 {
 	return [alternativeCount]float64{p0 + shift, p0 + wide, gross}
@@ -215,15 +198,8 @@
 		d.held = true
 	}
 	if worst <= d.set.HoldLevel*releaseShare {
-		d.release()
-	}
-}
-
-func (d *Detector) release() {
-	if d.held && d.mayBeBrief() {
-		d.briefAfter = d.last.Add(briefEvery)
+		d.held = false
 	}
-	d.held = false
 }
 
 // Evidence returns the statistic behind a withdrawal.
--- a/internal/rollout/detector_test.go
+++ b/internal/rollout/detector_test.go
@@ -105,28 +105,6 @@
 	}
 }
 
-// TestOneHoldADayIsBrief holds a good version twice on one day and once on the
-// next, and counts the good ratings that each release takes.
-func TestOneHoldADayIsBrief(t *testing.T) {
-	d := NewDetector(DetectorSettings{}, epoch)
-	release := func(now time.Time) (ratings int) {
-		for range 40 {
-			d.Observe(SignalRating, false, 0.02, now)
-		}
-		for range 3 {
-			d.Observe(SignalRating, true, 0.02, now)
-		}
-		for ; d.Verdict() == Hold; ratings++ {
-			d.Observe(SignalRating, false, 0.02, now)
-		}
-		return ratings
-	}
-	first, second, next := release(epoch), release(epoch.Add(time.Hour)), release(epoch.Add(day+time.Minute))
-	if first >= second || next != first {
-		t.Errorf("released after %d ratings, the same day after %d, the next after %d", first, second, next)
-	}
-}
-
 func TestAttributeTellsHostFromVersion(t *testing.T) {
 	well := func(host string) HostTally {
 		return HostTally{Host: host, Good: 60, Bad: 1, OtherGood: 60, OtherBad: 1}
