--- a/integration/bench/idle_test.go
+++ b/integration/bench/idle_test.go
@@ -78,7 +78,7 @@
 	copies := float64(longHeap-short) / promptStreams / float64(len(long)-len(prompt))
 	t.Logf("an idle stream holds %.2f copies of its prompt", copies)
 	if copies > maxPromptCopies {
-		t.Errorf("%.2f copies of the prompt, want at most %d", copies, maxPromptCopies)
+		t.Errorf("%.2f copies of the prompt, want at most %.2f", copies, maxPromptCopies)
 	}
 }
 
