--- a/internal/daemoncmd/cmd.go
+++ b/internal/daemoncmd/cmd.go
@@ -57,7 +57,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return result.New(result.BadUsage, "a role is needed: entry, agent or dev; see tarragonbayd --help")
+			return result.New(result.BadUsage, "a role is needed: entry, agent, gateway or dev; see tarragonbayd --help")
 		},
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
@@ -67,6 +67,7 @@
 		roleCommand(settings.RoleEntry, "Take callers' requests and choose upstreams", daemon.NewEntry, stdout, stderr),
 		roleCommand(settings.RoleAgent, "Stand beside the upstreams of one host", daemon.NewAgent, stdout, stderr),
 		devCommand(stdout, stderr),
+		gatewayCommand(stdout),
 		settingsCommand(stdout),
 	)
 	return cmd
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,118 @@
+// Package fleet keeps the upstreams that are known, from the list they publish.
+// It has no I/O: rows and time come in as arguments.
+package fleet
+
+import (
+	"time"
+)
+
+// Upstream is one boot of one replica.
+type Upstream struct {
+	// ID names the upstream; it may start again under the same one.
+	ID      string
+	Service string
+	// Address is IP:port. It may be reused by another upstream later.
+	Address string
+	// Domain is the failure domain.
+	Domain string
+	// Version is the version of the upstream's software or weights.
+	Version string
+	// Slots is how many requests it runs together.
+	Slots int
+	// Leaving is true once the upstream has announced its departure.
+	Leaving bool
+	// Born is when this boot started, in Unix milliseconds; zero if unknown.
+	Born int64
+}
+
+// entry is an upstream with what is known of its row.
+type entry struct {
+	Upstream
+	rev uint64
+}
+
+// Fleet is the set of known upstreams. It is not safe for concurrent use.
+type Fleet struct {
+	known map[string]entry
+	// rev is the newest revision that was taken in.
+	rev uint64
+	// missing holds upstreams that a list after an outage did not show, with
+	// the time at which they are taken as gone.
+	missing map[string]time.Time
+}
+
+// New returns an empty fleet.
+func New() *Fleet {
+	return &Fleet{known: map[string]entry{}, missing: map[string]time.Time{}}
+}
+
+// Rev returns the newest revision taken in.
+func (f *Fleet) Rev() uint64 { return f.rev }
+
+// Put takes in a row. It reports whether anything but the revision changed.
+func (f *Fleet) Put(u Upstream, rev uint64) bool {
+	old, ok := f.known[u.ID]
+	if ok && rev < old.rev {
+		return false
+	}
+	delete(f.missing, u.ID)
+	f.known[u.ID] = entry{Upstream: u, rev: rev}
+	return !ok || old.Upstream != u
+}
+
+// Remove takes in the removal of a row at a revision. The upstream is taken as
+// gone at goneAt, unless it is put again before.
+func (f *Fleet) Remove(id string, rev uint64, goneAt time.Time) {
+	if old, ok := f.known[id]; ok && rev >= old.rev {
+		f.missing[id] = goneAt
+	}
+}
+
+// Advance notes that all changes up to the revision were taken in.
+func (f *Fleet) Advance(rev uint64) { f.rev = max(f.rev, rev) }
+
+// Replace takes in a full list at a revision. Upstreams that it lacks are kept
+// until the grace has passed, because entries that lapsed while the store was
+// away come back shortly after it.
+func (f *Fleet) Replace(list []Upstream, revs []uint64, rev uint64, goneAt time.Time) bool {
+	changed := false
+	seen := make(map[string]bool, len(list))
+	for i, u := range list {
+		seen[u.ID] = true
+		changed = f.Put(u, revs[i]) || changed
+	}
+	for id := range f.known {
+		if _, waiting := f.missing[id]; !seen[id] && !waiting {
+			f.missing[id] = goneAt
+		}
+	}
+	f.Advance(rev)
+	return changed
+}
+
+// Expire drops upstreams whose grace has passed and returns their IDs.
+func (f *Fleet) Expire(now time.Time) []string {
+	var gone []string
+	for id, at := range f.missing {
+		if !now.Before(at) {
+			delete(f.missing, id)
+			delete(f.known, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// ByService returns the upstreams that may take new work, by service.
+func (f *Fleet) ByService() map[string][]Upstream {
+	out := map[string][]Upstream{}
+	for _, e := range f.known {
+		if !e.Leaving {
+			out[e.Service] = append(out[e.Service], e.Upstream)
+		}
+	}
+	return out
+}
+
+// Len returns how many upstreams are known, leaving ones included.
+func (f *Fleet) Len() int { return len(f.known) }
--- /dev/null
+++ b/internal/gateway/contact.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// contact is when the store last confirmed the configuration, on the boot
+// clock. Keys may be taken away at any moment, so a gateway that has not heard
+// from the store for some time must not act on what it knows of them.
+type contact struct {
+	at atomic.Int64
+}
+
+// longAgo stands for a confirmation that never came.
+const longAgo = -1 << 62
+
+func (c *contact) never() { c.at.Store(longAgo) }
+
+// confirm notes that the configuration was the newest one at asked or later.
+func (c *contact) confirm(asked time.Duration) {
+	for {
+		old := c.at.Load()
+		if int64(asked) <= old || c.at.CompareAndSwap(old, int64(asked)) {
+			return
+		}
+	}
+}
+
+// age returns how old the confirmation is.
+func (c *contact) age(now time.Duration) time.Duration {
+	at := c.at.Load()
+	if at == longAgo {
+		return time.Duration(1 << 62)
+	}
+	return now - time.Duration(at)
+}
+
+// Parts of the time in which a key must be refused after it was taken away.
+const (
+	// unreadyAfter leaves callers time to go to gateways that hear the store.
+	unreadyAfter = 0.6
+	// keysUntil leaves a margin for the request's own way to the upstream.
+	keysUntil = 0.9
+	// doubtAfter is when an unknown route or key may be one of a newer
+	// configuration: two feed waits without an answer.
+	doubtAfter = 2 * feedWait
+)
+
+// keysTrusted reports whether requests with keys may be served.
+func (g *Gateway) keysTrusted() bool {
+	return g.contact.age(g.boot()) < time.Duration(keysUntil*float64(g.settings().RevokeWithin))
+}
+
+// upToDate reports whether what is not in the configuration does not exist.
+func (g *Gateway) upToDate() bool { return g.contact.age(g.boot()) < doubtAfter }
+
+// ready reports whether new callers should come here, and why not.
+func (g *Gateway) ready() (bool, string) {
+	switch {
+	case g.stopping.Load():
+		return false, "stopping"
+	case g.table.Load() == nil:
+		return false, "no configuration"
+	case g.fleet.Load() == nil:
+		return false, "no list of upstreams"
+	case g.contact.age(g.boot()) > time.Duration(unreadyAfter*float64(g.settings().RevokeWithin)):
+		return false, "out of touch with the store"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/gateway/counters.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"tarragonbay.example/tarragonbay/internal/telemetry"
+)
+
+// counters are the gateway's metrics.
+type counters struct {
+	registry *telemetry.Metrics
+
+	requests, answered, refused, callersGone   metrics.Counter
+	failedTries, budgetSpent, cutStreams       metrics.Counter
+	configs, storeLost, storeFailures, unready metrics.Counter
+	answerTime, firstEvent                     *telemetry.Timer
+
+	mu    sync.Mutex
+	ready bool
+}
+
+func newCounters(m *telemetry.Metrics) *counters {
+	return &counters{
+		registry:      m,
+		requests:      m.Counter(part, "requests"),
+		answered:      m.Counter(part, "answered"),
+		refused:       m.Counter(part, "refused"),
+		callersGone:   m.Counter(part, "callers_gone"),
+		failedTries:   m.Counter(part, "failed_tries"),
+		budgetSpent:   m.Counter(part, "repeat_budget_spent"),
+		cutStreams:    m.Counter(part, "cut_streams"),
+		configs:       m.Counter(part, "configurations"),
+		storeLost:     m.Counter(part, "store_lost"),
+		storeFailures: m.Counter(part, "store_failures"),
+		unready:       m.Counter(part, "turned_unready"),
+		answerTime:    m.Timer(part, "answer"),
+		firstEvent:    m.Timer(part, "first_event"),
+	}
+}
+
+// noteReady counts and reports a change of readiness.
+func (c *counters) noteReady(ok bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ready == ok {
+		return false
+	}
+	c.ready = ok
+	if !ok {
+		c.unready.Inc(1)
+	}
+	return true
+}
+
+func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	limited, full, sampled := g.log.Dropped()
+	g.count.registry.Gauge(part, "log_lines_over_budget").Update(limited)
+	g.count.registry.Gauge(part, "log_lines_queue_full").Update(full)
+	g.count.registry.Gauge(part, "log_lines_sampled_out").Update(sampled)
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if err := g.count.registry.WriteText(w); err != nil {
+		g.count.callersGone.Inc(1) // whoever asked has left
+	}
+}
+
+// dump is the state of the process, for operators.
+type dump struct {
+	Name       string         `json:"name"`
+	Ready      bool           `json:"ready"`
+	Why        string         `json:"why,omitempty"`
+	Version    int64          `json:"configuration"`
+	Confirmed  time.Duration  `json:"confirmedNanosAgo"`
+	Upstreams  map[string]int `json:"upstreams"`
+	Running    int            `json:"running"`
+	Goroutines int            `json:"goroutines"`
+}
+
+func (g *Gateway) serveDump(w http.ResponseWriter, _ *http.Request) {
+	d := dump{Name: g.settings().Name, Confirmed: g.contact.age(g.boot()), Upstreams: map[string]int{},
+		Running: g.conns.running(), Goroutines: runtime.NumGoroutine()}
+	d.Ready, d.Why = g.ready()
+	if t := g.table.Load(); t != nil {
+		d.Version = t.Version()
+	}
+	if v := g.fleet.Load(); v != nil {
+		for s, ups := range v.byService {
+			d.Upstreams[s] = len(ups)
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		g.count.callersGone.Inc(1) // whoever asked has left
+	}
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/routetable"
+	"tarragonbay.example/tarragonbay/internal/store"
+)
+
+// Pace of the feeds.
+const (
+	// feedWait is how long the store holds a feed of the operator's table. A
+	// change is delivered at once; the wait bounds how long a connection that
+	// fell silent goes unnoticed.
+	feedWait = 1 * time.Second
+	// upstreamPause is the pause between two reads of the upstreams' changes,
+	// a third of the least time in which a leaving one must be left alone.
+	upstreamPause = 600 * time.Millisecond
+	// awayPause is the pause after a call that failed.
+	awayPause = 150 * time.Millisecond
+)
+
+// follower reads one table: a list first, then its feed.
+type follower struct {
+	g     *Gateway
+	table string
+	rev   uint64
+	// listed is false until a list was taken in, and after lost history.
+	listed bool
+	away   bool
+}
+
+// step makes one call and returns the changed rows; full is true when they are
+// all rows of the table. A list that is older than what was seen is refused.
+func (f *follower) step(ctx context.Context, wait time.Duration) (p store.Page, full bool, err error) {
+	if f.listed {
+		p, err = f.g.store.Feed(ctx, f.table, f.rev, wait)
+		if result.Is(err, result.HistoryGone) {
+			f.listed = false
+			f.g.log.Event(part, "history lost", zap.String("table", f.table), zap.Uint64("after", f.rev))
+		}
+	}
+	if !f.listed {
+		full = true
+		p, err = f.g.store.List(ctx, f.table, "")
+		if err == nil && p.Rev < f.rev {
+			return p, full, result.New(result.TableUnavailable, "the list at %d is older than %d", p.Rev, f.rev)
+		}
+	}
+	if err == nil {
+		f.listed = true
+		f.rev = max(f.rev, p.Rev)
+	}
+	f.note(err)
+	return p, full, err
+}
+
+// note logs when the store is lost and regained.
+func (f *follower) note(err error) {
+	switch {
+	case err != nil && !f.away:
+		f.away = true
+		f.g.count.storeLost.Inc(1)
+		f.g.log.Event(part, "store lost", zap.String("table", f.table), zap.Uint64("rev", f.rev), zap.Error(err))
+	case err == nil && f.away:
+		f.away = false
+		f.g.log.Event(part, "store regained", zap.String("table", f.table), zap.Uint64("rev", f.rev))
+	}
+}
+
+// followOperator keeps the configuration and the orders for shifts.
+func (g *Gateway) followOperator(ctx context.Context) error {
+	f := &follower{g: g, table: g.docs.OperatorTable()}
+	for ctx.Err() == nil {
+		asked := g.boot()
+		page, _, err := f.step(ctx, feedWait)
+		if err != nil {
+			pause(ctx, jitter(awayPause))
+			continue
+		}
+		for _, r := range page.Rows {
+			g.takeOperator(r)
+		}
+		g.contact.confirm(asked)
+	}
+	return nil
+}
+
+func (g *Gateway) takeOperator(r store.Row) {
+	if spec, ok, err := g.docs.Routing(r); err != nil {
+		g.log.Event(part, "configuration unreadable", zap.Uint64("rev", r.Rev), zap.Error(err))
+	} else if ok {
+		g.adopt(spec, r.Rev)
+	}
+	if order, ok, err := g.docs.Shift(r); err != nil {
+		g.log.Event(part, "shift order unreadable", zap.String("service", order.Service), zap.Uint64("rev", r.Rev), zap.Error(err))
+	} else if ok {
+		if g.shifts.order(order, r.Removed) {
+			g.log.Event(part, "shift ordered", zap.String("service", order.Service), zap.String("to", order.To),
+				zap.Duration("within", order.Within), zap.Uint64("rev", r.Rev))
+		}
+	}
+}
+
+// adopt puts a configuration in force. A lower version than the one in force
+// is never taken.
+func (g *Gateway) adopt(spec routetable.Spec, rev uint64) {
+	old := g.table.Load()
+	if old != nil && spec.Version <= old.Version() {
+		if spec.Version < old.Version() {
+			g.log.Event(part, "older configuration ignored", zap.Int64("version", spec.Version),
+				zap.Int64("in force", old.Version()), zap.Uint64("rev", rev))
+		}
+		return
+	}
+	g.table.Store(routetable.New(spec))
+	g.count.configs.Inc(1)
+	g.log.Event(part, "configuration in force", zap.Int64("version", spec.Version), zap.Uint64("rev", rev),
+		zap.Int("routes", len(spec.Routes)), zap.Int("organisations", len(spec.Organisations)))
+}
--- /dev/null
+++ b/internal/gateway/judge.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/versionshift"
+)
+
+// evidence is what this gateway has seen of a shift's two versions in the last
+// seconds, in slices of a second.
+type evidence struct {
+	slices [evidenceSlices]slice
+	judged int
+}
+
+type slice struct {
+	second           int64
+	newGood, newBad  int
+	oldGood, oldBad  int
+	badUpstreams     map[string]bool
+	lastOldUpstreams map[string]bool
+}
+
+const evidenceSlices = int(versionshift.EvidenceWindow/time.Second) + 1
+
+func (e *evidence) at(now time.Time) *slice {
+	sec := now.Unix()
+	s := &e.slices[sec%int64(evidenceSlices)]
+	if s.second != sec {
+		*s = slice{second: sec}
+	}
+	return s
+}
+
+func (e *evidence) sum(now time.Time) versionshift.Evidence {
+	out := versionshift.Evidence{Judged: e.judged}
+	bad := map[string]bool{}
+	for i := range e.slices {
+		s := &e.slices[i]
+		if now.Unix()-s.second >= int64(evidenceSlices) {
+			continue
+		}
+		out.NewGood += s.newGood
+		out.NewBad += s.newBad
+		out.OldGood += s.oldGood
+		out.OldBad += s.oldBad
+		for id := range s.badUpstreams {
+			bad[id] = true
+		}
+	}
+	out.BadUpstreams = len(bad)
+	return out
+}
+
+// paceKey names answers that take about the same time.
+type paceKey struct {
+	route, model string
+}
+
+// pace is the usual time of the old version's answers, in milliseconds.
+type pace struct {
+	first, gap float64
+	n          int
+}
+
+// Weights of paces.
+const (
+	// paceWeight is the weight of one answer in the mean.
+	paceWeight = 0.05
+	// paceSeen is how many answers make a mean that others are held against.
+	paceSeen = 8
+	// slowTimes is how many times the mean makes an answer bad.
+	slowTimes = 3.5
+)
+
+func (p *pace) add(first, gap float64) {
+	p.n++
+	w := max(paceWeight, 1/float64(p.n))
+	p.first += w * (first - p.first)
+	if gap > 0 {
+		p.gap += w * (gap - p.gap)
+	}
+}
+
+func (p *pace) slow(first, gap float64) bool {
+	if p.n < paceSeen {
+		return false
+	}
+	return first > slowTimes*p.first || (p.gap > 0 && gap > slowTimes*p.gap)
+}
+
+// observed is one answer as it counts for its version.
+type observed struct {
+	service, version, upstream string
+	key                        paceKey
+	failed                     bool
+	// firstMS is the time to the answer or the first event, gapMS the mean
+	// pause between events; zero where there were too few.
+	firstMS, gapMS float64
+}
+
+// observe counts an answer for or against a version. Broken connections do not
+// count: they speak of an upstream or a path, not of the version.
+func (b *shiftBook) observe(o observed, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(o.service)
+	p := s.paces[o.key]
+	if p == nil {
+		p = &pace{}
+		s.paces[o.key] = p
+	}
+	isNew := s.ordered && o.version == s.order.To
+	if !s.ordered || (s.current() && s.state.Ended()) {
+		if !o.failed {
+			p.add(o.firstMS, o.gapMS)
+		}
+		return
+	}
+	at := s.seen.at(now)
+	bad := o.failed || p.slow(o.firstMS, o.gapMS)
+	switch {
+	case isNew && bad:
+		at.newBad++
+		if at.badUpstreams == nil {
+			at.badUpstreams = map[string]bool{}
+		}
+		at.badUpstreams[o.upstream] = true
+	case isNew:
+		at.newGood++
+		s.seen.judged++
+	case bad:
+		at.oldBad++
+	default:
+		at.oldGood++
+	}
+	if !isNew && !o.failed {
+		p.add(o.firstMS, o.gapMS)
+	}
+}
+
+// judge counts a whole answer of a plain service, or a failure that an
+// upstream reported itself.
+func (g *Gateway) judge(q *request, p picked, a *answer, v verdict, began time.Time) {
+	if v != answered || a == nil {
+		return
+	}
+	g.shifts.observe(observed{
+		service: q.service, version: p.up.Version, upstream: p.up.ID,
+		key:     paceKey{route: q.route.Name, model: p.choice.Model},
+		failed:  a.status >= 500,
+		firstMS: float64(time.Since(began)) / float64(time.Millisecond),
+	}, time.Now())
+}
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+)
+
+// Bounds on callers that hold before a configuration sets its own.
+const (
+	// maxHeader is the largest header section of any configuration, in bytes.
+	maxHeader = 64 << 10
+	// headerTime is how long a caller may take to send its headers.
+	headerTime = 10 * time.Second
+	// adminTime bounds requests to the readiness and metrics listeners.
+	adminTime = 2 * time.Second
+)
+
+// server is one open listener.
+type server struct {
+	http *http.Server
+	ln   net.Listener
+}
+
+// listen opens the listeners: callers, readiness and, if set, metrics.
+func (g *Gateway) listen() ([]*server, error) {
+	front := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader,
+		ConnState: g.conns.changed,
+	}
+	admin := http.NewServeMux()
+	admin.HandleFunc("/metrics", g.serveMetrics)
+	admin.HandleFunc("/dump", g.serveDump)
+	var out []*server
+	for _, s := range []struct {
+		address string
+		http    *http.Server
+	}{
+		{g.settings().Listen, front},
+		{g.settings().ReadyListen, &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: adminTime}},
+		{g.settings().AdminListen, &http.Server{Handler: admin, ReadHeaderTimeout: adminTime}},
+	} {
+		if s.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", s.address)
+		if err != nil {
+			for _, o := range out {
+				_ = o.ln.Close() // nothing was served on it
+			}
+			return nil, errors.Annotatef(err, "listen on %s", s.address)
+		}
+		out = append(out, &server{http: s.http, ln: ln})
+	}
+	return out, nil
+}
+
+// serve runs until the context ends or the server is closed.
+func (s *server) serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Annotatef(err, "serve on %s", s.ln.Addr())
+	}
+	return nil
+}
+
+// serveReady tells the platform whether new callers should come here. Any path
+// is answered, since the listener serves nothing else.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	ok, why := g.ready()
+	if g.count.noteReady(ok) {
+		g.log.Event(part, "readiness", zap.Bool("ready", ok), zap.String("why", why),
+			zap.Duration("confirmed", g.contact.age(g.boot())))
+	}
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Times of a drain.
+const (
+	// leaveTime is how long callers may still be sent here after the process
+	// reports itself unready: two missed questions a second apart, and slack.
+	leaveTime = 2600 * time.Millisecond
+	// drainPoll is the pause between two looks at what still runs.
+	drainPoll = 50 * time.Millisecond
+	// lastPart of the grace is left for closing down.
+	lastPart = 0.07
+)
+
+// drain serves what still arrives until nothing runs or the grace is over.
+func (g *Gateway) drain(servers []*server) {
+	g.stopping.Store(true)
+	began := time.Now()
+	end := began.Add(time.Duration((1 - lastPart) * float64(g.settings().Grace)))
+	g.log.Event(part, "stopping", zap.Int("running", g.conns.running()), zap.Duration("grace", g.settings().Grace))
+	for now := began; now.Before(end); now = time.Now() {
+		if now.Sub(began) >= leaveTime && g.conns.running() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	g.log.Event(part, "drained", zap.Int("running", g.conns.running()), zap.Duration("took", time.Since(began)))
+	for _, s := range servers {
+		_ = s.ln.Close() // Close of the server reports it again
+	}
+}
--- /dev/null
+++ b/internal/gateway/pick.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/exchange"
+	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/placement"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/retrywindow"
+	"tarragonbay.example/tarragonbay/internal/routetable"
+)
+
+// picked is where a request goes next.
+type picked struct {
+	up     fleet.Upstream
+	choice placement.Choice
+}
+
+// pick chooses an upstream that the request has not been sent to.
+func (g *Gateway) pick(q *request, now time.Time) (picked, *result.Error) {
+	view := g.fleet.Load()
+	if view == nil {
+		return picked{}, result.New(result.NoConfiguration, "no list of upstreams yet").WithRetryAfter(jitter(shortRetry))
+	}
+	if q.service == "" {
+		q.service = q.route.Pick(rand.Float64())
+	}
+	all := view.byService[q.service]
+	ups := make([]fleet.Upstream, 0, len(all))
+	for _, u := range g.shifts.allowed(q.service, q.call.Session, q.sessionPoint(), all, now) {
+		if !q.tried[u.ID] {
+			ups = append(ups, u)
+		}
+	}
+	if len(ups) == 0 {
+		return picked{}, result.New(result.NoUpstream, "no upstream of %s can take the request", q.service).
+			WithRetryAfter(jitter(shortRetry))
+	}
+	rand.Shuffle(len(ups), func(i, j int) { ups[i], ups[j] = ups[j], ups[i] })
+	loads := g.loads.snapshot(ups, now)
+	job := placement.Job{
+		Affinity: q.affinity, Shared: q.shared, Tokens: q.tokens,
+		Target: q.route.Target, Left: q.left(now), Domain: g.settings().Domain,
+	}
+	var c placement.Choice
+	if q.route.Kind == routetable.Stream {
+		job.Models = g.models(q)
+		c = placement.Engine(job, loads)
+	} else {
+		c = placement.Plain(job, loads, plainWorkMS)
+	}
+	if c.Index < 0 {
+		return picked{}, result.New(result.QueueFull, "%s cannot answer before the caller leaves", q.service).
+			WithRetryAfter(jitter(c.Wait))
+	}
+	return picked{up: ups[c.Index], choice: c}, nil
+}
+
+// plainWorkMS is the usual time of a request at a plain service.
+const plainWorkMS = 20.0
+
+// models returns the models to choose from, with their speeds.
+func (g *Gateway) models(q *request) []placement.Model {
+	if q.call.Model != exchange.AnyModel || len(q.route.Models) == 0 {
+		return []placement.Model{{Name: "", MSPerToken: readMS}}
+	}
+	out := make([]placement.Model, len(q.route.Models))
+	for i, name := range q.route.Models {
+		// Larger models read more slowly; each step down halves the time.
+		out[i] = placement.Model{Name: name, MSPerToken: readMS / float64(int(1)<<(len(q.route.Models)-1-i))}
+	}
+	return out
+}
+
+// readMS is the time of a large model for one prompt token, in milliseconds.
+const readMS = 0.045
+
+// sessionPoint is a number in [0, 1) that all requests of a session share, at
+// every gateway.
+func (q *request) sessionPoint() float64 {
+	name := q.call.Session
+	if name == "" {
+		name = q.call.ID
+	}
+	return float64(xxhash.Sum64String(name)>>11) / (1 << 53)
+}
+
+// mayRepeat asks the service's budget for one more send.
+func (g *Gateway) mayRepeat(q *request) bool {
+	g.budgetsMu.Lock()
+	defer g.budgetsMu.Unlock()
+	ok := g.budget(q.service).Extra(time.Since(g.start))
+	if !ok {
+		g.count.budgetSpent.Inc(1)
+		g.log.Event(part, "repeat denied", q.fields(zap.String("service", q.service))...)
+	}
+	return ok
+}
+
+// countRequest adds the request to its service's budget.
+func (g *Gateway) countRequest(q *request) {
+	g.budgetsMu.Lock()
+	defer g.budgetsMu.Unlock()
+	g.budget(q.service).Request(time.Since(g.start))
+}
+
+func (g *Gateway) budget(service string) *retrywindow.Window {
+	w := g.budgets[service]
+	if w == nil {
+		w = retrywindow.New(retrywindow.Settings{
+			Ratio: ratioPart * g.settings().RepeatRatio, Slack: g.settings().RepeatSlack / slackShares, Window: g.settings().RepeatWindow,
+		})
+		g.budgets[service] = w
+	}
+	return w
+}
+
+// Parts of the budget that all gateways share.
+const (
+	// ratioPart leaves room for requests that are counted here a moment before
+	// or after the window in which they are judged.
+	ratioPart = 0.7
+	// slackShares divides the fixed slack by more gateways than an
+	// installation of the users' kind runs.
+	slackShares = 32
+)
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/settings"
+)
+
+// settingsEvery is the pause between two looks at the settings file, which may
+// change without a signal.
+const settingsEvery = 1 * time.Second
+
+// followSettings reads the settings again when the file changes or on SIGHUP.
+// Addresses of listeners and of the store are fixed for the life of the
+// process; a file with faults is reported and changes nothing.
+func (g *Gateway) followSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(settingsEvery)
+	defer tick.Stop()
+	seen := fileState(g.file)
+	for {
+		why := "file changed"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			why = "signal"
+		case <-tick.C:
+			if now := fileState(g.file); now == seen || now == (fileStamp{}) {
+				continue
+			}
+		}
+		seen = fileState(g.file)
+		g.reload(why)
+	}
+}
+
+func (g *Gateway) reload(why string) {
+	s, err := settings.LoadGateway(g.file)
+	if err != nil {
+		g.log.Event(part, "settings refused", zap.String("why", why), zap.Error(err))
+		return
+	}
+	g.log.Event(part, "settings reloaded", zap.String("why", why), zap.Bool("changed", s != g.settings()))
+	g.set.Store(&s)
+}
+
+// fileStamp tells whether a file may have changed.
+type fileStamp struct {
+	size  int64
+	mtime time.Time
+}
+
+func fileState(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileStamp{} // it is being replaced; the next look finds it
+	}
+	return fileStamp{info.Size(), info.ModTime()}
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/exchange"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/routetable"
+)
+
+// request is one attempt of a caller on its way through the gateway.
+type request struct {
+	in      *http.Request
+	call    exchange.Call
+	arrived time.Time
+	// table is the configuration that the request sees throughout.
+	table *routetable.Table
+	route *routetable.Route
+	// org holds the caller's key; nil on anonymous routes.
+	org     *routetable.Organisation
+	service string
+	body    []byte
+	// limit is when the caller stops waiting or the route's time is over.
+	limit time.Time
+	// sent counts the upstreams that the request was sent to.
+	sent int
+	// ran is true once an upstream may have begun to work on it.
+	ran   bool
+	tried map[string]bool
+	// sizes of the prompt: what other requests share, and all of it.
+	shared, tokens int
+	affinity       string
+}
+
+// defaultBudget is used for callers that do not say how long they wait, on
+// routes without a timeout.
+const defaultBudget = 30 * time.Second
+
+// ServeHTTP answers one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	q := &request{in: in, call: g.proto.Call(in.Header), arrived: time.Now(), tried: map[string]bool{}}
+	g.count.requests.Inc(1)
+	if err := g.admit(w, q); err != nil {
+		g.refuse(w, q, err)
+		return
+	}
+	if q.route.Kind == routetable.Stream {
+		g.stream(w, q)
+		return
+	}
+	g.unary(w, q)
+}
+
+// admit finds the route and the organisation and reads the body.
+func (g *Gateway) admit(w http.ResponseWriter, q *request) *result.Error {
+	q.table = g.table.Load()
+	if q.table == nil {
+		return result.New(result.NoConfiguration, "this gateway has no configuration yet").WithRetryAfter(jitter(shortRetry))
+	}
+	if n := q.table.Limits().HeaderBytes; n > 0 && headerBytes(q.in) > n {
+		return result.New(result.HeadersTooLarge, "the headers are over %d bytes", n)
+	}
+	q.route = q.table.Match(q.in.Host, q.in.URL.EscapedPath())
+	if q.route == nil {
+		if !g.upToDate() {
+			return g.outOfTouch("the route is not known here")
+		}
+		return result.New(result.NoSuchRoute, "no route leads there")
+	}
+	if err := g.checkKey(q); err != nil {
+		return err
+	}
+	budget := q.call.Budget
+	if budget <= 0 {
+		budget = defaultBudget
+	}
+	if q.route.Timeout > 0 {
+		budget = min(budget, q.route.Timeout)
+	}
+	q.limit = q.arrived.Add(budget)
+	for i, p := range q.call.Prompt {
+		q.tokens += p.Tokens
+		if i < len(q.call.Prompt)-1 {
+			q.shared += p.Tokens
+			q.affinity = p.ID
+		}
+	}
+	if q.tokens == 0 {
+		q.tokens = q.call.PromptTokens
+	}
+	return q.readBody(w)
+}
+
+// checkKey finds the organisation that holds the caller's key.
+func (g *Gateway) checkKey(q *request) *result.Error {
+	if q.route.Anonymous || !q.table.Keyed() {
+		return nil
+	}
+	if !g.keysTrusted() {
+		return g.outOfTouch("keys cannot be checked")
+	}
+	q.org = q.table.Holder(q.call.Key)
+	if q.org != nil {
+		return nil
+	}
+	if !g.upToDate() {
+		return g.outOfTouch("the key is not known here")
+	}
+	if q.call.Key == "" {
+		return result.New(result.MissingKey, "a key is needed")
+	}
+	return result.New(result.WrongKey, "the key belongs to no organisation")
+}
+
+// outOfTouch refuses what another gateway may be able to serve.
+func (g *Gateway) outOfTouch(why string) *result.Error {
+	return result.New(result.StaleRevision, "the store has not been heard for too long: %s", why).
+		WithRetryAfter(jitter(shortRetry))
+}
+
+func headerBytes(in *http.Request) int {
+	n := len(in.Method) + len(in.RequestURI) + len(in.Host)
+	for k, vs := range in.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4 // colon, space and line end
+		}
+	}
+	return n
+}
+
+func (q *request) readBody(w http.ResponseWriter) *result.Error {
+	if q.in.Body == nil || q.in.Body == http.NoBody {
+		return nil
+	}
+	in := q.in.Body
+	if n := q.table.Limits().BodyBytes; n > 0 {
+		in = http.MaxBytesReader(w, in, n)
+	}
+	body, err := io.ReadAll(in)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return result.New(result.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	case err != nil:
+		return result.Wrap(err, result.CallerGone, "the body did not arrive whole")
+	}
+	q.body = body
+	return nil
+}
+
+// left returns the time until the request's limit.
+func (q *request) left(now time.Time) time.Duration { return q.limit.Sub(now) }
+
+// gone reports whether the caller has closed its connection.
+func (q *request) gone() bool { return q.in.Context().Err() != nil }
+
+// urgency maps a rank to the urgency that engines know, where 5 is the usual.
+func (q *request) urgency() int {
+	if q.route.Kind != routetable.Stream {
+		return -1
+	}
+	return min(9, q.route.Rank*2+2)
+}
+
+// fields returns what every line about the request holds.
+func (q *request) fields(more ...zap.Field) []zap.Field {
+	f := append(make([]zap.Field, 0, len(more)+7), zap.String("request", q.call.ID))
+	if q.org != nil {
+		f = append(f, zap.String("organisation", q.org.Name))
+	}
+	if q.route != nil {
+		f = append(f, zap.String("route", q.route.Name))
+	}
+	if q.table != nil {
+		f = append(f, zap.Int64("configuration", q.table.Version()))
+	}
+	f = append(f, zap.Duration("after", time.Since(q.arrived)), zap.Int("sent", q.sent))
+	return append(f, more...)
+}
--- /dev/null
+++ b/internal/gateway/shiftbook.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/versionshift"
+)
+
+// shiftBook holds what this gateway knows of shifts to new versions: orders,
+// their state as last read, what it has seen of the answers, and the versions
+// that recent sessions run on.
+type shiftBook struct {
+	mu       sync.Mutex
+	services map[string]*serviceShift
+	sessions map[string]pinned
+	wake     chan struct{}
+}
+
+type serviceShift struct {
+	order   versionshift.Order
+	ordered bool
+	state   versionshift.State
+	known   bool
+	// ahead is the store's clock less this process's, from the last read.
+	ahead time.Duration
+	// born is when each version was first seen; established versions were
+	// there with the first list or were never announced by an order.
+	born  map[string]time.Time
+	seen  evidence
+	paces map[paceKey]*pace
+}
+
+// pinned is the version that a session's last request ran on.
+type pinned struct {
+	service, version string
+	at               time.Time
+}
+
+// Times of versions and sessions.
+const (
+	// unannounced is how long a version that no order names is held back: its
+	// order may still be on the way.
+	unannounced = 3 * time.Second
+	// maxSessions bounds the sessions that are remembered.
+	maxSessions = 20_000
+)
+
+func newShiftBook() *shiftBook {
+	return &shiftBook{
+		services: map[string]*serviceShift{}, sessions: map[string]pinned{},
+		wake: make(chan struct{}, 1),
+	}
+}
+
+func (b *shiftBook) of(service string) *serviceShift {
+	s := b.services[service]
+	if s == nil {
+		s = &serviceShift{born: map[string]time.Time{}, paces: map[paceKey]*pace{}}
+		b.services[service] = s
+	}
+	return s
+}
+
+// order takes in an order; it reports whether it is a new one.
+func (b *shiftBook) order(o versionshift.Order, removed bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(o.Service)
+	if removed || (s.ordered && s.order.Rev >= o.Rev) {
+		return false
+	}
+	s.order, s.ordered = o, true
+	s.seen = evidence{}
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// seen notes the versions in the fleet. Those of the first list are
+// established.
+func (b *shiftBook) seen(byService map[string][]fleet.Upstream, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, ups := range byService {
+		s := b.of(service)
+		first := len(s.born) == 0
+		for _, u := range ups {
+			if _, ok := s.born[u.Version]; ok {
+				continue
+			}
+			s.born[u.Version] = now
+			if first {
+				s.born[u.Version] = now.Add(-unannounced)
+			}
+		}
+	}
+}
+
+// allowed returns the upstreams whose version may take the request.
+func (b *shiftBook) allowed(service, session string, point float64, ups []fleet.Upstream, now time.Time) []fleet.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(service)
+	if !s.ordered {
+		if ok := s.established(ups, now); len(ok) > 0 {
+			return ok
+		}
+		return ups
+	}
+	var to, from []fleet.Upstream
+	for _, u := range ups {
+		if u.Version == s.order.To {
+			to = append(to, u)
+		} else {
+			from = append(from, u)
+		}
+	}
+	takesNew := s.takesNew(point)
+	if p, ok := b.sessions[session]; ok && session != "" && p.service == service {
+		takesNew = s.pin(p, takesNew, now)
+	}
+	switch {
+	case s.known && s.state.Phase == versionshift.Withdrawn:
+		return from
+	case takesNew && len(to) > 0:
+		return to
+	case len(from) > 0:
+		return from
+	}
+	return to
+}
+
+func (s *serviceShift) established(ups []fleet.Upstream, now time.Time) []fleet.Upstream {
+	out := make([]fleet.Upstream, 0, len(ups))
+	for _, u := range ups {
+		if now.Sub(s.born[u.Version]) >= unannounced {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// current reports whether the state is that of the order.
+func (s *serviceShift) current() bool { return s.known && s.state.Order == s.order.Rev }
+
+func (s *serviceShift) takesNew(point float64) bool {
+	return s.current() && point < s.state.Share()
+}
+
+// sessionKept is how long after its last request a session keeps its version.
+const sessionKept = 10 * time.Second
+
+// pin keeps a session on its version: on the old one in the first half of a
+// shift, on the new one until it is withdrawn.
+func (s *serviceShift) pin(p pinned, takesNew bool, now time.Time) bool {
+	if now.Sub(p.at) > sessionKept || !s.current() {
+		return takesNew
+	}
+	if p.version == s.order.To {
+		return true
+	}
+	return takesNew && !s.state.FirstHalf(s.storeNow(now))
+}
+
+// storeNow is the store's clock, from the time that has passed here since the
+// last read.
+func (s *serviceShift) storeNow(now time.Time) time.Duration {
+	return s.ahead + time.Duration(now.UnixNano())
+}
+
+// ran notes the version that a session's request runs on.
+func (b *shiftBook) ran(session, service, version string, now time.Time) {
+	if session == "" {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.sessions) >= maxSessions {
+		for k, p := range b.sessions {
+			if now.Sub(p.at) > sessionKept {
+				delete(b.sessions, k)
+			}
+		}
+	}
+	if len(b.sessions) < maxSessions {
+		b.sessions[session] = pinned{service: service, version: version, at: now}
+	}
+}
+
+// open returns the orders that are not settled yet.
+func (b *shiftBook) open() []versionshift.Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []versionshift.Order
+	for _, s := range b.services {
+		if s.ordered && !(s.current() && s.state.Ended()) {
+			out = append(out, s.order)
+		}
+	}
+	return out
+}
+
+// adopt takes in a state as read from the store; it reports whether the phase
+// changed.
+func (b *shiftBook) adopt(st versionshift.State, storeNow time.Duration, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(st.Service)
+	if s.known && st.Order < s.state.Order {
+		return false
+	}
+	changed := !s.known || s.state.Phase != st.Phase || s.state.Order != st.Order
+	s.state, s.known = st, true
+	s.ahead = storeNow - time.Duration(now.UnixNano())
+	return changed
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/h1"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// Limits of streams.
+const (
+	// maxEvent bounds one event, in bytes.
+	maxEvent = 256 << 10
+	// firstEvent is how many targets an upstream gets for the first event
+	// before another is tried, firstLeast the least time.
+	firstEvent = 1.5
+	firstLeast = 2 * time.Second
+	// gaps is how many times the longest pause on time an upstream may be
+	// silent, gapLeast the least time.
+	gaps     = 2
+	gapLeast = 2 * time.Second
+)
+
+// relay passes one stream on, over as many upstreams as it takes.
+type relay struct {
+	g *Gateway
+	q *request
+	w http.ResponseWriter
+	// started is true once the head was sent to the caller.
+	started bool
+	// last is the id of the last event that was passed on.
+	last   string
+	events int
+	buffer []byte
+}
+
+// errBadEvent means that an event is too long or the stream ended inside one.
+var errBadEvent = errors.New("the stream broke off inside an event")
+
+// errCaller means that the caller does not take the stream any more.
+var errCaller = errors.New("the caller does not read")
+
+// stream answers a request with events. Only whole events are passed on. When
+// an upstream breaks off, a resumable stream goes on at another one within the
+// same answer.
+func (g *Gateway) stream(w http.ResponseWriter, q *request) {
+	r := &relay{g: g, q: q, w: w, last: q.call.ResumeAfter}
+	var failure *result.Error
+	var last *answer
+	unsent := 0
+	for {
+		p, err := g.pick(q, time.Now())
+		if err != nil {
+			failure = firstOf(failure, err)
+			break
+		}
+		if q.sent == 0 && unsent == 0 {
+			g.countRequest(q)
+		} else if q.sent > 0 && !g.mayRepeat(q) {
+			failure = firstOf(failure, result.New(result.RetriesSpent, "the budget for repeats is spent").WithRetryAfter(jitter(shortRetry)))
+			break
+		}
+		q.tried[p.up.ID] = true
+		a, v, why := r.try(p)
+		if v == answered && a == nil {
+			r.finish(p)
+			return
+		}
+		if a != nil {
+			last = a
+		}
+		failure = q.failed(v, p.up.ID, why)
+		if v == notSent {
+			unsent++
+		}
+		if errors.Is(why, errCaller) || q.gone() || unsent >= maxUnsent || !q.mayGoOn(v, time.Now()) {
+			break
+		}
+		g.log.Event(part, "stream goes on elsewhere", q.fields(zap.String("left", p.up.ID), zap.String("last event", r.last))...)
+	}
+	r.fail(failure, last)
+}
+
+// fail ends a stream that no upstream completes.
+func (r *relay) fail(failure *result.Error, last *answer) {
+	g, q := r.g, r.q
+	if r.started {
+		g.count.cutStreams.Inc(1)
+		g.log.Event(part, "stream cut", q.fields(zap.Int("events", r.events), zap.String("last event", r.last),
+			zap.String("code", failure.Code.String()), zap.String("why", failure.Error()))...)
+		panic(http.ErrAbortHandler) // an answer that is not whole must not look complete
+	}
+	if last != nil {
+		g.pass(r.w, q, picked{}, last)
+		return
+	}
+	g.refuse(r.w, q, q.final(failure))
+}
+
+func (r *relay) finish(p picked) {
+	g, q := r.g, r.q
+	g.count.answered.Inc(1)
+	g.count.answerTime.Observe(time.Since(q.arrived))
+	g.log.Routine(part, "streamed", q.fields(zap.String("upstream", p.up.ID), zap.String("version", p.up.Version),
+		zap.String("model", p.choice.Model), zap.Int("events", r.events), zap.Duration("expected", p.choice.Expected))...)
+}
+
+// try relays the stream from one upstream. It returns an answer when the
+// upstream failed by itself, which is passed on if nothing better comes.
+func (r *relay) try(p picked) (*answer, verdict, error) {
+	g, q := r.g, r.q
+	began := time.Now()
+	s := g.loads.begin(p.up.ID, p.choice.WorkMS)
+	ctx, cancel := context.WithDeadline(q.in.Context(), q.limit)
+	defer cancel()
+	a, v, err := r.run(ctx, p, s, began)
+	failed := (v == unknown && !q.gone() && !errors.Is(err, errCaller)) || v == notSent || a != nil
+	s.end(failed, time.Now())
+	if a != nil {
+		g.judge(q, p, a, v, began)
+	}
+	if v != answered || failed {
+		g.count.failedTries.Inc(1)
+		g.log.Event(part, "try failed", q.fields(append(tryFields(p, v), statusField(a), zap.Int("events", r.events), zap.Error(err))...)...)
+	}
+	return a, v, err
+}
+
+func (r *relay) run(ctx context.Context, p picked, s *send, began time.Time) (*answer, verdict, error) {
+	g, q := r.g, r.q
+	first := max(firstLeast, time.Duration(firstEvent*float64(q.route.Target)))
+	headCtx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	watch := time.AfterFunc(first, giveUp)
+	defer watch.Stop()
+	e, head, v, err := g.open(headCtx, q, p, r.last)
+	if err != nil || v != answered {
+		return nil, v, err
+	}
+	resp := e.Response()
+	if resp.StatusCode != http.StatusOK || !head.Sealed {
+		body, err := e.ReadAll(maxAnswer)
+		if err != nil {
+			e.Abort()
+			return nil, unknown, err
+		}
+		e.Finish(g.pool, poolKey(p.up), head.KeepFor, time.Now())
+		if !head.Sealed {
+			return nil, unknown, result.New(result.UpstreamFailed, "upstream %s sent no seal", p.up.ID)
+		}
+		return &answer{status: resp.StatusCode, header: g.proto.Back(resp.Header), body: body}, answered, nil
+	}
+	if err := r.pump(e, p, s, watch, began); err != nil {
+		e.Abort()
+		return nil, unknown, err
+	}
+	if !r.started {
+		r.head(e)
+	}
+	e.Finish(g.pool, poolKey(p.up), head.KeepFor, time.Now())
+	return nil, answered, nil
+}
+
+// head sends the head of the first upstream's answer.
+func (r *relay) head(e *h1.Exchange) {
+	h := r.w.Header()
+	setHeaders(h, r.g.proto.Back(e.Response().Header))
+	if r.g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	r.w.WriteHeader(http.StatusOK)
+	r.started = true
+}
+
+// pump passes whole events on until the stream ends.
+func (r *relay) pump(e *h1.Exchange, p picked, s *send, watch *time.Timer, began time.Time) error {
+	g, q := r.g, r.q
+	silence := max(gapLeast, gaps*q.route.Gap)
+	flusher := http.NewResponseController(r.w)
+	in := bufio.NewReaderSize(e, 2<<10)
+	var first time.Time
+	for n := 0; ; n++ {
+		event, err := r.next(in)
+		if err == io.EOF {
+			r.observe(p, n, began, first)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		watch.Reset(silence)
+		if n == 0 {
+			first = time.Now()
+			s.read()
+			g.count.firstEvent.Observe(time.Since(q.arrived))
+		}
+		if !r.started {
+			r.head(e)
+		}
+		if _, err := r.w.Write(event); err != nil {
+			return errors.Join(errCaller, err)
+		}
+		if err := flusher.Flush(); err != nil {
+			return errors.Join(errCaller, err)
+		}
+		r.events++
+		if id := g.proto.EventID(event); id != "" {
+			r.last = id
+		}
+	}
+}
+
+// leastEvents is how many events make a pace.
+const leastEvents = 4
+
+// observe counts a whole run of a stream for or against its version.
+func (r *relay) observe(p picked, events int, began, first time.Time) {
+	if events == 0 {
+		return
+	}
+	o := observed{
+		service: r.q.service, version: p.up.Version, upstream: p.up.ID,
+		key:     paceKey{route: r.q.route.Name, model: p.choice.Model},
+		firstMS: float64(first.Sub(began)) / float64(time.Millisecond),
+	}
+	if events >= leastEvents {
+		o.gapMS = float64(time.Since(first)) / float64(time.Millisecond) / float64(events-1)
+	}
+	r.g.shifts.observe(o, time.Now())
+}
+
+// next reads one whole event, its blank line included. io.EOF means that the
+// stream ended between events.
+func (r *relay) next(in *bufio.Reader) ([]byte, error) {
+	r.buffer = r.buffer[:0]
+	for {
+		line, err := in.ReadSlice('\n')
+		r.buffer = append(r.buffer, line...)
+		if len(r.buffer) > maxEvent {
+			return nil, errBadEvent
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err == io.EOF && len(r.buffer) == 0:
+			return nil, io.EOF
+		case err == io.EOF:
+			return nil, errBadEvent
+		case err != nil:
+			return nil, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && endsLine(r.buffer, line) {
+			return r.buffer, nil
+		}
+	}
+}
+
+// endsLine reports whether the blank line stands alone, not at the end of a
+// longer line that filled the reader's buffer.
+func endsLine(all, line []byte) bool {
+	before := len(all) - len(line)
+	return before == 0 || all[before-1] == '\n'
+}
--- /dev/null
+++ b/internal/gateway/unary.go
@@ -0,0 +1,266 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/exchange"
+	"tarragonbay.example/tarragonbay/internal/h1"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/routetable"
+)
+
+// answer is an upstream's whole answer to a unary request.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// verdict says what a try at one upstream came to.
+type verdict uint8
+
+const (
+	// answered: the upstream's answer is whole.
+	answered verdict = iota
+	// notSent: nothing reached the upstream.
+	notSent
+	// notRun: the upstream states that it did not run the request.
+	notRun
+	// unknown: the request may have run.
+	unknown
+)
+
+// maxAnswer bounds the answer of a plain service that is held in memory, in
+// bytes.
+const maxAnswer = 8 << 20
+
+// Limits on tries.
+const (
+	// maxUnsent bounds the upstreams that could not be connected to.
+	maxUnsent = 3
+	// firstTry is the part of the time left that a request which may be
+	// repeated waits at one upstream before it goes to the next.
+	firstTry = 0.45
+	// leastLeft is the least time in which another try makes sense.
+	leastLeft = 30 * time.Millisecond
+)
+
+// unary answers a request of a plain service: the whole answer is read before
+// any of it is passed on, so a broken one never reaches the caller.
+func (g *Gateway) unary(w http.ResponseWriter, q *request) {
+	var last *answer // an upstream's own failure, kept in case nothing better comes
+	unsent := 0
+	var failure *result.Error
+	for {
+		p, err := g.pick(q, time.Now())
+		if err != nil {
+			failure = firstOf(failure, err)
+			break
+		}
+		if q.sent == 0 && unsent == 0 {
+			g.countRequest(q)
+		} else if q.sent > 0 && !g.mayRepeat(q) {
+			failure = firstOf(failure, result.New(result.RetriesSpent, "the budget for repeats is spent").WithRetryAfter(jitter(shortRetry)))
+			break
+		}
+		q.tried[p.up.ID] = true
+		a, v, why := g.try(q, p)
+		if v == answered && (a.status < http.StatusInternalServerError || !q.route.Repeats()) {
+			g.pass(w, q, p, a)
+			return
+		}
+		if a != nil {
+			last = a
+		}
+		failure = q.failed(v, p.up.ID, why)
+		if v == notSent {
+			unsent++
+		}
+		if q.gone() || unsent >= maxUnsent || !q.mayGoOn(v, time.Now()) {
+			break
+		}
+	}
+	if last != nil {
+		g.pass(w, q, picked{}, last)
+		return
+	}
+	g.refuse(w, q, q.final(failure))
+}
+
+// firstOf keeps the cause of an earlier failure over a later refusal.
+func firstOf(a, b *result.Error) *result.Error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// mayGoOn reports whether another upstream may be tried after the verdict.
+func (q *request) mayGoOn(v verdict, now time.Time) bool {
+	if q.left(now) < leastLeft || q.sent >= q.route.MaxAttempts {
+		return false
+	}
+	return v == notSent || v == notRun || q.route.Repeats()
+}
+
+// failed turns a verdict into the error that the caller gets if it is the last.
+func (q *request) failed(v verdict, upstream string, why error) *result.Error {
+	switch {
+	case q.gone():
+		return result.Wrap(why, result.CallerGone, "the caller went away")
+	case v == notSent:
+		return result.Wrap(why, result.NoUpstream, "upstream %s cannot be reached", upstream).WithRetryAfter(jitter(shortRetry))
+	case v == notRun:
+		return result.Wrap(why, result.UpstreamBusy, "upstream %s has no room", upstream).WithRetryAfter(jitter(shortRetry))
+	case time.Now().After(q.limit):
+		return result.Wrap(why, result.DeadlineExceeded, "the time is over")
+	}
+	return result.Wrap(why, result.AnswerCut, "the answer of upstream %s did not come whole", upstream)
+}
+
+// final makes sure that "not run" is only said when it is true.
+func (q *request) final(e *result.Error) *result.Error {
+	if e.Outcome == result.NotRun && q.ran {
+		return result.Wrap(e, result.OutcomeUnknown, "an earlier try may have run: %s", e.Message)
+	}
+	return e
+}
+
+// try sends the request to one upstream and reads its answer.
+func (g *Gateway) try(q *request, p picked) (*answer, verdict, error) {
+	now := time.Now()
+	limit := q.limit
+	if q.route.Kind == routetable.Repeatable && q.sent+1 < q.route.MaxAttempts {
+		limit = now.Add(time.Duration(firstTry * float64(q.left(now))))
+	}
+	ctx, cancel := context.WithDeadline(q.in.Context(), limit)
+	defer cancel()
+	s := g.loads.begin(p.up.ID, 0)
+	a, v, err := g.exchange(ctx, q, p)
+	failed := v == unknown && !q.gone() || v == notSent || (a != nil && a.status >= http.StatusInternalServerError)
+	s.end(failed, time.Now())
+	g.judge(q, p, a, v, now)
+	if v != answered || failed {
+		g.count.failedTries.Inc(1)
+		g.log.Event(part, "try failed", q.fields(append(tryFields(p, v), statusField(a), zap.Error(err))...)...)
+	}
+	return a, v, err
+}
+
+func tryFields(p picked, v verdict) []zap.Field {
+	return []zap.Field{
+		zap.String("upstream", p.up.ID), zap.String("version", p.up.Version), zap.String("verdict", v.String()),
+		zap.String("model", p.choice.Model), zap.Duration("expected", p.choice.Expected),
+	}
+}
+
+func statusField(a *answer) zap.Field {
+	if a == nil {
+		return zap.Skip()
+	}
+	return zap.Int("upstream status", a.status)
+}
+
+// String returns the verdict as it is logged.
+func (v verdict) String() string {
+	return [...]string{"answered", "not sent", "not run", "unknown"}[v]
+}
+
+func (g *Gateway) exchange(ctx context.Context, q *request, p picked) (*answer, verdict, error) {
+	e, head, v, err := g.open(ctx, q, p, q.call.ResumeAfter)
+	if err != nil || v != answered {
+		return nil, v, err
+	}
+	resp := e.Response()
+	body, err := e.ReadAll(maxAnswer)
+	if err != nil {
+		e.Abort()
+		return nil, unknown, err
+	}
+	e.Finish(g.pool, poolKey(p.up), head.KeepFor, time.Now())
+	if !head.Sealed {
+		return nil, unknown, result.New(result.UpstreamFailed, "upstream %s sent no seal", p.up.ID)
+	}
+	return &answer{status: resp.StatusCode, header: g.proto.Back(resp.Header), body: body}, answered, nil
+}
+
+// open sends the request and reads the head of the answer. Unless the verdict
+// is answered, the exchange is closed already.
+func (g *Gateway) open(ctx context.Context, q *request, p picked, resumeAfter string) (*h1.Exchange, exchange.Answer, verdict, error) {
+	var head exchange.Answer
+	conn, err := g.pool.Get(ctx, poolKey(p.up), p.up.Address, time.Now())
+	if err != nil {
+		return nil, head, notSent, err
+	}
+	now := time.Now()
+	to := exchange.Target{
+		UpstreamID: p.up.ID, Model: p.choice.Model, Budget: q.left(now),
+		ResumeAfter: resumeAfter, Urgency: q.urgency(),
+	}
+	if q.org != nil {
+		to.Organisation = q.org.Name
+	}
+	q.sent++
+	g.shifts.ran(q.call.Session, q.service, p.up.Version, now)
+	e, err := h1.Start(ctx, conn, &h1.Request{
+		Method: q.in.Method, URI: q.in.RequestURI, Host: q.in.Host,
+		Header: g.proto.Onward(q.in.Header, q.call, to), Body: q.body,
+	}, func(resp *http.Response) bool {
+		head = g.proto.Answer(resp)
+		return head.ID == q.call.ID || (head.ID == "" && !conn.Reused)
+	})
+	if err != nil {
+		q.ran = true
+		return nil, head, unknown, err
+	}
+	if !head.NotRun {
+		q.ran = true
+		return e, head, answered, nil
+	}
+	status := e.Response().StatusCode
+	if _, err := e.ReadAll(maxAnswer); err != nil {
+		e.Abort()
+	} else {
+		e.Finish(g.pool, poolKey(p.up), head.KeepFor, time.Now())
+	}
+	return nil, head, notRun, result.New(result.UpstreamBusy, "upstream %s refused with status %d", p.up.ID, status)
+}
+
+// pass writes a whole answer of an upstream to the caller.
+func (g *Gateway) pass(w http.ResponseWriter, q *request, p picked, a *answer) {
+	h := w.Header()
+	setHeaders(h, a.header)
+	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil {
+		g.count.callersGone.Inc(1)
+		g.log.Event(part, "caller gone", q.fields(zap.Error(err))...)
+		return
+	}
+	g.count.answered.Inc(1)
+	g.count.answerTime.Observe(time.Since(q.arrived))
+	g.log.Routine(part, "answered", q.fields(zap.Int("status", a.status), zap.String("upstream", p.up.ID))...)
+}
+
+// setHeaders copies an upstream's headers and keeps the server from adding
+// some of its own.
+func setHeaders(to, from http.Header) {
+	for k, v := range from {
+		to[k] = v
+	}
+	for _, k := range []string{"Content-Type", "Date"} {
+		if _, ok := to[k]; !ok {
+			to[k] = nil
+		}
+	}
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -72,6 +72,7 @@
 	RatingsAway       Code = 5009
 	WeightsLimited    Code = 5010
 	CircuitOpen       Code = 5011
+	HistoryGone       Code = 5012
 
 	CheckFailed     Code = 6001
 	PublishConflict Code = 6002
@@ -170,6 +171,7 @@
 	{RatingsAway, "ratings_away", http.StatusServiceUnavailable, NotRun, "The rating service does not answer."},
 	{WeightsLimited, "weights_limited", http.StatusTooManyRequests, NotRun, "The weight store is over its rate."},
 	{CircuitOpen, "circuit_open", http.StatusServiceUnavailable, NotRun, "Calls to a failing service are held back for a moment."},
+	{HistoryGone, "history_gone", http.StatusGone, NotRun, "The store has dropped the history that a feed asked for."},
 
 	{CheckFailed, "check_failed", http.StatusUnprocessableEntity, NotRun, "The configuration has faults."},
 	{PublishConflict, "publish_conflict", http.StatusConflict, NotRun, "Another publication changed the same objects first."},
--- /dev/null
+++ b/internal/retrywindow/retrywindow.go
@@ -0,0 +1,64 @@
+// Package retrywindow bounds the requests that are sent more than once: in any
+// window, the extra ones of a service stay below a ratio of its requests plus
+// a fixed slack. It answers a storm: when a part of the upstreams fails, extra
+// sends must not multiply the load on the rest.
+package retrywindow
+
+import "time"
+
+// Settings bound one gateway's part of the budget.
+type Settings struct {
+	// Ratio of extra sends to requests.
+	Ratio float64
+	// Slack is allowed in each window besides.
+	Slack float64
+	// Window is the span that is bounded.
+	Window time.Duration
+}
+
+// buckets divides the window; the oldest part is dropped as a whole.
+const buckets = 10
+
+type count struct {
+	at       int64 // number of the bucket since the epoch of the clock
+	requests int
+	extra    int
+}
+
+// Window counts one service at one gateway. It is not safe for concurrent use.
+type Window struct {
+	settings Settings
+	ring     [buckets + 1]count
+}
+
+// New returns an empty window.
+func New(s Settings) *Window { return &Window{settings: s} }
+
+func (w *Window) bucket(now time.Duration) *count {
+	at := int64(now / (w.settings.Window / buckets))
+	c := &w.ring[at%int64(len(w.ring))]
+	if c.at != at {
+		*c = count{at: at}
+	}
+	return c
+}
+
+// Request counts a caller's request.
+func (w *Window) Request(now time.Duration) { w.bucket(now).requests++ }
+
+// Extra asks to send a request once more; it counts it when allowed.
+func (w *Window) Extra(now time.Duration) bool {
+	c := w.bucket(now)
+	requests, extra := 0, 0
+	for i := range w.ring {
+		if o := &w.ring[i]; c.at-o.at <= buckets {
+			requests += o.requests
+			extra += o.extra
+		}
+	}
+	if float64(extra+1) > w.settings.Ratio*float64(requests)+w.settings.Slack {
+		return false
+	}
+	c.extra++
+	return true
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -67,7 +67,7 @@
 	}
 }
 
-func (d *decoder) decode(root hujson.Value, s *Settings) {
+func (d *decoder) decode(root hujson.Value, s any) {
 	d.object("", root, reflect.ValueOf(s).Elem())
 }
 
@@ -87,6 +87,8 @@
 			return
 		}
 		dst.SetString(text(v))
+	case reflect.Float64:
+		d.number(path, v, dst)
 	default:
 		d.integer(path, v, dst)
 	}
@@ -142,6 +144,15 @@
 	dst.SetInt(int64(dur))
 }
 
+func (d *decoder) number(path string, v hujson.Value, dst reflect.Value) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '0' {
+		d.faultAt(path, "must be a number", "")
+		return
+	}
+	dst.SetFloat(lit.Float())
+}
+
 func (d *decoder) integer(path string, v hujson.Value, dst reflect.Value) {
 	lit, ok := v.Value.(hujson.Literal)
 	if !ok || lit.Kind() != '0' {
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,95 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/result"
+)
+
+// Gateway are the settings of a gateway on the users' platform. The platform
+// renders them from deploy/gateway.json.tmpl.
+type Gateway struct {
+	Name   string `json:"name" doc:"Name of this host, unique among all daemons."`
+	Domain string `json:"domain" doc:"Failure domain of this host."`
+	// Listen takes callers, ReadyListen the platform's questions for readiness
+	// and AdminListen operators; the last may be empty.
+	Listen      string `json:"listen"`
+	ReadyListen string `json:"readyListen"`
+	AdminListen string `json:"adminListen"`
+	Store       string `json:"store" doc:"Address of the platform's store."`
+	// MemoryMB is the memory that the process may use, in MiB.
+	MemoryMB int `json:"memoryMb"`
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration `json:"grace"`
+	// RevokeWithin is the time after which a key that was taken away must be
+	// refused everywhere.
+	RevokeWithin time.Duration `json:"revokeWithin"`
+	// RepeatRatio, RepeatSlack and RepeatWindow bound the requests that are
+	// sent more than once, over all gateways.
+	RepeatRatio  float64       `json:"repeatRatio"`
+	RepeatSlack  float64       `json:"repeatSlack"`
+	RepeatWindow time.Duration `json:"repeatWindow"`
+}
+
+// LoadGateway reads and checks the settings of a gateway. The error is a
+// *result.Error that names every fault with its line.
+func LoadGateway(path string) (Gateway, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, result.Wrap(err, result.BadSettings, "the settings cannot be read")
+	}
+	return ParseGateway(path, data)
+}
+
+// ParseGateway checks settings that were read from the named file.
+func ParseGateway(file string, data []byte) (Gateway, error) {
+	var s Gateway
+	d, root, fault := newDecoder(file, data)
+	if fault != nil {
+		return s, faultError([]catalog.Fault{*fault})
+	}
+	d.decode(root, &s)
+	d.checkGateway(&s)
+	if len(d.faults) > 0 {
+		catalog.SortFaults(d.faults)
+		return s, faultError(d.faults)
+	}
+	return s, nil
+}
+
+func (d *decoder) checkGateway(s *Gateway) {
+	if !nameRE.MatchString(s.Name) {
+		d.faultAt("name", "must be 1 to 63 of a-z, 0-9, '.', '_', '-' and start with a letter or digit", "")
+	}
+	if s.Domain == "" {
+		d.faultAt("domain", "must not be empty", "")
+	}
+	for _, a := range []struct {
+		field, value string
+		optional     bool
+	}{
+		{"listen", s.Listen, false}, {"readyListen", s.ReadyListen, false},
+		{"adminListen", s.AdminListen, true}, {"store", s.Store, false},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil && (a.value != "" || !a.optional) {
+			d.faultAt(a.field, "must be IP:port with an IP number", "")
+		}
+	}
+	if s.MemoryMB <= 0 {
+		d.faultAt("memoryMb", "must be above 0", "")
+	}
+	for _, t := range []struct {
+		field string
+		value time.Duration
+	}{{"grace", s.Grace}, {"revokeWithin", s.RevokeWithin}, {"repeatWindow", s.RepeatWindow}} {
+		if t.value <= 0 {
+			d.faultAt(t.field, "must be above 0s", "")
+		}
+	}
+	if s.RepeatRatio < 0 || s.RepeatSlack < 0 {
+		d.faultAt("repeatRatio", "the bounds on repeats must not be negative", "")
+	}
+}
