--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -44,9 +44,6 @@
 
 // closeIdle closes connections that have been idle for longer than the limit.
 func (b *connBook) closeIdle(now time.Time, limit time.Duration) {
-	if limit <= 0 {
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for c, s := range b.states {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,8 @@
 	shifts   *shiftBook
 	conns    *connBook
 	stopping atomic.Bool
+	// stopSince is when the stop began, in Unix nanoseconds.
+	stopSince atomic.Int64
 	count    *counters
 
 	budgetsMu sync.Mutex
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -8,6 +8,9 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/routetable"
 )
 
 // Bounds on callers that hold before a configuration sets its own.
@@ -93,15 +96,31 @@
 	lastPart = 0.07
 )
 
+// leaving refuses a stream that arrives when callers have had the time to go
+// elsewhere, because the grace would end in the middle of it.
+func (g *Gateway) leaving(q *request) *result.Error {
+	if !g.stopping.Load() || q.route.Kind != routetable.Stream ||
+		q.arrived.Sub(time.Unix(0, g.stopSince.Load())) < leaveTime {
+		return nil
+	}
+	return result.New(result.Stopping, "this gateway is stopping").WithRetryAfter(leastRetry)
+}
+
 // drain serves what still arrives until nothing runs or the grace is over.
 func (g *Gateway) drain(servers []*server) {
-	g.stopping.Store(true)
 	began := time.Now()
+	g.stopSince.Store(began.UnixNano())
+	g.stopping.Store(true)
 	end := began.Add(time.Duration((1 - lastPart) * float64(g.settings().Grace)))
 	g.log.Event(part, "stopping", zap.Int("running", g.conns.running()), zap.Duration("grace", g.settings().Grace))
 	for now := began; now.Before(end); now = time.Now() {
-		if now.Sub(began) >= leaveTime && g.conns.running() == 0 {
-			break
+		if now.Sub(began) >= leaveTime {
+			// Callers go elsewhere with what they send next; nothing that was
+			// read is dropped.
+			g.conns.closeIdle(now, 0)
+			if g.conns.running() == 0 {
+				break
+			}
 		}
 		time.Sleep(drainPoll)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -72,6 +72,9 @@
 		}
 		return result.New(result.NoSuchRoute, "no route leads there")
 	}
+	if err := g.leaving(q); err != nil {
+		return err
+	}
 	if err := g.checkKey(q); err != nil {
 		return err
 	}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -114,7 +114,7 @@
 		}
 		g.pool.Prune(now, func(id string) bool { return kept[id] })
 		g.loads.forget(live)
-		if t := g.table.Load(); t != nil {
+		if t := g.table.Load(); t != nil && t.Limits().IdleTimeout > 0 {
 			g.conns.closeIdle(now, t.Limits().IdleTimeout)
 		}
 	}
