--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -16,10 +16,10 @@
 type counters struct {
 	registry *telemetry.Metrics
 
-	requests, answered, refused, callersGone   metrics.Counter
-	failedTries, budgetSpent, cutStreams       metrics.Counter
-	configs, storeLost, storeFailures, unready metrics.Counter
-	answerTime, firstEvent                     *telemetry.Timer
+	requests, answered, refused, callersGone        metrics.Counter
+	failedTries, budgetSpent, cutStreams, escalated metrics.Counter
+	configs, storeLost, storeFailures, unready      metrics.Counter
+	answerTime, firstEvent                          *telemetry.Timer
 
 	mu    sync.Mutex
 	ready bool
@@ -35,6 +35,7 @@
 		failedTries:   m.Counter(part, "failed_tries"),
 		budgetSpent:   m.Counter(part, "repeat_budget_spent"),
 		cutStreams:    m.Counter(part, "cut_streams"),
+		escalated:     m.Counter(part, "escalated"),
 		configs:       m.Counter(part, "configurations"),
 		storeLost:     m.Counter(part, "store_lost"),
 		storeFailures: m.Counter(part, "store_failures"),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,10 +56,10 @@
 	// SettingsFile is read again when it changes or the process is told to.
 	SettingsFile string
 	Protocol     Protocol
-	Documents Documents
-	Store     store.Store
-	Log       *eventlog.Log
-	Metrics   *telemetry.Metrics
+	Documents    Documents
+	Store        store.Store
+	Log          *eventlog.Log
+	Metrics      *telemetry.Metrics
 	// BootClock is bootclock.Now outside tests.
 	BootClock func() time.Duration
 }
@@ -85,7 +85,7 @@
 	stopping atomic.Bool
 	// stopSince is when the stop began, in Unix nanoseconds.
 	stopSince atomic.Int64
-	count    *counters
+	count     *counters
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retrywindow.Window
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -21,8 +21,18 @@
 	choice placement.Choice
 }
 
-// pick chooses an upstream that the request has not been sent to.
+// pick chooses an upstream that the request has not been sent to, and counts
+// that it is tried.
 func (g *Gateway) pick(q *request, now time.Time) (picked, *result.Error) {
+	p, err := g.look(q, q.models(), now)
+	if err == nil {
+		q.tried[p.up.ID] = true
+	}
+	return p, err
+}
+
+// look chooses an upstream and one of the models without counting it.
+func (g *Gateway) look(q *request, models []placement.Model, now time.Time) (picked, *result.Error) {
 	view := g.fleet.Load()
 	if view == nil {
 		return picked{}, result.New(result.NoConfiguration, "no list of upstreams yet").WithRetryAfter(jitter(shortRetry))
@@ -49,7 +59,7 @@
 	}
 	var c placement.Choice
 	if q.route.Kind == routetable.Stream {
-		job.Models = g.models(q)
+		job.Models = models
 		c = placement.Engine(job, loads)
 	} else {
 		c = placement.Plain(job, loads, plainWorkMS)
@@ -64,22 +74,57 @@
 // plainWorkMS is the usual time of a request at a plain service.
 const plainWorkMS = 20.0
 
-// models returns the models to choose from, with their speeds.
-func (g *Gateway) models(q *request) []placement.Model {
-	if q.call.Model != exchange.AnyModel || len(q.route.Models) == 0 {
-		return []placement.Model{{Name: "", MSPerToken: readMS}}
+// models returns the models to choose from now: the smallest until its answer
+// was dropped, then the largest, or the smallest where that would be late.
+func (q *request) models() []placement.Model {
+	if !q.cascades() {
+		return []placement.Model{{MSPerToken: readMS}}
 	}
-	out := make([]placement.Model, len(q.route.Models))
-	for i, name := range q.route.Models {
-		// Larger models read more slowly; each step down halves the time.
-		out[i] = placement.Model{Name: name, MSPerToken: readMS / float64(int(1)<<(len(q.route.Models)-1-i))}
+	small, large := q.model(0), q.model(len(q.route.Models)-1)
+	if q.escalated {
+		return []placement.Model{small, large}
 	}
-	return out
+	return []placement.Model{small}
+}
+
+// cascades reports whether the gateway chooses the model.
+func (q *request) cascades() bool {
+	return q.call.Model == exchange.AnyModel && len(q.route.Models) > 0
+}
+
+// model returns one of the route's models with its speed: larger ones read
+// more slowly, by a half for each step.
+func (q *request) model(i int) placement.Model {
+	steps := len(q.route.Models) - 1 - i
+	return placement.Model{Name: q.route.Models[i], MSPerToken: readMS / float64(int(1)<<steps)}
 }
 
 // readMS is the time of a large model for one prompt token, in milliseconds.
 const readMS = 0.045
 
+// escalate reports whether a small model's answer is dropped, and for which
+// upstream. It draws on the budget for repeats when it is.
+func (g *Gateway) escalate(q *request, p picked, confidence int, now time.Time) bool {
+	last := len(q.route.Models) - 1
+	if !q.cascades() || p.choice.Model == q.route.Models[last] || q.sent >= q.route.MaxAttempts {
+		return false
+	}
+	larger, err := g.look(q, []placement.Model{q.model(last)}, now)
+	if err != nil {
+		return false
+	}
+	drop := placement.Escalate(placement.Opinion{
+		Confidence: confidence, Larger: larger.choice, Target: q.route.Target - now.Sub(q.arrived),
+	})
+	if !drop || !g.mayRepeat(q) {
+		return false
+	}
+	g.count.escalated.Inc(1)
+	g.log.Routine(part, "escalated", q.fields(zap.String("from", p.choice.Model), zap.Int("confidence", confidence),
+		zap.String("upstream", p.up.ID), zap.Duration("expected", larger.choice.Expected))...)
+	return true
+}
+
 // sessionPoint is a number in [0, 1) that all requests of a session share, at
 // every gateway.
 func (q *request) sessionPoint() float64 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,6 +32,9 @@
 	// ran is true once an upstream may have begun to work on it.
 	ran   bool
 	tried map[string]bool
+	// escalated is true once a small model's answer was dropped; the repeat
+	// was drawn from the budget then.
+	escalated bool
 	// sizes of the prompt: what other requests share, and all of it.
 	shared, tokens int
 	affinity       string
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,7 +39,9 @@
 	// last is the id of the last event that was passed on.
 	last   string
 	events int
-	buffer []byte
+	// confidence is the model's own opinion of the answer, or negative.
+	confidence int
+	buffer     []byte
 }
 
 // errBadEvent means that an event is too long or the stream ended inside one.
@@ -56,6 +58,7 @@
 	var failure *result.Error
 	var last *answer
 	unsent := 0
+	granted := false // a repeat was drawn from the budget already
 	for {
 		p, err := g.pick(q, time.Now())
 		if err != nil {
@@ -64,12 +67,16 @@
 		}
 		if q.sent == 0 && unsent == 0 {
 			g.countRequest(q)
-		} else if q.sent > 0 && !g.mayRepeat(q) {
+		} else if q.sent > 0 && !granted && !g.mayRepeat(q) {
 			failure = firstOf(failure, result.New(result.RetriesSpent, "the budget for repeats is spent").WithRetryAfter(jitter(shortRetry)))
 			break
 		}
-		q.tried[p.up.ID] = true
 		a, v, why := r.try(p)
+		if granted = v == dropped; granted {
+			q.escalated = true
+			q.tried = map[string]bool{} // the same upstream may run the larger model
+			continue
+		}
 		if v == answered && a == nil {
 			r.finish(p)
 			return
@@ -110,7 +117,8 @@
 	g.count.answered.Inc(1)
 	g.count.answerTime.Observe(time.Since(q.arrived))
 	g.log.Routine(part, "streamed", q.fields(zap.String("upstream", p.up.ID), zap.String("version", p.up.Version),
-		zap.String("model", p.choice.Model), zap.Int("events", r.events), zap.Duration("expected", p.choice.Expected))...)
+		zap.String("model", p.choice.Model), zap.Int("events", r.events),
+		zap.Int("confidence", r.confidence), zap.Duration("expected", p.choice.Expected))...)
 }
 
 // try relays the stream from one upstream. It returns an answer when the
@@ -127,7 +135,7 @@
 	if a != nil {
 		g.judge(q, p, a, v, began)
 	}
-	if v != answered || failed {
+	if (v != answered && v != dropped) || failed {
 		g.count.failedTries.Inc(1)
 		g.log.Event(part, "try failed", q.fields(append(tryFields(p, v), statusField(a), zap.Int("events", r.events), zap.Error(err))...)...)
 	}
@@ -145,6 +153,7 @@
 	if err != nil || v != answered {
 		return nil, v, err
 	}
+	r.confidence = head.Confidence
 	resp := e.Response()
 	if resp.StatusCode != http.StatusOK || !head.Sealed {
 		body, err := e.ReadAll(maxAnswer)
@@ -158,6 +167,10 @@
 		}
 		return &answer{status: resp.StatusCode, header: g.proto.Back(resp.Header), body: body}, answered, nil
 	}
+	if !r.started && g.escalate(q, p, head.Confidence, time.Now()) {
+		e.Abort()
+		return nil, dropped, nil
+	}
 	if err := r.pump(e, p, s, watch, began); err != nil {
 		e.Abort()
 		return nil, unknown, err
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -33,6 +33,8 @@
 	notRun
 	// unknown: the request may have run.
 	unknown
+	// dropped: the answer of a small model was not good enough.
+	dropped
 )
 
 // maxAnswer bounds the answer of a plain service that is held in memory, in
@@ -68,7 +70,6 @@
 			failure = firstOf(failure, result.New(result.RetriesSpent, "the budget for repeats is spent").WithRetryAfter(jitter(shortRetry)))
 			break
 		}
-		q.tried[p.up.ID] = true
 		a, v, why := g.try(q, p)
 		if v == answered && (a.status < http.StatusInternalServerError || !q.route.Repeats()) {
 			g.pass(w, q, p, a)
@@ -168,7 +169,7 @@
 
 // String returns the verdict as it is logged.
 func (v verdict) String() string {
-	return [...]string{"answered", "not sent", "not run", "unknown"}[v]
+	return [...]string{"answered", "not sent", "not run", "unknown", "dropped"}[v]
 }
 
 func (g *Gateway) exchange(ctx context.Context, q *request, p picked) (*answer, verdict, error) {
