--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -125,7 +125,11 @@
 		time.Sleep(drainPoll)
 	}
 	g.log.Event(part, "drained", zap.Int("running", g.conns.running()), zap.Duration("took", time.Since(began)))
+	last, cancel := context.WithTimeout(context.Background(), time.Duration(lastPart/2*float64(g.settings().Grace)))
+	defer cancel()
 	for _, s := range servers {
-		_ = s.ln.Close() // Close of the server reports it again
+		if err := s.http.Shutdown(last); err != nil {
+			g.log.Event(part, "cut at the end of the grace", zap.String("listener", s.ln.Addr().String()), zap.Error(err))
+		}
 	}
 }
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -109,6 +109,9 @@
 	if !q.cascades() || p.choice.Model == q.route.Models[last] || q.sent >= q.route.MaxAttempts {
 		return false
 	}
+	// The upstream that gave the answer has not failed and may run the larger
+	// model as well.
+	delete(q.tried, p.up.ID)
 	larger, err := g.look(q, []placement.Model{q.model(last)}, now)
 	if err != nil {
 		return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,7 +74,6 @@
 		a, v, why := r.try(p)
 		if granted = v == dropped; granted {
 			q.escalated = true
-			q.tried = map[string]bool{} // the same upstream may run the larger model
 			continue
 		}
 		if v == answered && a == nil {
