--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 		boot: o.BootClock, start: time.Now(),
 		pool:    h1.NewPool(dialTime),
 		loads:   newLoadBook(),
-		shifts:  newShiftBook(),
+		shifts:  newShiftBook(o.Settings.ExposeShare),
 		conns:   newConnBook(),
 		count:   newCounters(o.Metrics),
 		budgets: map[string]*retrywindow.Window{},
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/versionshift"
@@ -57,10 +58,13 @@
 	route, model string
 }
 
-// pace is the usual time of the old version's answers, in milliseconds.
+// pace is how the old version's answers usually come.
 type pace struct {
-	first, gap float64
-	n          int
+	// late is the time to the answer or the first event, as a multiple of what
+	// was expected at the time of sending; gap is the pause between events, in
+	// milliseconds.
+	late, gap float64
+	n         int
 }
 
 // Weights of paces.
@@ -70,23 +74,29 @@
 	// paceSeen is how many answers make a mean that others are held against.
 	paceSeen = 8
 	// slowTimes is how many times the mean makes an answer bad.
-	slowTimes = 3.5
+	slowTimes = 4.0
+	// slowLeast is the least delay beyond what was expected that counts as
+	// slow; below it a short queue explains it.
+	slowLeast = 250 * time.Millisecond
+	// leastMS is added to an expected time, in milliseconds: what the path
+	// takes even when no work is expected.
+	leastMS = 20.0
 )
 
-func (p *pace) add(first, gap float64) {
+func (p *pace) add(late, gap float64) {
 	p.n++
 	w := max(paceWeight, 1/float64(p.n))
-	p.first += w * (first - p.first)
+	p.late += w * (late - p.late)
 	if gap > 0 {
 		p.gap += w * (gap - p.gap)
 	}
 }
 
-func (p *pace) slow(first, gap float64) bool {
+func (p *pace) slow(o observed) bool {
 	if p.n < paceSeen {
 		return false
 	}
-	return first > slowTimes*p.first || (p.gap > 0 && gap > slowTimes*p.gap)
+	return (o.over > slowLeast && o.late > slowTimes*p.late) || (p.gap > 0 && o.gap > slowTimes*p.gap)
 }
 
 // observed is one answer as it counts for its version.
@@ -94,9 +104,26 @@
 	service, version, upstream string
 	key                        paceKey
 	failed                     bool
-	// firstMS is the time to the answer or the first event, gapMS the mean
-	// pause between events; zero where there were too few.
-	firstMS, gapMS float64
+	// late is the time to the answer or the first event, as a multiple of what
+	// was expected; gap the mean pause between events in milliseconds, zero
+	// where there were too few.
+	late, gap float64
+	// over is the time beyond what was expected.
+	over time.Duration
+}
+
+// timed sets how the time to the answer relates to what was expected.
+func (o *observed) timed(took, expected time.Duration) {
+	o.late = float64(took) / (float64(expected) + leastMS*float64(time.Millisecond))
+	o.over = took - expected
+}
+
+// slow reports whether an answer that is still under way is slow already.
+func (b *shiftBook) slow(o observed) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.of(o.service).paces[o.key]
+	return p != nil && p.slow(o)
 }
 
 // observe counts an answer for or against a version. Broken connections do not
@@ -113,12 +140,12 @@
 	isNew := s.ordered && o.version == s.order.To
 	if !s.ordered || (s.current() && s.state.Ended()) {
 		if !o.failed {
-			p.add(o.firstMS, o.gapMS)
+			p.add(o.late, o.gap)
 		}
 		return
 	}
 	at := s.seen.at(now)
-	bad := o.failed || p.slow(o.firstMS, o.gapMS)
+	bad := o.failed || p.slow(o)
 	switch {
 	case isNew && bad:
 		at.newBad++
@@ -135,7 +162,7 @@
 		at.oldGood++
 	}
 	if !isNew && !o.failed {
-		p.add(o.firstMS, o.gapMS)
+		p.add(o.late, o.gap)
 	}
 }
 
@@ -145,10 +172,11 @@
 	if v != answered || a == nil {
 		return
 	}
-	g.shifts.observe(observed{
+	o := observed{
 		service: q.service, version: p.up.Version, upstream: p.up.ID,
-		key:     paceKey{route: q.route.Name, model: p.choice.Model},
-		failed:  a.status >= 500,
-		firstMS: float64(time.Since(began)) / float64(time.Millisecond),
-	}, time.Now())
+		key:    paceKey{route: q.route.Name, model: p.choice.Model},
+		failed: a.status >= http.StatusInternalServerError,
+	}
+	o.timed(time.Since(began), p.choice.Expected)
+	g.shifts.observe(o, time.Now())
 }
--- /dev/null
+++ b/internal/gateway/judgement.go
@@ -0,0 +1,71 @@
+package gateway
+
+import "time"
+
+// judgement counts one run of a stream for or against its version, once. A
+// slow run counts as soon as it shows, since its end may be far off.
+type judgement struct {
+	g     *Gateway
+	seen  observed
+	began time.Time
+	// expected is the time to the first event that was estimated.
+	expected time.Duration
+	first    time.Time
+	events   int
+	counted  bool
+}
+
+// Events of a run after which its pace is judged.
+const (
+	// leastEvents is how many events make a pace.
+	leastEvents = 4
+	// judgeEvery is how many events pass between two looks at it.
+	judgeEvery = 4
+)
+
+func newJudgement(g *Gateway, q *request, p picked, began time.Time) *judgement {
+	return &judgement{
+		g: g, began: began, expected: p.choice.Expected,
+		seen: observed{
+			service: q.service, version: p.up.Version, upstream: p.up.ID,
+			key: paceKey{route: q.route.Name, model: p.choice.Model},
+		},
+	}
+}
+
+// event notes that an event has come.
+func (j *judgement) event(now time.Time) {
+	j.events++
+	if j.events == 1 {
+		j.first = now
+		j.seen.timed(now.Sub(j.began), j.expected)
+	} else if j.events >= leastEvents {
+		j.seen.gap = float64(now.Sub(j.first)) / float64(time.Millisecond) / float64(j.events-1)
+	}
+	if j.counted || (j.events > 1 && j.events%judgeEvery != 0) {
+		return
+	}
+	if j.g.shifts.slow(j.seen) {
+		j.count()
+	}
+}
+
+// whole notes that the run came to its end.
+func (j *judgement) whole() {
+	if !j.counted && j.events > 0 {
+		j.count()
+	}
+}
+
+// silent notes that the upstream went silent for too long.
+func (j *judgement) silent() {
+	j.seen.failed = true
+	if !j.counted {
+		j.count()
+	}
+}
+
+func (j *judgement) count() {
+	j.counted = true
+	j.g.shifts.observe(j.seen, time.Now())
+}
--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -12,6 +12,9 @@
 // their state as last read, what it has seen of the answers, and the versions
 // that recent sessions run on.
 type shiftBook struct {
+	// exposure is the part of a service's requests that a bad version may get.
+	exposure float64
+
 	mu       sync.Mutex
 	services map[string]*serviceShift
 	sessions map[string]pinned
@@ -47,8 +50,9 @@
 	maxSessions = 20_000
 )
 
-func newShiftBook() *shiftBook {
+func newShiftBook(exposure float64) *shiftBook {
 	return &shiftBook{
+		exposure: exposure,
 		services: map[string]*serviceShift{}, sessions: map[string]pinned{},
 		wake: make(chan struct{}, 1),
 	}
@@ -119,7 +123,7 @@
 			from = append(from, u)
 		}
 	}
-	takesNew := s.takesNew(point)
+	takesNew := s.current() && point < s.state.Share(b.exposure)
 	if p, ok := b.sessions[session]; ok && session != "" && p.service == service {
 		takesNew = s.pin(p, takesNew, now)
 	}
@@ -147,10 +151,6 @@
 // current reports whether the state is that of the order.
 func (s *serviceShift) current() bool { return s.known && s.state.Order == s.order.Rev }
 
-func (s *serviceShift) takesNew(point float64) bool {
-	return s.current() && point < s.state.Share()
-}
-
 // sessionKept is how long after its last request a session keeps its version.
 const sessionKept = 10 * time.Second
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -166,12 +166,18 @@
 		}
 		return &answer{status: resp.StatusCode, header: g.proto.Back(resp.Header), body: body}, answered, nil
 	}
+	j := newJudgement(g, q, p, began)
 	if !r.started && g.escalate(q, p, head.Confidence, time.Now()) {
 		e.Abort()
+		j.event(time.Now())
+		j.whole()
 		return nil, dropped, nil
 	}
-	if err := r.pump(e, p, s, watch, began); err != nil {
+	if err := r.pump(e, s, watch, j); err != nil {
 		e.Abort()
+		if ctx.Err() == nil && headCtx.Err() != nil {
+			j.silent()
+		}
 		return nil, unknown, err
 	}
 	if !r.started {
@@ -193,24 +199,23 @@
 }
 
 // pump passes whole events on until the stream ends.
-func (r *relay) pump(e *h1.Exchange, p picked, s *send, watch *time.Timer, began time.Time) error {
+func (r *relay) pump(e *h1.Exchange, s *send, watch *time.Timer, j *judgement) error {
 	g, q := r.g, r.q
 	silence := max(gapLeast, gaps*q.route.Gap)
 	flusher := http.NewResponseController(r.w)
 	in := bufio.NewReaderSize(e, 2<<10)
-	var first time.Time
 	for n := 0; ; n++ {
 		event, err := r.next(in)
 		if err == io.EOF {
-			r.observe(p, n, began, first)
+			j.whole()
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		watch.Reset(silence)
+		j.event(time.Now())
 		if n == 0 {
-			first = time.Now()
 			s.read()
 			g.count.firstEvent.Observe(time.Since(q.arrived))
 		}
@@ -230,25 +235,6 @@
 	}
 }
 
-// leastEvents is how many events make a pace.
-const leastEvents = 4
-
-// observe counts a whole run of a stream for or against its version.
-func (r *relay) observe(p picked, events int, began, first time.Time) {
-	if events == 0 {
-		return
-	}
-	o := observed{
-		service: r.q.service, version: p.up.Version, upstream: p.up.ID,
-		key:     paceKey{route: r.q.route.Name, model: p.choice.Model},
-		firstMS: float64(first.Sub(began)) / float64(time.Millisecond),
-	}
-	if events >= leastEvents {
-		o.gapMS = float64(time.Since(first)) / float64(time.Millisecond) / float64(events-1)
-	}
-	r.g.shifts.observe(o, time.Now())
-}
-
 // next reads one whole event, its blank line included. io.EOF means that the
 // stream ended between events.
 func (r *relay) next(in *bufio.Reader) ([]byte, error) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,6 +32,9 @@
 	RepeatRatio  float64       `json:"repeatRatio"`
 	RepeatSlack  float64       `json:"repeatSlack"`
 	RepeatWindow time.Duration `json:"repeatWindow"`
+	// ExposeShare is the part of a service's requests that a bad new version
+	// may get.
+	ExposeShare float64 `json:"exposeShare"`
 }
 
 // LoadGateway reads and checks the settings of a gateway. The error is a
@@ -89,6 +92,9 @@
 			d.faultAt(t.field, "must be above 0s", "")
 		}
 	}
+	if s.ExposeShare <= 0 || s.ExposeShare > 1 {
+		d.faultAt("exposeShare", "must be above 0 and at most 1", "")
+	}
 	if s.RepeatRatio < 0 || s.RepeatSlack < 0 {
 		d.faultAt("repeatRatio", "the bounds on repeats must not be negative", "")
 	}
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -91,10 +91,10 @@
 
 // Shares and times of a shift.
 const (
-	// trialShare keeps the trial under two thirds of the exposure that the
-	// users allow (0.0975 at the least of their installations) until the
-	// version was judged.
-	trialShare = 0.06
+	// trialPart is the part of the allowed exposure that a trial uses. The
+	// trial lasts at most trialLate of the time, which leaves the rest of the
+	// exposure for the second under half load.
+	trialPart = 0.9
 	// trialUntil is the part of the time after which sessions of the old
 	// version may move.
 	trialUntil = 0.5
@@ -113,6 +113,8 @@
 const (
 	// badRate is the least rate of bad answers that makes a version bad.
 	badRate = 0.3
+	// badMargin is how far above the old version's rate a bad version's is.
+	badMargin = 0.2
 	// baseFloor is the least rate that is assumed of the old version.
 	baseFloor = 0.04
 	// baseMargin is how much worse than the old version a good one may be.
@@ -120,6 +122,10 @@
 	// withdrawAt is the logarithm of the odds at which a version is withdrawn:
 	// a thousand to one.
 	withdrawAt = 6.9
+	// holdAt is when a shift waits for more evidence, heldUntil the part of its
+	// time after which it no longer does.
+	holdAt    = 1.0
+	heldUntil = 0.8
 	// minBad is the least number of bad answers for a withdrawal.
 	minBad = 4
 )
@@ -136,11 +142,12 @@
 	}
 }
 
-// Share returns the part of new work that goes to the new version.
-func (s State) Share() float64 {
+// Share returns the part of new work that goes to the new version. The
+// exposure is the part of all requests that a bad version may get.
+func (s State) Share(exposure float64) float64 {
 	switch s.Phase {
 	case Trial:
-		return trialShare
+		return trialPart * exposure
 	case Half:
 		return 0.5
 	case Moved, Done:
@@ -162,10 +169,14 @@
 	if s.Ended() {
 		return s
 	}
-	if bad(e) {
+	odds := oddsBad(e)
+	if odds >= withdrawAt && e.NewBad >= minBad && e.BadUpstreams >= 2 {
 		return s.to(Withdrawn, now, "bad answers")
 	}
 	part := float64(now-s.Started) / float64(max(s.Within, time.Second))
+	if odds > holdAt && part < heldUntil {
+		return s
+	}
 	switch s.Phase {
 	case Trial:
 		if part >= trialUntil && (e.Judged >= minGood || part >= trialLate) {
@@ -189,19 +200,18 @@
 	return s
 }
 
-// bad is a sequential test of the new version's rate of bad answers against
-// that of the old one. A single upstream that fails is no verdict on a version.
-func bad(e Evidence) bool {
-	if e.NewBad < minBad || e.BadUpstreams < 2 {
-		return false
-	}
+// oddsBad is a sequential test of the new version's rate of bad answers against
+// that of the old one: the logarithm of the odds that the version is bad. A
+// single upstream that fails is no verdict on a version, so the caller also
+// asks for two.
+func oddsBad(e Evidence) float64 {
 	old := baseFloor
 	if n := e.OldGood + e.OldBad; n > 0 {
 		old = max(old, baseMargin*float64(e.OldBad)/float64(n))
 	}
-	if old >= badRate {
-		return false // the old version is no better
+	suspect := max(badRate, old+badMargin)
+	if suspect > 1-baseFloor {
+		return 0 // the old version is no better
 	}
-	odds := float64(e.NewBad)*math.Log(badRate/old) + float64(e.NewGood)*math.Log((1-badRate)/(1-old))
-	return odds >= withdrawAt
+	return float64(e.NewBad)*math.Log(suspect/old) + float64(e.NewGood)*math.Log((1-suspect)/(1-old))
 }
