--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func up(id string) Upstream { return Upstream{ID: id, Service: "s", Address: id + ":1", Version: "v1"} }
+
+func ids(f *Fleet) int { return len(f.ByService()["s"]) }
+
+func TestRemovalWaitsForTheGrace(t *testing.T) {
+	f := New()
+	f.Put(up("a"), 5)
+	f.Remove("a", 6, t0.Add(2*time.Second))
+	if gone := f.Expire(t0); len(gone) != 0 || ids(f) != 1 {
+		t.Errorf("gone at once: %v", gone)
+	}
+	if gone := f.Expire(t0.Add(2 * time.Second)); len(gone) != 1 || ids(f) != 0 {
+		t.Errorf("gone after the grace: %v", gone)
+	}
+}
+
+func TestEntryThatComesBackIsKept(t *testing.T) {
+	f := New()
+	f.Put(up("a"), 5)
+	f.Replace(nil, nil, 9, t0.Add(2*time.Second))
+	f.Put(up("a"), 10)
+	if gone := f.Expire(t0.Add(time.Minute)); len(gone) != 0 || ids(f) != 1 {
+		t.Errorf("gone: %v", gone)
+	}
+}
+
+// TestOldNewsIsIgnored: a row or a removal that is older than what is known
+// changes nothing.
+func TestOldNewsIsIgnored(t *testing.T) {
+	f := New()
+	leaving := up("a")
+	leaving.Leaving = true
+	f.Put(leaving, 7)
+	if f.Put(up("a"), 6) || ids(f) != 0 {
+		t.Error("an old row brought a leaving upstream back")
+	}
+	f.Put(up("a"), 8)
+	f.Remove("a", 7, t0)
+	if gone := f.Expire(t0.Add(time.Second)); len(gone) != 0 {
+		t.Error("an old removal took an upstream away")
+	}
+}
+
+func TestReplaceDoesNotExtendTheGrace(t *testing.T) {
+	f := New()
+	f.Put(up("a"), 5)
+	f.Replace(nil, nil, 6, t0.Add(time.Second))
+	f.Replace(nil, nil, 7, t0.Add(time.Hour))
+	if gone := f.Expire(t0.Add(time.Second)); len(gone) != 1 {
+		t.Error("a second list extended the grace of the first")
+	}
+}
+
+func TestLeavingTakesNothingNew(t *testing.T) {
+	f := New()
+	u := up("a")
+	u.Leaving = true
+	f.Put(u, 1)
+	if ids(f) != 0 || f.Len() != 1 {
+		t.Error("a leaving upstream is offered")
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func engines(n int) []Load {
+	out := make([]Load, n)
+	for i := range out {
+		out[i] = Load{ID: fmt.Sprintf("e%d", i), Domain: fmt.Sprint(i % 3), Slots: 48}
+	}
+	return out
+}
+
+var both = []Model{{Name: "small", MSPerToken: 0.01}, {Name: "large", MSPerToken: 0.04}}
+
+func TestLargestModelUnlessItWouldBeLate(t *testing.T) {
+	loads := engines(3)
+	j := Job{Tokens: 10_000, Models: both, Target: time.Second, Left: 20 * time.Second, Domain: "0"}
+	if c := Engine(j, loads); c.Model != "large" {
+		t.Errorf("idle engines: %+v", c)
+	}
+	for i := range loads {
+		loads[i].UnreadMS = 400 // a rush of long prompts
+	}
+	if c := Engine(j, loads); c.Model != "small" || c.Index < 0 {
+		t.Errorf("a rush: %+v", c)
+	}
+}
+
+// TestHopelessRequestIsRefusedWithTheWait: every engine has more to read than
+// the caller waits for.
+func TestHopelessRequestIsRefusedWithTheWait(t *testing.T) {
+	loads := engines(2)
+	for i := range loads {
+		loads[i].UnreadMS = 9000
+	}
+	j := Job{Tokens: 1000, Models: both, Target: time.Second, Left: 5 * time.Second}
+	c := Engine(j, loads)
+	if c.Index >= 0 || c.Wait < 4*time.Second || c.Wait > 6*time.Second {
+		t.Errorf("%+v", c)
+	}
+	if c := Engine(j, nil); c.Index >= 0 {
+		t.Errorf("no engines: %+v", c)
+	}
+}
+
+func TestSharedPromptGoesToItsHomesUntilTheyAreBusy(t *testing.T) {
+	j := Job{Affinity: "p", Shared: 5000, Tokens: 6000, Models: both, Target: 3 * time.Second, Left: 20 * time.Second}
+	loads := engines(12)
+	first := Engine(j, loads).Index
+	for range 10 {
+		if got := Engine(j, loads).Index; got != first {
+			t.Fatalf("the same prompt went to %d, then to %d", first, got)
+		}
+	}
+	seen := map[int]bool{first: true}
+	for range 6 { // a hot prompt
+		c := Engine(j, loads)
+		loads[c.Index].UnreadMS += c.WorkMS + 100
+		seen[c.Index] = true
+	}
+	if len(seen) < 3 {
+		t.Errorf("a hot prompt stays on %d engines", len(seen))
+	}
+}
+
+// TestPromptsSpread: many shared prompts spread over all engines, none of
+// which gets more than twice its share.
+func TestPromptsSpread(t *testing.T) {
+	loads := engines(12)
+	count := make([]int, len(loads))
+	for i := range 1200 {
+		j := Job{Affinity: fmt.Sprint(i), Shared: 5000, Tokens: 6000, Models: both, Target: 3 * time.Second, Left: 20 * time.Second}
+		count[Engine(j, loads).Index]++
+	}
+	for i, n := range count {
+		if n > 200 {
+			t.Errorf("engine %d got %d of 1200 prompts", i, n)
+		}
+	}
+}
+
+func TestFailingEngineIsLeftAlone(t *testing.T) {
+	loads := engines(3)
+	loads[0].Doubt = 0.5
+	for i := range 20 {
+		j := Job{Affinity: fmt.Sprint(i), Shared: 500, Tokens: 600, Models: both, Target: time.Second, Left: 10 * time.Second}
+		if Engine(j, loads).Index == 0 {
+			t.Fatal("a failing engine was chosen beside two sound ones")
+		}
+	}
+}
+
+func TestFullEngineCountsItsQueue(t *testing.T) {
+	loads := engines(2)
+	loads[0].Running = 48
+	loads[1].Running = 40
+	if c := Engine(Job{Tokens: 10, Models: both, Target: time.Second, Left: 9 * time.Second}, loads); c.Index != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestPlain(t *testing.T) {
+	loads := []Load{{ID: "near", Domain: "0", Slots: 2, Running: 2}, {ID: "far", Domain: "1", Slots: 2}}
+	j := Job{Domain: "0", Target: 100 * time.Millisecond, Left: time.Second}
+	if c := Plain(j, loads, 20); c.Index != 1 {
+		t.Errorf("a burst: %+v", c)
+	}
+	loads[0].Running = 0
+	if c := Plain(j, loads, 20); c.Index != 0 {
+		t.Errorf("a quiet hour: %+v", c)
+	}
+	loads[0].Running, loads[1].Running = 200, 200
+	j.Left = 100 * time.Millisecond
+	if c := Plain(j, loads, 20); c.Index >= 0 || c.Wait <= 0 {
+		t.Errorf("no room in time: %+v", c)
+	}
+}
+
+func TestEscalate(t *testing.T) {
+	soon, late := Choice{Index: 1, Expected: 100 * time.Millisecond}, Choice{Index: 1, Expected: 900 * time.Millisecond}
+	for _, c := range []struct {
+		name string
+		o    Opinion
+		want bool
+	}{
+		{"doubtful, quiet", Opinion{Confidence: 20, Larger: soon, Target: time.Second}, true},
+		{"doubtful, in a rush", Opinion{Confidence: 20, Larger: late, Target: time.Second}, false},
+		{"doubtful, no room", Opinion{Confidence: 20, Larger: Choice{Index: -1}, Target: time.Second}, false},
+		{"sure", Opinion{Confidence: 80, Larger: soon, Target: time.Second}, false},
+		{"no opinion", Opinion{Confidence: -1, Larger: soon, Target: time.Second}, false},
+		{"the target is over", Opinion{Confidence: 20, Larger: soon, Target: -time.Second}, false},
+	} {
+		if got := Escalate(c.o); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/retrywindow/retrywindow_test.go
@@ -0,0 +1,60 @@
+package retrywindow
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestEveryWindowKeepsTheBound plays a storm, in which every request is sent
+// again as often as allowed, and counts each span of the window's length.
+func TestEveryWindowKeepsTheBound(t *testing.T) {
+	const span = 10 * time.Second
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		w := New(Settings{Ratio: 0.63, Slack: 2, Window: span})
+		var requests, extras []time.Duration
+		now := time.Hour
+		for now < time.Hour+2*time.Minute {
+			now += time.Duration(r.IntN(80)) * time.Millisecond
+			if (now/time.Second)%30 < 20 { // load comes and goes
+				w.Request(now)
+				requests = append(requests, now)
+			}
+			for w.Extra(now) {
+				extras = append(extras, now)
+			}
+		}
+		count := func(at []time.Duration, from, to time.Duration) (n int) {
+			for _, x := range at {
+				if x > from && x <= to {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range extras {
+			// The oldest bucket counts as a whole, so a window of requests may
+			// reach one bucket further back.
+			n := count(extras, end-span, end)
+			most := 0.63*float64(count(requests, end-span-span/buckets, end)) + 2
+			if float64(n) > most {
+				t.Fatalf("seed %d: %d extra sends in the window up to %v, bound %.1f", seed, n, end, most)
+			}
+		}
+	}
+}
+
+func TestSlackAlone(t *testing.T) {
+	w := New(Settings{Ratio: 0.5, Slack: 3, Window: time.Second})
+	n := 0
+	for w.Extra(time.Minute) {
+		n++
+	}
+	if n != 3 {
+		t.Errorf("%d extra sends without requests, want 3", n)
+	}
+	if !w.Extra(time.Minute + 2*time.Second) {
+		t.Error("the slack does not come back")
+	}
+}
