--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"tarragonbay.example/tarragonbay/internal/fleet"
 	"tarragonbay.example/tarragonbay/internal/gctune"
 	"tarragonbay.example/tarragonbay/internal/h1"
+	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
 	"tarragonbay.example/tarragonbay/internal/routetable"
 	"tarragonbay.example/tarragonbay/internal/settings"
@@ -75,13 +76,15 @@
 	boot  func() time.Duration
 	start time.Time
 
-	pool     *h1.Pool
-	table    atomic.Pointer[routetable.Table]
-	fleet    atomic.Pointer[fleetView]
-	contact  contact
-	loads    *loadBook
-	shifts   *shiftBook
-	conns    *connBook
+	pool    *h1.Pool
+	table   atomic.Pointer[routetable.Table]
+	fleet   atomic.Pointer[fleetView]
+	contact contact
+	loads   *loadBook
+	shifts  *shiftBook
+	conns   *connBook
+	// talk is nil when no address for datagrams is set.
+	talk     *peers.Talk
 	stopping atomic.Bool
 	// stopSince is when the stop began, in Unix nanoseconds.
 	stopSince atomic.Int64
@@ -131,10 +134,17 @@
 	if err != nil {
 		return err
 	}
-	for _, duty := range []func(context.Context) error{
-		g.followOperator, g.followUpstreams, g.runShifts, g.tidy, g.followSettings, g.log.Run,
+	todo := []func(context.Context) error{
+		g.followOperator, g.followUpstreams, g.followShifts, g.stepShifts, g.tidy, g.followSettings, g.log.Run,
 		gctune.New(heapFloor(g.settings())).Run,
-	} {
+	}
+	if g.settings().PeerListen != "" {
+		if g.talk, err = g.openTalk(); err != nil {
+			return err
+		}
+		todo = append(todo, g.talk.Enter, g.talk.Send, g.talk.Receive)
+	}
+	for _, duty := range todo {
 		group.Go(func() error { return duty(duties) })
 	}
 	for _, s := range servers {
@@ -152,6 +162,14 @@
 	return errors.Trace(group.Wait())
 }
 
+// openTalk opens the socket for news of peers.
+func (g *Gateway) openTalk() (*peers.Talk, error) {
+	return peers.Listen(peers.Options{
+		Name: g.settings().Name, Address: g.settings().PeerListen, Incarnation: uint64(g.start.UnixNano()),
+		Store: g.store, Log: g.log, News: g.news,
+	})
+}
+
 // heapFloor lets the heap grow to a sixth of the process's memory before it is
 // collected.
 func heapFloor(s settings.Gateway) int64 { return int64(s.MemoryMB) << 20 / 6 }
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -9,6 +9,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/exchange"
 	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/placement"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
@@ -42,7 +43,7 @@
 	}
 	all := view.byService[q.service]
 	ups := make([]fleet.Upstream, 0, len(all))
-	for _, u := range g.shifts.allowed(q.service, q.call.Session, q.sessionPoint(), all, now) {
+	for _, u := range g.shifts.allowed(q.service, q.call.Session, q.sessionPoint(), all, now, g.sessionElsewhere) {
 		if !q.tried[u.ID] {
 			ups = append(ups, u)
 		}
@@ -53,6 +54,7 @@
 	}
 	rand.Shuffle(len(ups), func(i, j int) { ups[i], ups[j] = ups[j], ups[i] })
 	loads := g.loads.snapshot(ups, now)
+	g.addPeers(loads, now)
 	job := placement.Job{
 		Affinity: q.affinity, Shared: q.shared, Tokens: q.tokens,
 		Target: q.route.Target, Left: q.left(now), Domain: g.settings().Domain,
@@ -74,6 +76,25 @@
 // plainWorkMS is the usual time of a request at a plain service.
 const plainWorkMS = 20.0
 
+// addPeers adds what other gateways have under way at the upstreams.
+func (g *Gateway) addPeers(loads []placement.Load, now time.Time) {
+	if g.talk == nil {
+		return
+	}
+	others := g.talk.Book.Loads(now)
+	for i := range loads {
+		o := others[peers.Hash(loads[i].ID)]
+		loads[i].Running += o.Running
+		loads[i].UnreadMS += o.UnreadMS
+	}
+}
+
+// sessionElsewhere reports whether a peer runs the session on the old version
+// of a shift.
+func (g *Gateway) sessionElsewhere(session string) bool {
+	return g.talk != nil && g.talk.Book.OnOldVersion(session)
+}
+
 // models returns the models to choose from now: the smallest until its answer
 // was dropped, then the largest, or the smallest where that would be late.
 func (q *request) models() []placement.Model {
--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -19,6 +19,10 @@
 	services map[string]*serviceShift
 	sessions map[string]pinned
 	wake     chan struct{}
+	// clock is the store's clock less this process's, from the last read of
+	// the states; it is not known before.
+	clock      time.Duration
+	clockKnown bool
 }
 
 type serviceShift struct {
@@ -26,8 +30,8 @@
 	ordered bool
 	state   versionshift.State
 	known   bool
-	// ahead is the store's clock less this process's, from the last read.
-	ahead time.Duration
+	// rev is the revision of the state's row.
+	rev uint64
 	// born is when each version was first seen; established versions were
 	// there with the first list or were never announced by an order.
 	born  map[string]time.Time
@@ -104,8 +108,13 @@
 	}
 }
 
-// allowed returns the upstreams whose version may take the request.
-func (b *shiftBook) allowed(service, session string, point float64, ups []fleet.Upstream, now time.Time) []fleet.Upstream {
+// tellTime is how long a trial waits for peers to tell which sessions they run
+// on the old version.
+const tellTime = 1200 * time.Millisecond
+
+// allowed returns the upstreams whose version may take the request. elsewhere
+// tells whether a peer runs the session on the old version.
+func (b *shiftBook) allowed(service, session string, point float64, ups []fleet.Upstream, now time.Time, elsewhere func(session string) bool) []fleet.Upstream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(service)
@@ -125,7 +134,9 @@
 	}
 	takesNew := s.current() && point < s.state.Share(b.exposure)
 	if p, ok := b.sessions[session]; ok && session != "" && p.service == service {
-		takesNew = s.pin(p, takesNew, now)
+		takesNew = b.pin(s, p, takesNew, now)
+	} else if takesNew && session != "" && s.state.FirstHalf(b.storeNow(now)) {
+		takesNew = b.storeNow(now)-s.state.Started > tellTime && !elsewhere(session)
 	}
 	switch {
 	case s.known && s.state.Phase == versionshift.Withdrawn:
@@ -156,20 +167,44 @@
 
 // pin keeps a session on its version: on the old one in the first half of a
 // shift, on the new one until it is withdrawn.
-func (s *serviceShift) pin(p pinned, takesNew bool, now time.Time) bool {
+func (b *shiftBook) pin(s *serviceShift, p pinned, takesNew bool, now time.Time) bool {
 	if now.Sub(p.at) > sessionKept || !s.current() {
 		return takesNew
 	}
 	if p.version == s.order.To {
 		return true
 	}
-	return takesNew && !s.state.FirstHalf(s.storeNow(now))
+	return takesNew && !s.state.FirstHalf(b.storeNow(now))
 }
 
+// listed notes the store's clock at a read of the states, which also means that
+// all states are known.
+func (b *shiftBook) listed(storeNow time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.clock, b.clockKnown = storeNow-now.Sub(processStart), true
+}
+
+// processStart is the origin of this process's steady clock.
+var processStart = time.Now()
+
 // storeNow is the store's clock, from the time that has passed here since the
 // last read.
-func (s *serviceShift) storeNow(now time.Time) time.Duration {
-	return s.ahead + time.Duration(now.UnixNano())
+func (b *shiftBook) storeNow(now time.Time) time.Duration { return b.clock + now.Sub(processStart) }
+
+// stateOf returns the state of a service's last shift and the store's clock;
+// ok is false until the states were read.
+func (b *shiftBook) stateOf(o versionshift.Order, now time.Time) (versionshift.State, time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(o.Service).state, b.storeNow(now), b.clockKnown
+}
+
+// revOf returns the revision of a service's state, zero when there is none.
+func (b *shiftBook) revOf(service string) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(service).rev
 }
 
 // ran notes the version that a session's request runs on.
@@ -204,17 +239,16 @@
 	return out
 }
 
-// adopt takes in a state as read from the store; it reports whether the phase
-// changed.
-func (b *shiftBook) adopt(st versionshift.State, storeNow time.Duration, now time.Time) bool {
+// adopt takes in a state as read from or written to the store; it reports
+// whether the phase changed.
+func (b *shiftBook) adopt(st versionshift.State, rev uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(st.Service)
-	if s.known && st.Order < s.state.Order {
+	if s.known && rev <= s.rev {
 		return false
 	}
 	changed := !s.known || s.state.Phase != st.Phase || s.state.Order != st.Order
-	s.state, s.known = st, true
-	s.ahead = storeNow - time.Duration(now.UnixNano())
+	s.state, s.known, s.rev = st, true, rev
 	return changed
 }
--- /dev/null
+++ b/internal/peers/talk.go
@@ -0,0 +1,224 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"tarragonbay.example/tarragonbay/internal/eventlog"
+	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
+	"tarragonbay.example/tarragonbay/internal/store"
+)
+
+// table lists the gateways: the key is the name, the value its address.
+const table = "gateways"
+
+// Pace of the talk.
+const (
+	// perSecond bounds the datagrams one gateway sends in a second.
+	perSecond = 60
+	// leastPause is the shortest pause between two rounds.
+	leastPause = 200 * time.Millisecond
+	// listEvery is the pause between two reads of the table; a stranger's
+	// datagram brings the next one forward.
+	listEvery = 15 * time.Second
+	listSoon  = 500 * time.Millisecond
+	// retryPause is the pause after a call that failed.
+	retryPause = 500 * time.Millisecond
+	// maxDatagram bounds a datagram, in bytes.
+	maxDatagram = 8 << 10
+)
+
+// Options are what a Talk is made of.
+type Options struct {
+	Name string
+	// Address is IP:port for datagrams, the same as in the table.
+	Address string
+	// Incarnation rises with each start of the process.
+	Incarnation uint64
+	Store       store.Store
+	Log         *eventlog.Log
+	// News returns what this gateway tells; the caller's fields are kept.
+	News func() *gossipv1.News
+}
+
+// Talk sends and receives news.
+type Talk struct {
+	Book *Book
+	o    Options
+	conn *net.UDPConn
+
+	mu     sync.Mutex
+	listed map[string]netip.AddrPort
+	again  chan struct{}
+}
+
+// Listen opens the socket; nothing is sent before Run.
+func Listen(o Options) (*Talk, error) {
+	address, err := net.ResolveUDPAddr("udp4", o.Address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "address for datagrams %s", o.Address)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for datagrams on %s", o.Address)
+	}
+	return &Talk{Book: NewBook(), o: o, conn: conn, listed: map[string]netip.AddrPort{}, again: make(chan struct{}, 1)}, nil
+}
+
+// entry is the value of a row of the table.
+type entry struct {
+	Address string `json:"address"`
+}
+
+func (t *Talk) key() store.Key { return store.Key{Table: table, Name: t.o.Name} }
+
+// Enter keeps this gateway in the table and the table in mind until ctx ends,
+// then leaves it.
+func (t *Talk) Enter(ctx context.Context) error {
+	value, err := json.Marshal(entry{Address: t.o.Address})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	entered := false
+	for ctx.Err() == nil {
+		if !entered {
+			_, err := t.o.Store.Commit(ctx, store.Txn{Set: []store.Row{{Key: t.key(), Value: value}}})
+			entered = err == nil
+		}
+		next := listEvery
+		if !entered || !t.list(ctx) {
+			next = retryPause
+		}
+		timer := time.NewTimer(next)
+		select {
+		case <-timer.C:
+		case <-t.again:
+			sleep(ctx, listSoon)
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), retryPause)
+	defer cancel()
+	if _, err := t.o.Store.Commit(leave, store.Txn{Delete: []store.Key{t.key()}}); err != nil {
+		t.o.Log.Event("peers", "row left behind", zap.String("gateway", t.o.Name), zap.Error(err))
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (t *Talk) list(ctx context.Context) bool {
+	page, err := t.o.Store.List(ctx, table, "")
+	if err != nil {
+		return false // the follower of the configuration reports the loss
+	}
+	listed := map[string]netip.AddrPort{}
+	names := map[string]bool{}
+	for _, r := range page.Rows {
+		var e entry
+		if err := json.Unmarshal(r.Value, &e); err != nil || r.Name == t.o.Name {
+			continue // a row of another writer, or our own
+		}
+		if a, err := netip.ParseAddrPort(e.Address); err == nil {
+			listed[r.Name], names[r.Name] = a, true
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(listed) != len(t.listed) {
+		t.o.Log.Event("peers", "gateways listed", zap.Int("count", len(listed)), zap.Uint64("rev", page.Rev))
+	}
+	t.listed = listed
+	t.Book.Forget(names)
+	return true
+}
+
+// Send tells the news to all listed gateways until ctx ends.
+func (t *Talk) Send(ctx context.Context) error {
+	for number := uint32(1); ctx.Err() == nil; number++ {
+		to := t.addresses()
+		if len(to) > 0 {
+			n := t.o.News()
+			n.Gateway, n.Incarnation, n.Number = t.o.Name, t.o.Incarnation, number
+			t.send(n, to)
+		}
+		sleep(ctx, max(leastPause, time.Duration(len(to))*time.Second/perSecond))
+	}
+	return nil
+}
+
+func (t *Talk) addresses() []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]netip.AddrPort, 0, len(t.listed))
+	for _, a := range t.listed {
+		out = append(out, a)
+	}
+	return out
+}
+
+func (t *Talk) send(n *gossipv1.News, to []netip.AddrPort) {
+	b, err := proto.Marshal(n)
+	if err != nil || len(b) > maxDatagram {
+		t.o.Log.Event("peers", "news not sent", zap.Int("bytes", len(b)), zap.Error(err))
+		return
+	}
+	for _, a := range to {
+		// A datagram that cannot be sent is like one that is lost: the next
+		// round replaces it.
+		_, _ = t.conn.WriteToUDPAddrPort(b, a)
+	}
+}
+
+// Receive takes in datagrams until ctx ends.
+func (t *Talk) Receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		size, err := t.conn.Read(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			sleep(ctx, retryPause) // such as a refused datagram of ours
+			continue
+		}
+		var n gossipv1.News
+		if err := proto.Unmarshal(buf[:size], &n); err != nil {
+			t.o.Log.Event("peers", "news unreadable", zap.Int("bytes", size), zap.Error(err))
+			continue
+		}
+		t.take(&n)
+	}
+}
+
+func (t *Talk) take(n *gossipv1.News) {
+	t.mu.Lock()
+	_, known := t.listed[n.GetGateway()]
+	t.mu.Unlock()
+	if known {
+		t.Book.Take(n, time.Now())
+		return
+	}
+	select {
+	case t.again <- struct{}{}: // a gateway that has entered since the last list
+	default:
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -19,7 +19,10 @@
 	Listen      string `json:"listen"`
 	ReadyListen string `json:"readyListen"`
 	AdminListen string `json:"adminListen"`
-	Store       string `json:"store" doc:"Address of the platform's store."`
+	// PeerListen takes datagrams of other gateways; empty keeps the gateway
+	// to itself.
+	PeerListen string `json:"peerListen"`
+	Store      string `json:"store" doc:"Address of the platform's store."`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int `json:"memoryMb"`
 	// Grace is the time from the request to stop until the process is killed.
@@ -75,7 +78,7 @@
 		optional     bool
 	}{
 		{"listen", s.Listen, false}, {"readyListen", s.ReadyListen, false},
-		{"adminListen", s.AdminListen, true}, {"store", s.Store, false},
+		{"adminListen", s.AdminListen, true}, {"peerListen", s.PeerListen, true}, {"store", s.Store, false},
 	} {
 		if _, err := netip.ParseAddrPort(a.value); err != nil && (a.value != "" || !a.optional) {
 			d.faultAt(a.field, "must be IP:port with an IP number", "")
