Take rows of the upstreams' table in their order

Found by the log of refusals and the upstream they name; the test fails on the code before. Another upstream's answer at the address (421) now counts as a failure of the entry.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,8 +36,8 @@
 	known map[string]entry
 	// rev is the newest revision that was taken in.
 	rev uint64
-	// missing holds upstreams that a list after an outage did not show, with
-	// the time at which they are taken as gone.
+	// missing holds upstreams whose entries are gone, with the time at which
+	// they are taken as gone themselves.
 	missing map[string]time.Time
 }
 
@@ -71,23 +71,15 @@
 // Advance notes that all changes up to the revision were taken in.
 func (f *Fleet) Advance(rev uint64) { f.rev = max(f.rev, rev) }
 
-// Replace takes in a full list at a revision. Upstreams that it lacks are kept
-// until the grace has passed, because entries that lapsed while the store was
-// away come back shortly after it.
-func (f *Fleet) Replace(list []Upstream, revs []uint64, rev uint64, goneAt time.Time) bool {
-	changed := false
-	seen := make(map[string]bool, len(list))
-	for i, u := range list {
-		seen[u.ID] = true
-		changed = f.Put(u, revs[i]) || changed
-	}
+// RemoveOthers takes in that a full list showed only the upstreams given. The
+// others are taken as gone at goneAt, because entries that lapsed while the
+// store was away come back shortly after it.
+func (f *Fleet) RemoveOthers(listed map[string]bool, goneAt time.Time) {
 	for id := range f.known {
-		if _, waiting := f.missing[id]; !seen[id] && !waiting {
+		if _, waiting := f.missing[id]; !listed[id] && !waiting {
 			f.missing[id] = goneAt
 		}
 	}
-	f.Advance(rev)
-	return changed
 }
 
 // Expire drops upstreams whose grace has passed and returns their IDs.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -26,7 +26,7 @@
 func TestEntryThatComesBackIsKept(t *testing.T) {
 	f := New()
 	f.Put(up("a"), 5)
-	f.Replace(nil, nil, 9, t0.Add(2*time.Second))
+	f.RemoveOthers(nil, t0.Add(2*time.Second))
 	f.Put(up("a"), 10)
 	if gone := f.Expire(t0.Add(time.Minute)); len(gone) != 0 || ids(f) != 1 {
 		t.Errorf("gone: %v", gone)
@@ -50,11 +50,11 @@
 	}
 }
 
-func TestReplaceDoesNotExtendTheGrace(t *testing.T) {
+func TestSecondListDoesNotExtendTheGrace(t *testing.T) {
 	f := New()
 	f.Put(up("a"), 5)
-	f.Replace(nil, nil, 6, t0.Add(time.Second))
-	f.Replace(nil, nil, 7, t0.Add(time.Hour))
+	f.RemoveOthers(nil, t0.Add(time.Second))
+	f.RemoveOthers(nil, t0.Add(time.Hour))
 	if gone := f.Expire(t0.Add(time.Second)); len(gone) != 1 {
 		t.Error("a second list extended the grace of the first")
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -96,16 +96,28 @@
 	}
 }
 
-// end counts the request as over.
-func (s *send) end(failed bool, now time.Time) {
+// weight is how much an outcome speaks against an upstream: nothing for a
+// success, all for an address that another upstream has.
+func weight(v verdict, failed bool) float64 {
+	switch {
+	case v == notThere:
+		return 1
+	case failed:
+		return doubtStep
+	}
+	return 0
+}
+
+// end counts the request as over, with the weight of its failure.
+func (s *send) end(failure float64, now time.Time) {
 	s.book.mu.Lock()
 	defer s.book.mu.Unlock()
 	s.readLocked()
 	t := s.book.of(s.id)
 	t.running--
 	d := t.faded(now)
-	if failed {
-		d += doubtStep * (1 - d)
+	if failure > 0 {
+		d += failure * (1 - d)
 	} else {
 		d -= easeStep * d
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,8 +129,8 @@
 	ctx, cancel := context.WithDeadline(q.in.Context(), q.limit)
 	defer cancel()
 	a, v, err := r.run(ctx, p, s, began)
-	failed := (v == unknown && !q.gone() && !errors.Is(err, errCaller)) || v == notSent || a != nil
-	s.end(failed, time.Now())
+	failed := (v == unknown && !q.gone() && !errors.Is(err, errCaller)) || v == notSent || v == notThere || a != nil
+	s.end(weight(v, failed), time.Now())
 	if a != nil {
 		g.judge(q, p, a, v, began)
 	}
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -31,6 +31,8 @@
 	notSent
 	// notRun: the upstream states that it did not run the request.
 	notRun
+	// notThere: another upstream has the address now, and did not run it.
+	notThere
 	// unknown: the request may have run.
 	unknown
 	// dropped: the answer of a small model was not good enough.
@@ -106,7 +108,7 @@
 	if q.left(now) < leastLeft || q.sent >= q.route.MaxAttempts {
 		return false
 	}
-	return v == notSent || v == notRun || q.route.Repeats()
+	return v == notSent || v == notRun || v == notThere || q.route.Repeats()
 }
 
 // failed turns a verdict into the error that the caller gets if it is the last.
@@ -116,7 +118,7 @@
 		return result.Wrap(why, result.CallerGone, "the caller went away")
 	case v == notSent:
 		return result.Wrap(why, result.NoUpstream, "upstream %s cannot be reached", upstream).WithRetryAfter(jitter(shortRetry))
-	case v == notRun:
+	case v == notRun || v == notThere:
 		return result.Wrap(why, result.UpstreamBusy, "upstream %s has no room", upstream).WithRetryAfter(jitter(shortRetry))
 	case time.Now().After(q.limit):
 		return result.Wrap(why, result.DeadlineExceeded, "the time is over")
@@ -143,8 +145,8 @@
 	defer cancel()
 	s := g.loads.begin(p.up.ID, 0)
 	a, v, err := g.exchange(ctx, q, p)
-	failed := v == unknown && !q.gone() || v == notSent || (a != nil && a.status >= http.StatusInternalServerError)
-	s.end(failed, time.Now())
+	failed := v == unknown && !q.gone() || v == notSent || v == notThere || (a != nil && a.status >= http.StatusInternalServerError)
+	s.end(weight(v, failed), time.Now())
 	g.judge(q, p, a, v, now)
 	if v != answered || failed {
 		g.count.failedTries.Inc(1)
@@ -169,7 +171,7 @@
 
 // String returns the verdict as it is logged.
 func (v verdict) String() string {
-	return [...]string{"answered", "not sent", "not run", "unknown", "dropped"}[v]
+	return [...]string{"answered", "not sent", "not run", "not there", "unknown", "dropped"}[v]
 }
 
 func (g *Gateway) exchange(ctx context.Context, q *request, p picked) (*answer, verdict, error) {
@@ -229,7 +231,11 @@
 	} else {
 		e.Finish(g.pool, poolKey(p.up), head.KeepFor, time.Now())
 	}
-	return nil, head, notRun, result.New(result.UpstreamBusy, "upstream %s refused with status %d", p.up.ID, status)
+	v := notRun
+	if head.Misdirected {
+		v = notThere
+	}
+	return nil, head, v, result.New(result.UpstreamBusy, "upstream %s refused with status %d", p.up.ID, status)
 }
 
 // pass writes a whole answer of an upstream to the caller.
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -57,11 +57,10 @@
 	return nil
 }
 
-// takeUpstreams takes in rows. A row that names no usable upstream counts as
-// the removal of the one it stands for.
+// takeUpstreams takes in rows in their order. A row that names no usable
+// upstream counts as the removal of the one it stands for.
 func (g *Gateway) takeUpstreams(known *fleet.Fleet, page store.Page, full bool, goneAt time.Time) {
-	var list []fleet.Upstream
-	var revs []uint64
+	listed := map[string]bool{}
 	for _, r := range page.Rows {
 		if r.Removed {
 			known.Remove(r.Name, r.Rev, goneAt)
@@ -73,19 +72,16 @@
 			g.log.Event(part, "upstream entry ignored", zap.String("upstream", r.Name), zap.Uint64("rev", r.Rev), zap.Error(err))
 			continue
 		}
-		list, revs = append(list, u), append(revs, r.Rev)
-	}
-	if full {
-		known.Replace(list, revs, page.Rev, goneAt)
-		return
-	}
-	for i, u := range list {
-		if known.Put(u, revs[i]) {
+		listed[u.ID] = true
+		if known.Put(u, r.Rev) {
 			g.log.Event(part, "upstream changed", zap.String("upstream", u.ID), zap.String("service", u.Service),
 				zap.String("version", u.Version), zap.String("domain", u.Domain), zap.String("address", u.Address),
-				zap.Bool("leaving", u.Leaving), zap.Uint64("rev", revs[i]))
+				zap.Bool("leaving", u.Leaving), zap.Uint64("rev", r.Rev))
 		}
 	}
+	if full {
+		known.RemoveOthers(listed, goneAt)
+	}
 	known.Advance(page.Rev)
 }
 
--- /dev/null
+++ b/internal/gateway/upstreams_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/eventlog"
+	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/settings"
+	"tarragonbay.example/tarragonbay/internal/store"
+	"tarragonbay.example/tarragonbay/internal/telemetry"
+)
+
+// rowsOfText decodes rows whose value is "version state".
+type rowsOfText struct{ Documents }
+
+func (rowsOfText) Upstream(r store.Row) (fleet.Upstream, error) {
+	version, state, ok := strings.Cut(string(r.Value), " ")
+	if !ok {
+		return fleet.Upstream{}, errors.New("torn")
+	}
+	return fleet.Upstream{ID: r.Name, Service: "s", Version: version, Leaving: state == "leaving"}, nil
+}
+
+func testGateway() *Gateway {
+	return New(Options{
+		Settings: settings.Gateway{Name: "g", ExposeShare: 0.15, RevokeWithin: 5 * time.Second,
+			RepeatRatio: 0.9, RepeatSlack: 64, RepeatWindow: 10 * time.Second},
+		Documents: rowsOfText{}, Log: eventlog.New(io.Discard), Metrics: telemetry.NewMetrics(),
+		BootClock: func() time.Duration { return 0 },
+	})
+}
+
+func row(id, value string, rev uint64) store.Row {
+	return store.Row{Key: store.Key{Name: id}, Value: []byte(value), Rev: rev, Removed: value == ""}
+}
+
+// TestRowsAreTakenInOrder replays the feed of a gateway that was cut off while
+// an upstream appeared and went away: one page holds both rows. It is from
+// khl-galley, scale-2: the gateway sent requests to the dead upstream for 20 s.
+func TestRowsAreTakenInOrder(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, c := range []struct {
+		name string
+		rows []store.Row
+		want int
+	}{
+		{"came and went", []store.Row{row("a", "v1 ready", 40), row("a", "", 50)}, 0},
+		{"went and came back", []store.Row{row("a", "", 40), row("a", "v1 ready", 50)}, 1},
+		{"was spoilt", []store.Row{row("a", "v1 ready", 40), row("a", "torn", 50)}, 0},
+		{"was mended", []store.Row{row("a", "torn", 40), row("a", "v1 ready", 50)}, 1},
+		{"left", []store.Row{row("a", "v1 ready", 40), row("a", "v1 leaving", 50)}, 0},
+	} {
+		for _, before := range []bool{false, true} {
+			known := fleet.New()
+			if before {
+				known.Put(fleet.Upstream{ID: "a", Service: "s", Version: "v1"}, 30)
+			}
+			testGateway().takeUpstreams(known, store.Page{Rows: c.rows, Rev: 60}, false, now)
+			known.Expire(now)
+			if n := len(known.ByService()["s"]); n != c.want {
+				t.Errorf("%s (known before: %v): %d upstreams, want %d", c.name, before, n, c.want)
+			}
+		}
+	}
+}
