--- a/internal/gateway/contact.go
+++ b/internal/gateway/contact.go
@@ -42,9 +42,9 @@
 	unreadyAfter = 0.6
 	// keysUntil leaves a margin for the request's own way to the upstream.
 	keysUntil = 0.9
-	// doubtAfter is when an unknown route or key may be one of a newer
-	// configuration: two feed waits without an answer.
-	doubtAfter = 2 * feedWait
+	// doubtAfter is how many waits of the feed without an answer make an
+	// unknown route or key one that a newer configuration may have.
+	doubtAfter = 2
 )
 
 // keysTrusted reports whether requests with keys may be served.
@@ -53,7 +53,7 @@
 }
 
 // upToDate reports whether what is not in the configuration does not exist.
-func (g *Gateway) upToDate() bool { return g.contact.age(g.boot()) < doubtAfter }
+func (g *Gateway) upToDate() bool { return g.contact.age(g.boot()) < doubtAfter*g.feedWait() }
 
 // ready reports whether new callers should come here, and why not.
 func (g *Gateway) ready() (bool, string) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -13,17 +13,29 @@
 
 // Pace of the feeds.
 const (
-	// feedWait is how long the store holds a feed of the operator's table. A
-	// change is delivered at once; the wait bounds how long a connection that
-	// fell silent goes unnoticed.
-	feedWait = 1 * time.Second
-	// upstreamPause is the pause between two reads of the upstreams' changes,
-	// a third of the least time in which a leaving one must be left alone.
-	upstreamPause = 600 * time.Millisecond
+	// waitPart of the time in which a configuration must be in force is how
+	// long the store holds a feed of the operator's table. A change is
+	// delivered at once; the wait bounds how long a connection that fell
+	// silent goes unnoticed.
+	waitPart = 0.7
+	// pausePart of the time in which a leaving upstream must be left alone is
+	// the pause between two reads of the upstreams' changes, so that one read
+	// may fail.
+	pausePart = 0.4
 	// awayPause is the pause after a call that failed.
 	awayPause = 150 * time.Millisecond
 )
 
+// feedWait is how long the store holds a feed without changes.
+func (g *Gateway) feedWait() time.Duration {
+	return time.Duration(waitPart * float64(g.settings().ConfigWithin))
+}
+
+// upstreamPause is the pause between two reads of the upstreams' changes.
+func (g *Gateway) upstreamPause() time.Duration {
+	return time.Duration(pausePart * float64(g.settings().DrainWithin))
+}
+
 // follower reads one table: a list first, then its feed.
 type follower struct {
 	g     *Gateway
@@ -77,7 +89,7 @@
 	f := &follower{g: g, table: g.docs.OperatorTable()}
 	for ctx.Err() == nil {
 		asked := g.boot()
-		page, _, err := f.step(ctx, feedWait)
+		page, _, err := f.step(ctx, g.feedWait())
 		if err != nil {
 			pause(ctx, jitter(awayPause))
 			continue
--- a/internal/gateway/shifts.go
+++ b/internal/gateway/shifts.go
@@ -37,7 +37,7 @@
 			}
 			continue
 		}
-		page, _, err := f.step(ctx, feedWait)
+		page, _, err := f.step(ctx, g.feedWait())
 		if err != nil {
 			pause(ctx, jitter(awayPause))
 			continue
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -39,7 +39,7 @@
 			pause(ctx, jitter(awayPause))
 			continue
 		}
-		if now.Sub(lastSeen) > awayLong+upstreamPause {
+		if now.Sub(lastSeen) > awayLong+g.upstreamPause() {
 			back = now
 		}
 		lastSeen = now
@@ -52,7 +52,7 @@
 			g.log.Event(part, "upstream gone", zap.String("upstream", id), zap.Uint64("rev", known.Rev()))
 		}
 		g.publishFleet(known, now)
-		pause(ctx, jitter(upstreamPause))
+		pause(ctx, jitter(g.upstreamPause()))
 	}
 	return nil
 }
--- a/internal/gateway/upstreams_test.go
+++ b/internal/gateway/upstreams_test.go
@@ -27,7 +27,7 @@
 
 func testGateway() *Gateway {
 	return New(Options{
-		Settings: settings.Gateway{Name: "g", ExposeShare: 0.15, RevokeWithin: 5 * time.Second,
+		Settings: settings.Gateway{Name: "g", ExposeShare: 0.15, RevokeWithin: 5 * time.Second, DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second,
 			RepeatRatio: 0.9, RepeatSlack: 64, RepeatWindow: 10 * time.Second},
 		Documents: rowsOfText{}, Log: eventlog.New(io.Discard), Metrics: telemetry.NewMetrics(),
 		BootClock: func() time.Duration { return 0 },
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -30,6 +30,10 @@
 	// RevokeWithin is the time after which a key that was taken away must be
 	// refused everywhere.
 	RevokeWithin time.Duration `json:"revokeWithin"`
+	// DrainWithin is the time after which a leaving upstream must get nothing
+	// new, ConfigWithin that after which a configuration must be in force.
+	DrainWithin  time.Duration `json:"drainWithin"`
+	ConfigWithin time.Duration `json:"configWithin"`
 	// RepeatRatio, RepeatSlack and RepeatWindow bound the requests that are
 	// sent more than once, over all gateways.
 	RepeatRatio  float64       `json:"repeatRatio"`
@@ -90,7 +94,8 @@
 	for _, t := range []struct {
 		field string
 		value time.Duration
-	}{{"grace", s.Grace}, {"revokeWithin", s.RevokeWithin}, {"repeatWindow", s.RepeatWindow}} {
+	}{{"grace", s.Grace}, {"revokeWithin", s.RevokeWithin}, {"drainWithin", s.DrainWithin},
+		{"configWithin", s.ConfigWithin}, {"repeatWindow", s.RepeatWindow}} {
 		if t.value <= 0 {
 			d.faultAt(t.field, "must be above 0s", "")
 		}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -8,7 +8,7 @@
 
 const goodGateway = `// rendered
 {"name":"edge-1","domain":"pasay","listen":"127.0.0.1:1","readyListen":"127.0.0.1:2","adminListen":"","store":"127.0.0.1:3",
-"memoryMb":134,"grace":"8s","revokeWithin":"5000ms","repeatRatio":0.9,"repeatSlack":58,"repeatWindow":"10s","exposeShare":0.15}`
+"memoryMb":134,"grace":"8s","revokeWithin":"5000ms","drainWithin":"2s","configWithin":"2s","repeatRatio":0.9,"repeatSlack":58,"repeatWindow":"10s","exposeShare":0.15}`
 
 func TestGatewaySettings(t *testing.T) {
 	s, err := ParseGateway("f", []byte(goodGateway))
