--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 	fleet   atomic.Pointer[fleetView]
 	contact contact
 	loads   *loadBook
+	speeds  *speedBook
 	shifts  *shiftBook
 	conns   *connBook
 	// talk is nil when no address for datagrams is set.
@@ -105,6 +106,7 @@
 		boot: o.BootClock, start: time.Now(),
 		pool:    h1.NewPool(dialTime),
 		loads:   newLoadBook(),
+		speeds:  newSpeedBook(),
 		shifts:  newShiftBook(o.Settings.ExposeShare),
 		conns:   newConnBook(),
 		count:   newCounters(o.Metrics),
--- a/internal/gateway/judgement.go
+++ b/internal/gateway/judgement.go
@@ -39,6 +39,7 @@
 	if j.events == 1 {
 		j.first = now
 		j.seen.timed(now.Sub(j.began), j.expected)
+		j.g.speeds.learn(j.seen.service, j.seen.key.model, j.expected, now.Sub(j.began))
 	} else if j.events >= leastEvents {
 		j.seen.gap = float64(now.Sub(j.first)) / float64(time.Millisecond) / float64(j.events-1)
 	}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -25,7 +25,7 @@
 // pick chooses an upstream that the request has not been sent to, and counts
 // that it is tried.
 func (g *Gateway) pick(q *request, now time.Time) (picked, *result.Error) {
-	p, err := g.look(q, q.models(), now)
+	p, err := g.look(q, g.models(q), now)
 	if err == nil {
 		q.tried[p.up.ID] = true
 	}
@@ -38,9 +38,6 @@
 	if view == nil {
 		return picked{}, result.New(result.NoConfiguration, "no list of upstreams yet").WithRetryAfter(jitter(shortRetry))
 	}
-	if q.service == "" {
-		q.service = q.route.Pick(rand.Float64())
-	}
 	all := view.byService[q.service]
 	ups := make([]fleet.Upstream, 0, len(all))
 	for _, u := range g.shifts.allowed(q.service, q.call.Session, q.sessionPoint(), all, now, g.sessionElsewhere) {
@@ -97,11 +94,11 @@
 
 // models returns the models to choose from now: the smallest until its answer
 // was dropped, then the largest, or the smallest where that would be late.
-func (q *request) models() []placement.Model {
+func (g *Gateway) models(q *request) []placement.Model {
 	if !q.cascades() {
-		return []placement.Model{{MSPerToken: readMS}}
+		return []placement.Model{{MSPerToken: readMS * g.speeds.factor(q.service, q.call.Model)}}
 	}
-	small, large := q.model(0), q.model(len(q.route.Models)-1)
+	small, large := g.model(q, 0), g.model(q, len(q.route.Models)-1)
 	if q.escalated {
 		return []placement.Model{small, large}
 	}
@@ -113,11 +110,12 @@
 	return q.call.Model == exchange.AnyModel && len(q.route.Models) > 0
 }
 
-// model returns one of the route's models with its speed: larger ones read
-// more slowly, by a half for each step.
-func (q *request) model(i int) placement.Model {
+// model returns one of the route's models with its speed. Until it is learned,
+// larger ones read more slowly by a half for each step.
+func (g *Gateway) model(q *request, i int) placement.Model {
+	name := q.route.Models[i]
 	steps := len(q.route.Models) - 1 - i
-	return placement.Model{Name: q.route.Models[i], MSPerToken: readMS / float64(int(1)<<steps)}
+	return placement.Model{Name: name, MSPerToken: readMS / float64(int(1)<<steps) * g.speeds.factor(q.service, name)}
 }
 
 // readMS is the time of a large model for one prompt token, in milliseconds.
@@ -133,12 +131,12 @@
 	// The upstream that gave the answer has not failed and may run the larger
 	// model as well.
 	delete(q.tried, p.up.ID)
-	larger, err := g.look(q, []placement.Model{q.model(last)}, now)
+	larger, err := g.look(q, []placement.Model{g.model(q, last)}, now)
 	if err != nil {
 		return false
 	}
 	drop := placement.Escalate(placement.Opinion{
-		Confidence: confidence, Larger: larger.choice, Target: q.route.Target - now.Sub(q.arrived),
+		Confidence: confidence, Larger: larger.choice, Target: q.route.Target - now.Sub(q.arrived), Left: q.left(now),
 	})
 	if !drop || !g.mayRepeat(q) {
 		return false
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -89,6 +90,7 @@
 		budget = min(budget, q.route.Timeout)
 	}
 	q.limit = q.arrived.Add(budget)
+	q.service = q.route.Pick(rand.Float64())
 	for i, p := range q.call.Prompt {
 		q.tokens += p.Tokens
 		if i < len(q.call.Prompt)-1 {
