--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -11,13 +12,38 @@
 type connBook struct {
 	mu     sync.Mutex
 	states map[net.Conn]idleSince
+	// closed holds the connections that were closed while they were idle. A
+	// request that crossed the close may still be read from one.
+	closed map[net.Conn]bool
 	active int
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// attach keeps the connection in the context of its requests.
+func (b *connBook) attach(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// alive reports whether the request's connection was not closed as idle. A
+// request on one that was cannot be answered, so it must not be sent on.
+func (b *connBook) alive(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.closed[c]
+}
+
 // idleSince is when a connection became idle; zero while a request runs.
 type idleSince struct{ at time.Time }
 
-func newConnBook() *connBook { return &connBook{states: map[net.Conn]idleSince{}} }
+func newConnBook() *connBook {
+	return &connBook{states: map[net.Conn]idleSince{}, closed: map[net.Conn]bool{}}
+}
 
 // changed is called by the server when a connection changes its state.
 func (b *connBook) changed(c net.Conn, s http.ConnState) {
@@ -36,6 +62,7 @@
 		b.states[c] = idleSince{at: time.Now()}
 	case http.StateClosed, http.StateHijacked:
 		delete(b.states, c)
+		delete(b.closed, c)
 	}
 	if wasActive {
 		b.active--
@@ -48,11 +75,16 @@
 	defer b.mu.Unlock()
 	for c, s := range b.states {
 		if !s.at.IsZero() && now.Sub(s.at) > limit {
-			_ = c.Close() // nothing was read from it since its last answer
+			b.closed[c] = true
+			_ = c.Close() // no request of it was sent on since its last answer
 		}
 	}
 }
 
+// CloseIdle closes the callers' connections that have been idle since before
+// now, as the gateway itself does while it stops.
+func (g *Gateway) CloseIdle(now time.Time) { g.conns.closeIdle(now, 0) }
+
 // running returns how many requests are being served.
 func (b *connBook) running() int {
 	b.mu.Lock()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -88,8 +88,8 @@
 func (g *Gateway) followOperator(ctx context.Context) error {
 	f := &follower{g: g, table: g.docs.OperatorTable()}
 	for ctx.Err() == nil {
-		asked := g.boot()
-		page, _, err := f.step(ctx, g.feedWait())
+		asked, wait := g.boot(), g.feedWait()
+		page, full, err := f.step(ctx, wait)
 		if err != nil {
 			pause(ctx, jitter(awayPause))
 			continue
@@ -97,6 +97,10 @@
 		for _, r := range page.Rows {
 			g.takeOperator(r)
 		}
+		if !full && len(page.Rows) == 0 {
+			// The store held the call for the whole wait and nothing came.
+			asked += min(wait, g.boot()-asked)
+		}
 		g.contact.confirm(asked)
 	}
 	return nil
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -33,7 +33,7 @@
 func (g *Gateway) listen() ([]*server, error) {
 	front := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader,
-		ConnState: g.conns.changed,
+		ConnState: g.conns.changed, ConnContext: g.conns.attach,
 	}
 	admin := http.NewServeMux()
 	admin.HandleFunc("/metrics", g.serveMetrics)
@@ -117,7 +117,7 @@
 		if now.Sub(began) >= leaveTime {
 			// Callers go elsewhere with what they send next; nothing that was
 			// read is dropped.
-			g.conns.closeIdle(now, 0)
+			g.CloseIdle(now)
 			if g.conns.running() == 0 {
 				break
 			}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,10 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	q := &request{in: in, call: g.proto.Call(in.Header), arrived: time.Now(), tried: map[string]bool{}}
 	g.count.requests.Inc(1)
+	if !g.conns.alive(in.Context()) {
+		g.log.Event(part, "crossed a close", q.fields()...)
+		panic(http.ErrAbortHandler)
+	}
 	if err := g.admit(w, q); err != nil {
 		g.refuse(w, q, err)
 		return
--- a/internal/placement/escalate.go
+++ b/internal/placement/escalate.go
@@ -20,7 +20,7 @@
 const (
 	// confidentQuiet is used while engines are idle: a fifth of the answers at
 	// this confidence are still wrong, and there is time to make them again.
-	confidentQuiet = 70
+	confidentQuiet = 60
 	// confidentBusy is used when they are not: from here on an answer is more
 	// likely right than wrong.
 	confidentBusy = 50
