--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -93,7 +93,7 @@
 	// drainPoll is the pause between two looks at what still runs.
 	drainPoll = 50 * time.Millisecond
 	// lastPart of the grace is left for closing down.
-	lastPart = 0.07
+	lastPart = 0.12
 )
 
 // leaving refuses a stream that arrives when callers have had the time to go
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -32,6 +32,9 @@
 	listSoon  = 500 * time.Millisecond
 	// retryPause is the pause after a call that failed.
 	retryPause = 500 * time.Millisecond
+	// leaveTime bounds the removal of the row at the end, which must fit the
+	// last part of the grace.
+	leaveTime = 200 * time.Millisecond
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 8 << 10
 )
@@ -106,7 +109,7 @@
 		}
 		timer.Stop()
 	}
-	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), retryPause)
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
 	defer cancel()
 	if _, err := t.o.Store.Commit(leave, store.Txn{Delete: []store.Key{t.key()}}); err != nil {
 		t.o.Log.Event("peers", "row left behind", zap.String("gateway", t.o.Name), zap.Error(err))
--- a/internal/placement/escalate.go
+++ b/internal/placement/escalate.go
@@ -24,9 +24,6 @@
 	// confidentBusy is used when they are not: from here on an answer is more
 	// likely right than wrong.
 	confidentBusy = 50
-	// wrong is the confidence below which an answer is of little use, so that
-	// a good one is better even when it comes late.
-	wrong = 35
 	// busyPart is the part of the target that a request waits for others when
 	// engines are busy.
 	busyPart = 0.15
@@ -45,6 +42,7 @@
 	if o.Larger.Expected <= scale(o.Target, onTime) {
 		return float64(o.Confidence) < confidentQuiet-busy*(confidentQuiet-confidentBusy)
 	}
-	// A prompt so long that it is late at any time.
-	return busy < 1 && o.Confidence < wrong && o.Larger.Expected <= scale(o.Left, refuseAt)
+	// A prompt so long that it is late at any time: a good answer that comes
+	// late is worth more to the caller than one that is likely wrong.
+	return busy < 1 && o.Confidence < confidentBusy && o.Larger.Expected <= scale(o.Left, refuseAt)
 }
