--- a/internal/daemoncmd/cmd.go
+++ b/internal/daemoncmd/cmd.go
@@ -68,6 +68,7 @@
 		roleCommand(settings.RoleAgent, "Stand beside the upstreams of one host", daemon.NewAgent, stdout, stderr),
 		devCommand(stdout, stderr),
 		gatewayCommand(stdout),
+		gatewayDevCommand(stdout, stderr),
 		settingsCommand(stdout),
 	)
 	return cmd
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -77,6 +77,15 @@
 	l.Event(part, event, fields...)
 }
 
+// Error is the field of a failure: its text alone, without the places in the
+// code that it went through.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Dropped returns how many lines were lost to the budget and to a full queue,
 // and how many routine lines were left out by sampling.
 func (l *Log) Dropped() (limited, full, sampled int64) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Upstream is one boot of one replica.
+// Upstream is one boot of one upstream of a service.
 type Upstream struct {
 	// ID names the upstream; it may start again under the same one.
 	ID      string
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/routetable"
 	"tarragonbay.example/tarragonbay/internal/store"
@@ -77,7 +78,7 @@
 	case err != nil && !f.away:
 		f.away = true
 		f.g.count.storeLost.Inc(1)
-		f.g.log.Event(part, "store lost", zap.String("table", f.table), zap.Uint64("rev", f.rev), zap.Error(err))
+		f.g.log.Event(part, "store lost", zap.String("table", f.table), zap.Uint64("rev", f.rev), eventlog.Error(err))
 	case err == nil && f.away:
 		f.away = false
 		f.g.log.Event(part, "store regained", zap.String("table", f.table), zap.Uint64("rev", f.rev))
@@ -108,16 +109,16 @@
 
 func (g *Gateway) takeOperator(r store.Row) {
 	if spec, ok, err := g.docs.Routing(r); err != nil {
-		g.log.Event(part, "configuration unreadable", zap.Uint64("rev", r.Rev), zap.Error(err))
+		g.log.Event(part, "configuration unreadable", zap.Uint64("rev", r.Rev), eventlog.Error(err))
 	} else if ok {
 		g.adopt(spec, r.Rev)
 	}
 	if order, ok, err := g.docs.Shift(r); err != nil {
-		g.log.Event(part, "shift order unreadable", zap.String("service", order.Service), zap.Uint64("rev", r.Rev), zap.Error(err))
+		g.log.Event(part, "shift order unreadable", zap.String("service", order.Service), zap.Uint64("rev", r.Rev), eventlog.Error(err))
 	} else if ok {
 		if g.shifts.order(order, r.Removed) {
 			g.log.Event(part, "shift ordered", zap.String("service", order.Service), zap.String("to", order.To),
-				zap.Duration("within", order.Within), zap.Uint64("rev", r.Rev))
+				zap.Duration("withinMs", order.Within), zap.Uint64("rev", r.Rev))
 		}
 	}
 }
@@ -129,7 +130,7 @@
 	if old != nil && spec.Version <= old.Version() {
 		if spec.Version < old.Version() {
 			g.log.Event(part, "older configuration ignored", zap.Int64("version", spec.Version),
-				zap.Int64("in force", old.Version()), zap.Uint64("rev", rev))
+				zap.Int64("inForce", old.Version()), zap.Uint64("rev", rev))
 		}
 		return
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/routetable"
 )
@@ -78,7 +79,7 @@
 	ok, why := g.ready()
 	if g.count.noteReady(ok) {
 		g.log.Event(part, "readiness", zap.Bool("ready", ok), zap.String("why", why),
-			zap.Duration("confirmed", g.contact.age(g.boot())))
+			zap.Duration("confirmedMsAgo", g.contact.age(g.boot())))
 	}
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -112,7 +113,7 @@
 	g.stopSince.Store(began.UnixNano())
 	g.stopping.Store(true)
 	end := began.Add(time.Duration((1 - lastPart) * float64(g.settings().Grace)))
-	g.log.Event(part, "stopping", zap.Int("running", g.conns.running()), zap.Duration("grace", g.settings().Grace))
+	g.log.Event(part, "stopping", zap.Int("running", g.conns.running()), zap.Duration("graceMs", g.settings().Grace))
 	for now := began; now.Before(end); now = time.Now() {
 		if now.Sub(began) >= leaveTime {
 			// Callers go elsewhere with what they send next; nothing that was
@@ -124,12 +125,12 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	g.log.Event(part, "drained", zap.Int("running", g.conns.running()), zap.Duration("took", time.Since(began)))
+	g.log.Event(part, "drained", zap.Int("running", g.conns.running()), zap.Duration("tookMs", time.Since(began)))
 	last, cancel := context.WithTimeout(context.Background(), time.Duration(lastPart/2*float64(g.settings().Grace)))
 	defer cancel()
 	for _, s := range servers {
 		if err := s.http.Shutdown(last); err != nil {
-			g.log.Event(part, "cut at the end of the grace", zap.String("listener", s.ln.Addr().String()), zap.Error(err))
+			g.log.Event(part, "cut at the end of the grace", zap.String("listener", s.ln.Addr().String()), eventlog.Error(err))
 		}
 	}
 }
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -143,7 +143,7 @@
 	}
 	g.count.escalated.Inc(1)
 	g.log.Routine(part, "escalated", q.fields(zap.String("from", p.choice.Model), zap.Int("confidence", confidence),
-		zap.String("upstream", p.up.ID), zap.Duration("expected", larger.choice.Expected))...)
+		zap.String("upstream", p.up.ID), zap.Duration("expectedMs", larger.choice.Expected))...)
 	return true
 }
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -34,8 +34,8 @@
 	g.count.refused.Inc(1)
 	retry := q.retryAfter(e)
 	g.log.Event(part, "refused", q.fields(zap.String("code", e.Code.String()), zap.String("outcome", e.Outcome.String()),
-		zap.Int("status", e.Code.HTTPStatus()), zap.Duration("retry after", retry), zap.String("why", e.Message),
-		zap.Duration("confirmed", g.contact.age(g.boot())))...)
+		zap.Int("status", e.Code.HTTPStatus()), zap.Duration("retryAfterMs", retry), zap.String("why", e.Message),
+		zap.Duration("confirmedMsAgo", g.contact.age(g.boot())))...)
 	if e.Code == result.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/settings"
 )
 
@@ -46,7 +47,7 @@
 func (g *Gateway) reload(why string) {
 	s, err := settings.LoadGateway(g.file)
 	if err != nil {
-		g.log.Event(part, "settings refused", zap.String("why", why), zap.Error(err))
+		g.log.Event(part, "settings refused", zap.String("why", why), eventlog.Error(err))
 		return
 	}
 	g.log.Event(part, "settings reloaded", zap.String("why", why), zap.Bool("changed", s != g.settings()))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -171,12 +171,25 @@
 // gone reports whether the caller has closed its connection.
 func (q *request) gone() bool { return q.in.Context().Err() != nil }
 
-// urgency maps a rank to the urgency that engines know, where 5 is the usual.
+// Urgencies that engines know, where 0 is the first and 9 the last.
+const (
+	// rankSteps leaves each organisation's rank room for three ranks of routes.
+	rankSteps = 3
+	// usualRank is that of callers without an organisation.
+	usualRank   = 1
+	lastUrgency = 9
+)
+
+// urgency is the rank of the organisation first, that of the route second.
 func (q *request) urgency() int {
 	if q.route.Kind != routetable.Stream {
 		return -1
 	}
-	return min(9, q.route.Rank*2+2)
+	rank := usualRank
+	if q.org != nil && q.org.Rank >= 0 {
+		rank = q.org.Rank
+	}
+	return min(lastUrgency, rank*rankSteps+min(q.route.Rank, rankSteps-1))
 }
 
 // fields returns what every line about the request holds.
@@ -191,6 +204,6 @@
 	if q.table != nil {
 		f = append(f, zap.Int64("configuration", q.table.Version()))
 	}
-	f = append(f, zap.Duration("after", time.Since(q.arrived)), zap.Int("sent", q.sent))
+	f = append(f, zap.Duration("afterMs", time.Since(q.arrived)), zap.Int("sent", q.sent))
 	return append(f, more...)
 }
--- a/internal/gateway/shifts.go
+++ b/internal/gateway/shifts.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/store"
 	"tarragonbay.example/tarragonbay/internal/versionshift"
@@ -49,7 +50,7 @@
 				continue
 			}
 			if err := json.Unmarshal(r.Value, &st); err != nil {
-				g.log.Event(part, "shift state unreadable", zap.String("service", r.Name), zap.Uint64("rev", r.Rev), zap.Error(err))
+				g.log.Event(part, "shift state unreadable", zap.String("service", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
 				continue
 			}
 			g.takeShift(st, r.Rev)
@@ -124,16 +125,16 @@
 	rev := g.shifts.revOf(st.Service)
 	fields := []zap.Field{
 		zap.String("service", st.Service), zap.String("to", st.To), zap.String("phase", string(st.Phase)),
-		zap.String("why", st.Why), zap.Uint64("at revision", rev), zap.Any("evidence", e),
+		zap.String("why", st.Why), zap.Uint64("atRev", rev), zap.Any("evidence", e),
 	}
 	value, err := json.Marshal(st)
 	if err != nil {
-		g.log.Event(part, "shift not written", append(fields, zap.Error(err))...)
+		g.log.Event(part, "shift not written", append(fields, eventlog.Error(err))...)
 		return
 	}
 	status, err := g.docs.ShiftStatus(st.Service, st.To, st.Phase)
 	if err != nil {
-		g.log.Event(part, "shift not written", append(fields, zap.Error(err))...)
+		g.log.Event(part, "shift not written", append(fields, eventlog.Error(err))...)
 		return
 	}
 	key := store.Key{Table: shiftTable, Name: st.Service}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/h1"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
@@ -57,6 +58,7 @@
 	r := &relay{g: g, q: q, w: w, last: q.call.ResumeAfter}
 	var failure *result.Error
 	var last *answer
+	var lastFrom picked
 	unsent := 0
 	granted := false // a repeat was drawn from the budget already
 	for {
@@ -81,7 +83,7 @@
 			return
 		}
 		if a != nil {
-			last = a
+			last, lastFrom = a, p
 		}
 		failure = q.failed(v, p.up.ID, why)
 		if v == notSent {
@@ -90,22 +92,22 @@
 		if errors.Is(why, errCaller) || q.gone() || unsent >= maxUnsent || !q.mayGoOn(v, time.Now()) {
 			break
 		}
-		g.log.Event(part, "stream goes on elsewhere", q.fields(zap.String("left", p.up.ID), zap.String("last event", r.last))...)
+		g.log.Event(part, "stream goes on elsewhere", q.fields(zap.String("left", p.up.ID), zap.String("lastEvent", r.last))...)
 	}
-	r.fail(failure, last)
+	r.fail(failure, last, lastFrom)
 }
 
 // fail ends a stream that no upstream completes.
-func (r *relay) fail(failure *result.Error, last *answer) {
+func (r *relay) fail(failure *result.Error, last *answer, from picked) {
 	g, q := r.g, r.q
 	if r.started {
 		g.count.cutStreams.Inc(1)
-		g.log.Event(part, "stream cut", q.fields(zap.Int("events", r.events), zap.String("last event", r.last),
+		g.log.Event(part, "stream cut", q.fields(zap.Int("events", r.events), zap.String("lastEvent", r.last),
 			zap.String("code", failure.Code.String()), zap.String("why", failure.Error()))...)
 		panic(http.ErrAbortHandler) // an answer that is not whole must not look complete
 	}
 	if last != nil {
-		g.pass(r.w, q, picked{}, last)
+		g.pass(r.w, q, from, last)
 		return
 	}
 	g.refuse(r.w, q, q.final(failure))
@@ -117,7 +119,7 @@
 	g.count.answerTime.Observe(time.Since(q.arrived))
 	g.log.Routine(part, "streamed", q.fields(zap.String("upstream", p.up.ID), zap.String("version", p.up.Version),
 		zap.String("model", p.choice.Model), zap.Int("events", r.events),
-		zap.Int("confidence", r.confidence), zap.Duration("expected", p.choice.Expected))...)
+		zap.Int("confidence", r.confidence), zap.Duration("expectedMs", p.choice.Expected))...)
 }
 
 // try relays the stream from one upstream. It returns an answer when the
@@ -136,7 +138,7 @@
 	}
 	if (v != answered && v != dropped) || failed {
 		g.count.failedTries.Inc(1)
-		g.log.Event(part, "try failed", q.fields(append(tryFields(p, v), statusField(a), zap.Int("events", r.events), zap.Error(err))...)...)
+		g.log.Event(part, "try failed", q.fields(append(g.tryFields(p, v), statusField(a), zap.Int("events", r.events), eventlog.Error(err))...)...)
 	}
 	return a, v, err
 }
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/exchange"
 	"tarragonbay.example/tarragonbay/internal/h1"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -58,6 +59,7 @@
 // any of it is passed on, so a broken one never reaches the caller.
 func (g *Gateway) unary(w http.ResponseWriter, q *request) {
 	var last *answer // an upstream's own failure, kept in case nothing better comes
+	var lastFrom picked
 	unsent := 0
 	var failure *result.Error
 	for {
@@ -78,7 +80,7 @@
 			return
 		}
 		if a != nil {
-			last = a
+			last, lastFrom = a, p
 		}
 		failure = q.failed(v, p.up.ID, why)
 		if v == notSent {
@@ -89,7 +91,7 @@
 		}
 	}
 	if last != nil {
-		g.pass(w, q, picked{}, last)
+		g.pass(w, q, lastFrom, last)
 		return
 	}
 	g.refuse(w, q, q.final(failure))
@@ -150,23 +152,27 @@
 	g.judge(q, p, a, v, now)
 	if v != answered || failed {
 		g.count.failedTries.Inc(1)
-		g.log.Event(part, "try failed", q.fields(append(tryFields(p, v), statusField(a), zap.Error(err))...)...)
+		g.log.Event(part, "try failed", q.fields(append(g.tryFields(p, v), statusField(a), eventlog.Error(err))...)...)
 	}
 	return a, v, err
 }
 
-func tryFields(p picked, v verdict) []zap.Field {
-	return []zap.Field{
+func (g *Gateway) tryFields(p picked, v verdict) []zap.Field {
+	f := []zap.Field{
 		zap.String("upstream", p.up.ID), zap.String("version", p.up.Version), zap.String("verdict", v.String()),
-		zap.String("model", p.choice.Model), zap.Duration("expected", p.choice.Expected),
+		zap.String("model", p.choice.Model), zap.Duration("expectedMs", p.choice.Expected),
 	}
+	if view := g.fleet.Load(); view != nil {
+		f = append(f, zap.Uint64("listRev", view.rev), zap.Duration("listMsAgo", time.Since(view.at)))
+	}
+	return f
 }
 
 func statusField(a *answer) zap.Field {
 	if a == nil {
 		return zap.Skip()
 	}
-	return zap.Int("upstream status", a.status)
+	return zap.Int("upstreamStatus", a.status)
 }
 
 // String returns the verdict as it is logged.
@@ -251,12 +257,17 @@
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil {
 		g.count.callersGone.Inc(1)
-		g.log.Event(part, "caller gone", q.fields(zap.Error(err))...)
+		g.log.Event(part, "caller gone", q.fields(eventlog.Error(err))...)
 		return
 	}
 	g.count.answered.Inc(1)
 	g.count.answerTime.Observe(time.Since(q.arrived))
-	g.log.Routine(part, "answered", q.fields(zap.Int("status", a.status), zap.String("upstream", p.up.ID))...)
+	write := g.log.Routine
+	if a.status >= http.StatusInternalServerError {
+		write = g.log.Event // a failure of the upstream's own, passed on as it is
+	}
+	write(part, "answered", q.fields(zap.Int("status", a.status), zap.String("upstream", p.up.ID),
+		zap.String("version", p.up.Version))...)
 }
 
 // setHeaders copies an upstream's headers and keeps the server from adding
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/fleet"
 	"tarragonbay.example/tarragonbay/internal/store"
 )
@@ -69,7 +70,7 @@
 		u, err := g.docs.Upstream(r)
 		if err != nil {
 			known.Remove(r.Name, r.Rev, time.Time{})
-			g.log.Event(part, "upstream entry ignored", zap.String("upstream", r.Name), zap.Uint64("rev", r.Rev), zap.Error(err))
+			g.log.Event(part, "upstream entry ignored", zap.String("upstream", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
 			continue
 		}
 		listed[u.ID] = true
--- a/internal/gateway/upstreams_test.go
+++ b/internal/gateway/upstreams_test.go
@@ -9,6 +9,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/routetable"
 	"tarragonbay.example/tarragonbay/internal/settings"
 	"tarragonbay.example/tarragonbay/internal/store"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
@@ -67,3 +68,17 @@
 		}
 	}
 }
+
+func TestUrgency(t *testing.T) {
+	for _, c := range []struct{ org, route, want int }{
+		{0, 0, 0}, {0, 2, 2}, {1, 0, 3}, {1, 2, 5}, {-1, 1, 4}, {3, 2, 9}, {0, 7, 2},
+	} {
+		q := &request{route: &routetable.Route{Kind: routetable.Stream, Rank: c.route}, org: &routetable.Organisation{Rank: c.org}}
+		if got := q.urgency(); got != c.want {
+			t.Errorf("organisation %d, route %d: %d, want %d", c.org, c.route, got, c.want)
+		}
+	}
+	if got := (&request{route: &routetable.Route{Rank: 1}}).urgency(); got != -1 {
+		t.Errorf("a plain request has urgency %d", got)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,165 @@
+package peers
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tarragonbay.example/tarragonbay/internal/eventlog"
+	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/store"
+	"tarragonbay.example/tarragonbay/internal/store/storefake"
+	"tarragonbay.example/tarragonbay/internal/versionshift"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func news(gateway string, incarnation uint64, number, running uint32) *gossipv1.News {
+	return &gossipv1.News{
+		Gateway: gateway, Incarnation: incarnation, Number: number,
+		Upstreams: []uint32{Hash("u")}, Running: []uint32{running}, UnreadMs: []uint32{10},
+	}
+}
+
+func TestOnlyTheLatestNewsCount(t *testing.T) {
+	b := NewBook()
+	b.Take(news("a", 2, 5, 7), t0)
+	for name, old := range map[string]*gossipv1.News{
+		"overtaken": news("a", 2, 4, 1), "doubled": news("a", 2, 5, 1), "of an earlier incarnation": news("a", 1, 99, 1),
+	} {
+		if b.Take(old, t0) || b.Loads(t0)[Hash("u")].Running != 7 {
+			t.Errorf("%s news were taken", name)
+		}
+	}
+	b.Take(news("a", 3, 1, 2), t0)
+	b.Take(news("b", 1, 1, 4), t0)
+	if l := b.Loads(t0)[Hash("u")]; l.Running != 6 || l.UnreadMS != 20 {
+		t.Errorf("load %+v", l)
+	}
+}
+
+func TestOldNewsExpire(t *testing.T) {
+	b := NewBook()
+	n := news("a", 1, 1, 7)
+	n.Sightings = []*gossipv1.Sighting{Sighting("s", 9, versionshift.Evidence{NewBad: 3, OldRunning: 2})}
+	b.Take(n, t0)
+	if e := b.Evidence("s", 9, t0); e.NewBad != 3 || e.OldRunning != 2 {
+		t.Errorf("evidence %+v", e)
+	}
+	if e := b.Evidence("s", 8, t0); e != (versionshift.Evidence{}) {
+		t.Errorf("evidence of another order: %+v", e)
+	}
+	later := t0.Add(fresh + time.Millisecond)
+	if len(b.Loads(later)) != 0 || b.Heard(later) != 0 || b.Evidence("s", 9, later) != (versionshift.Evidence{}) {
+		t.Error("a silent peer still counts")
+	}
+}
+
+func TestTornNewsAreLeftOut(t *testing.T) {
+	b := NewBook()
+	n := news("a", 1, 1, 7)
+	n.Running = nil
+	b.Take(n, t0)
+	if len(b.Loads(t0)) != 0 {
+		t.Error("columns of different lengths were read")
+	}
+}
+
+func TestSessionsOnTheOldVersion(t *testing.T) {
+	b := NewBook()
+	n := news("a", 1, 1, 0)
+	n.OldSessions = []uint32{Hash("s1")}
+	b.Take(n, t0)
+	if !b.OnOldVersion("s1") || b.OnOldVersion("s2") {
+		t.Error("sessions were mixed up")
+	}
+	b.Forget(map[string]bool{})
+	if b.OnOldVersion("s1") {
+		t.Error("a peer that left the table still counts")
+	}
+}
+
+func talk(t *testing.T, st store.Store, name string, running uint32) *Talk {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := c.LocalAddr().String()
+	_ = c.Close() // the talk opens it again
+	tk, err := Listen(Options{
+		Name: name, Address: address, Incarnation: 1, Store: st, Log: eventlog.New(io.Discard),
+		News: func() *gossipv1.News { return news("", 0, 0, running) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tk
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+// TestTalk: gateways find one another in the table, also one that comes later
+// and after the store was away, ignore strangers and junk, and leave the table.
+func TestTalk(t *testing.T) {
+	st := storefake.New()
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	start := func(tk *Talk) {
+		for _, duty := range []func(context.Context) error{tk.Enter, tk.Send, tk.Receive} {
+			wg.Go(func() {
+				if err := duty(ctx); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+	st.Fail(result.New(result.TableUnavailable, "away"))
+	a, b := talk(t, st, "a", 1), talk(t, st, "b", 2)
+	start(a)
+	start(b)
+	st.Fail(nil)
+	until(t, "news of b at a", func() bool { return a.Book.Loads(time.Now())[Hash("u")].Running == 2 })
+	until(t, "news of a at b", func() bool { return b.Book.Loads(time.Now())[Hash("u")].Running == 1 })
+	c := talk(t, st, "c", 4)
+	start(c)
+	until(t, "news of c at a", func() bool { return a.Book.Loads(time.Now())[Hash("u")].Running == 6 })
+
+	conn, err := net.Dial("udp4", a.o.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	stranger, err := proto.Marshal(news("stranger", 1, 1, 100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, junk := range [][]byte{stranger, {0xff, 0xff, 0xff}, {}} {
+		if _, err := conn.Write(junk); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, "the next news", func() bool { return a.Book.Heard(time.Now()) == 2 })
+	if n := a.Book.Loads(time.Now())[Hash("u")].Running; n > 6 {
+		t.Errorf("a stranger's load counts: %d", n)
+	}
+	stop()
+	wg.Wait()
+	page, err := st.List(context.Background(), table, "")
+	if err != nil || len(page.Rows) != 0 {
+		t.Errorf("%d rows left behind, %v", len(page.Rows), err)
+	}
+}
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -112,7 +112,7 @@
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
 	defer cancel()
 	if _, err := t.o.Store.Commit(leave, store.Txn{Delete: []store.Key{t.key()}}); err != nil {
-		t.o.Log.Event("peers", "row left behind", zap.String("gateway", t.o.Name), zap.Error(err))
+		t.o.Log.Event("peers", "row left behind", zap.String("gateway", t.o.Name), eventlog.Error(err))
 	}
 	return nil
 }
@@ -179,7 +179,7 @@
 func (t *Talk) send(n *gossipv1.News, to []netip.AddrPort) {
 	b, err := proto.Marshal(n)
 	if err != nil || len(b) > maxDatagram {
-		t.o.Log.Event("peers", "news not sent", zap.Int("bytes", len(b)), zap.Error(err))
+		t.o.Log.Event("peers", "news not sent", zap.Int("bytes", len(b)), eventlog.Error(err))
 		return
 	}
 	for _, a := range to {
@@ -205,7 +205,7 @@
 		}
 		var n gossipv1.News
 		if err := proto.Unmarshal(buf[:size], &n); err != nil {
-			t.o.Log.Event("peers", "news unreadable", zap.Int("bytes", size), zap.Error(err))
+			t.o.Log.Event("peers", "news unreadable", zap.Int("bytes", size), eventlog.Error(err))
 			continue
 		}
 		t.take(&n)
