--- a/cmd/tarragonctl/main_test.go
+++ b/cmd/tarragonctl/main_test.go
@@ -24,7 +24,7 @@
 	"tarragonbay.example/tarragonbay/internal/ctl"
 	"tarragonbay.example/tarragonbay/internal/ledger"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/settings"
 	standin "tarragonbay.example/tarragonbay/internal/standin/platform"
--- a/integration/bench/path.go
+++ b/integration/bench/path.go
@@ -14,7 +14,7 @@
 	"tarragonbay.example/tarragonbay/integration/harness"
 	"tarragonbay.example/tarragonbay/internal/adminapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
-	"tarragonbay.example/tarragonbay/internal/platform/client"
+	"tarragonbay.example/tarragonbay/internal/ports/client"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
 )
--- a/integration/billing_fault_test.go
+++ b/integration/billing_fault_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"tarragonbay.example/tarragonbay/integration/harness"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 )
 
 // mixedAsk asks a model and calls the plain service in turn.
--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -14,7 +14,7 @@
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/history"
 	"tarragonbay.example/tarragonbay/internal/ledger"
-	"tarragonbay.example/tarragonbay/internal/platform/client"
+	"tarragonbay.example/tarragonbay/internal/ports/client"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
 	"tarragonbay.example/tarragonbay/internal/standin/service"
--- a/integration/harness/faults.go
+++ b/integration/harness/faults.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/history"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
-	"tarragonbay.example/tarragonbay/internal/platform/wire"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/wire"
 )
 
 // SetFaults switches the faults of the platform's services.
@@ -20,7 +20,7 @@
 }
 
 // SetHost puts a line on the platform's host list.
-func (c *Cluster) SetHost(h platform.HostState) {
+func (c *Cluster) SetHost(h ports.HostState) {
 	c.T.Helper()
 	postJSON(c.T, "http://"+c.Platform.Ready.Address+wire.PathAdminHosts, h)
 }
--- a/integration/harness/standin.go
+++ b/integration/harness/standin.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
 	platformstandin "tarragonbay.example/tarragonbay/internal/standin/platform"
 	"tarragonbay.example/tarragonbay/internal/standin/service"
@@ -84,7 +84,7 @@
 }
 
 // judge rates an answer of the engine stand-in.
-func judge(s platform.Sample) bool { return !strings.Contains(s.Answer, "wrong") }
+func judge(s ports.Sample) bool { return !strings.Contains(s.Answer, "wrong") }
 
 // startStandin runs the test binary as a stand-in.
 func startStandin(t testing.TB, name string, spec standinSpec) *Proc {
--- a/integration/harness/store.go
+++ b/integration/harness/store.go
@@ -1,6 +1,6 @@
 package harness
 
-import "tarragonbay.example/tarragonbay/internal/platform/wire"
+import "tarragonbay.example/tarragonbay/internal/ports/wire"
 
 // BackupTable keeps a copy of the table service's rows.
 func (c *Cluster) BackupTable() {
--- a/integration/helpers_test.go
+++ b/integration/helpers_test.go
@@ -1,6 +1,6 @@
 package integration
 
-import "tarragonbay.example/tarragonbay/internal/platform/fake"
+import "tarragonbay.example/tarragonbay/internal/ports/fake"
 
 // outage makes the table service and the object store refuse every call.
 func outage() fake.Faults {
--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -6,7 +6,7 @@
 
 	"tarragonbay.example/tarragonbay/integration/harness"
 	"tarragonbay.example/tarragonbay/internal/history"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
 )
 
@@ -68,11 +68,11 @@
 	t.Parallel()
 	c := harness.New(t, harness.Spec{Entries: 2, Agents: 3, Engine: quick})
 	for _, name := range []string{"host-0", "host-1", "host-2"} {
-		c.SetHost(platform.HostState{Name: name})
+		c.SetHost(ports.HostState{Name: name})
 	}
 	load := c.StartLoad(6, c.Entries, unaryAsk)
 	load.WaitFor(c, 100)
-	c.SetHost(platform.HostState{Name: "host-0", Leaving: true})
+	c.SetHost(ports.HostState{Name: "host-0", Leaving: true})
 	since := time.Now()
 	leavesWith(c, "host-0-engine", "host-0-desk")
 	untilTold(c, load, since)
--- a/integration/once_fault_test.go
+++ b/integration/once_fault_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/integration/harness"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/standin/service"
 )
--- a/integration/pairs_test.go
+++ b/integration/pairs_test.go
@@ -9,7 +9,7 @@
 
 	"tarragonbay.example/tarragonbay/integration/harness"
 	"tarragonbay.example/tarragonbay/internal/history"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
 	"tarragonbay.example/tarragonbay/internal/standin/service"
 )
--- a/integration/recovery_test.go
+++ b/integration/recovery_test.go
@@ -11,7 +11,7 @@
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/entry"
 	"tarragonbay.example/tarragonbay/internal/learned"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
--- a/integration/state_test.go
+++ b/integration/state_test.go
@@ -12,8 +12,8 @@
 	"tarragonbay.example/tarragonbay/internal/adminapi"
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/lease"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
-	"tarragonbay.example/tarragonbay/internal/platform/wire"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/wire"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,7 +18,7 @@
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/order"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
 	"tarragonbay.example/tarragonbay/internal/watch"
@@ -46,7 +46,7 @@
 
 // Sampler hands answers in for rating. It is implemented by watch.Sampler.
 type Sampler interface {
-	Submit(sample platform.Sample)
+	Submit(sample ports.Sample)
 }
 
 // Options configure an Agent.
@@ -60,7 +60,7 @@
 	Sampler     Sampler
 	// Marks is the table service, where the host remembers which new versions
 	// it ran and reads the highest fencing numbers.
-	Marks   platform.Table
+	Marks   ports.Table
 	Timing  link.Timing
 	Log     *zap.Logger
 	Metrics *telemetry.Metrics
@@ -82,7 +82,7 @@
 	gate        *order.Gate
 	watch       *watch.Host
 	sampler     Sampler
-	marks       platform.Table
+	marks       ports.Table
 	log         *zap.Logger
 	now         func() time.Time
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -15,8 +15,8 @@
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/standin/engine"
@@ -42,7 +42,7 @@
 func (c *charges) Charge(charge *linkv1.Charge)        { c.all = append(c.all, charge) }
 func (c *charges) Durable() uint64                     { return 0 }
 func (c *charges) HandIn(charges []*linkv1.Charge) int { return len(charges) }
-func (c *charges) Submit(sample platform.Sample)       {}
+func (c *charges) Submit(sample ports.Sample)          {}
 func object(kind catalog.Kind, name string, v any) catalog.Object {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -11,7 +11,7 @@
 	"tarragonbay.example/tarragonbay/internal/chat"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/upstream"
 	"tarragonbay.example/tarragonbay/internal/watch"
@@ -226,7 +226,7 @@
 	if err != nil || !j.req.GetRate() {
 		return
 	}
-	a.sampler.Submit(platform.Sample{
+	a.sampler.Submit(ports.Sample{
 		RequestID: watch.SampleID(j.req.GetRequestId(), j.req.GetShadow()),
 		Version:   version,
 		Class:     j.req.GetRequestClass(),
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/attempt"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -15,7 +15,7 @@
 
 // Options configure a Book.
 type Options struct {
-	Table  platform.Table
+	Table  ports.Table
 	Settle SettleFunc
 	Fetch  FetchFunc
 	// Now is the wall clock.
@@ -111,10 +111,10 @@
 // write commits the claim's record over the row's version and moves the
 // claim's version on.
 func (c *Claim) write(ctx context.Context, over uint64) error {
-	err := platform.CommitResolved(ctx, c.book.opts.Table, platform.Txn{
+	err := ports.CommitResolved(ctx, c.book.opts.Table, ports.Txn{
 		OperationID: c.book.opts.NewID(),
-		Conditions:  []platform.Condition{{Key: c.key, Version: over}},
-		Writes:      []platform.Write{{Key: c.key, Value: c.rec.encode()}},
+		Conditions:  []ports.Condition{{Key: c.key, Version: over}},
+		Writes:      []ports.Write{{Key: c.key, Value: c.rec.encode()}},
 	})
 	if err == nil {
 		c.version = over + 1
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/attempt"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
--- a/internal/claim/collect.go
+++ b/internal/claim/collect.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 // Slices is the number of parts into which the rows are divided for
@@ -24,7 +24,7 @@
 // Collect deletes the expired rows of one slice, 0 to Slices-1. It is a step
 // of a work item, which goes through the slices slowly: one pass over all of
 // them each Memory reads every row once. pause waits between pages.
-func Collect(ctx context.Context, t platform.Table, slice int, now time.Time, newID func() string, pause func(context.Context) error) (Collected, error) {
+func Collect(ctx context.Context, t ports.Table, slice int, now time.Time, newID func() string, pause func(context.Context) error) (Collected, error) {
 	var total Collected
 	from := fmt.Sprintf("%s%02x", prefix, slice)
 	to := prefixEnd
@@ -50,20 +50,20 @@
 }
 
 // deleteExpired deletes the expired rows in one transaction.
-func deleteExpired(ctx context.Context, t platform.Table, rows []platform.Row, now time.Time, operationID string) (int, error) {
-	txn := platform.Txn{OperationID: operationID}
+func deleteExpired(ctx context.Context, t ports.Table, rows []ports.Row, now time.Time, operationID string) (int, error) {
+	txn := ports.Txn{OperationID: operationID}
 	for _, row := range rows {
 		rec, err := decode(row.Value)
 		if err != nil || now.Before(rec.Expires) {
 			continue
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Conditions = append(txn.Conditions, ports.Condition{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, ports.Write{Key: row.Key, Delete: true})
 	}
 	if len(txn.Writes) == 0 {
 		return 0, nil
 	}
-	if err := platform.CommitResolved(ctx, t, txn); err != nil {
+	if err := ports.CommitResolved(ctx, t, txn); err != nil {
 		return 0, err
 	}
 	return len(txn.Writes), nil
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/client"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/client"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
@@ -129,7 +129,7 @@
 	return publish.Store{Table: table, Objects: objects}, err
 }
 
-func (a *app) services() (platform.Table, platform.Objects, error) {
+func (a *app) services() (ports.Table, ports.Objects, error) {
 	if a.settings != "" {
 		s, err := settings.Load(a.settings)
 		if err != nil {
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -13,7 +13,7 @@
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/membership"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
 	"tarragonbay.example/tarragonbay/internal/watch"
@@ -75,7 +75,7 @@
 	return membership.NewListWatch(membership.ListOptions{
 		Self:  d.settings.Name,
 		Hosts: d.ports.Hosts,
-		OnRead: func(list []platform.HostState, _ int, err error) {
+		OnRead: func(list []ports.HostState, _ int, err error) {
 			if err == nil {
 				r.agent.SetLeaving(isLeaving(list, d.settings.Name))
 			}
@@ -108,7 +108,7 @@
 
 // isLeaving reports whether the list says that the host leaves. A host that is
 // not on the list is taken to stay: the list lags.
-func isLeaving(list []platform.HostState, name string) bool {
+func isLeaving(list []ports.HostState, name string) bool {
 	for _, h := range list {
 		if h.Name == name {
 			return h.Leaving
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,8 +21,8 @@
 	"tarragonbay.example/tarragonbay/internal/httpserver"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/membership"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/client"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/client"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
@@ -32,11 +32,11 @@
 
 // Ports are the platform's services as one daemon uses them.
 type Ports struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Hosts   platform.Hosts
-	Ratings platform.Ratings
-	Weights platform.Weights
+	Table   ports.Table
+	Objects ports.Objects
+	Hosts   ports.Hosts
+	Ratings ports.Ratings
+	Weights ports.Weights
 }
 
 // connectPlatform returns clients of the services named in the settings.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -12,7 +12,7 @@
 	"testing/synctest"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -22,8 +22,8 @@
 	"tarragonbay.example/tarragonbay/examples"
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/daemon"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
@@ -92,7 +92,7 @@
 }
 
 // judge rates an answer of the engine stand-in.
-func judge(s platform.Sample) bool { return !strings.Contains(s.Answer, "wrong") }
+func judge(s ports.Sample) bool { return !strings.Contains(s.Answer, "wrong") }
 
 func load(fsys fs.FS) (*catalog.Set, error) {
 	src, err := catalog.Load(fsys)
@@ -179,7 +179,7 @@
 		if objects[i].Spec, err = encode(u); err != nil {
 			return nil, err
 		}
-		d.platform.Hosts.Put(platform.HostState{Name: u.Host, Domain: u.Domain, Address: u.Agent})
+		d.platform.Hosts.Put(ports.HostState{Name: u.Host, Domain: u.Domain, Address: u.Agent})
 	}
 	return catalog.NewSet(objects)
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -19,7 +19,7 @@
 	"tarragonbay.example/tarragonbay/internal/claim"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/route"
 	"tarragonbay.example/tarragonbay/internal/session"
--- a/internal/entry/learner.go
+++ b/internal/entry/learner.go
@@ -7,7 +7,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/telemetry"
 	"tarragonbay.example/tarragonbay/internal/watch"
@@ -78,7 +78,7 @@
 }
 
 // rated counts a batch of the stream of ratings, which ends at the cursor.
-func (l *learner) rated(ctx context.Context, batch []platform.Rating, cursor uint64) error {
+func (l *learner) rated(ctx context.Context, batch []ports.Rating, cursor uint64) error {
 	return l.do(ctx, func(b *quality.Book) {
 		totals := quality.Totals{}
 		for _, r := range batch {
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/watch"
 )
@@ -21,7 +21,7 @@
 // Rate takes over what other entries learned, and reads new ratings from the
 // rating service until ctx ends. While the service is away the estimates stay
 // as they are. A nil recall learns from the first rating on.
-func (e *Entry) Rate(ctx context.Context, ratings platform.Ratings, recall Recall) error {
+func (e *Entry) Rate(ctx context.Context, ratings ports.Ratings, recall Recall) error {
 	if !e.configured(ctx) {
 		return nil
 	}
@@ -72,7 +72,7 @@
 }
 
 // countRatings adds the last batch to the estimates, unless they hold it.
-func (e *Entry) countRatings(ctx context.Context, s *ratingStream, batch []platform.Rating) error {
+func (e *Entry) countRatings(ctx context.Context, s *ratingStream, batch []ports.Rating) error {
 	switch {
 	case s.cursor > s.counted:
 	case s.wentBack():
@@ -87,7 +87,7 @@
 // ratingStream is how far this process has read the ratings. Cursors are only
 // compared: how far they are apart means nothing.
 type ratingStream struct {
-	ratings platform.Ratings
+	ratings ports.Ratings
 	// cursor is the place up to which the watch over versions has read.
 	cursor uint64
 	// counted is the place up to which the estimates hold the ratings. When
@@ -109,7 +109,7 @@
 }
 
 // next reads one batch. None reaches over the place where counting starts.
-func (s *ratingStream) next(ctx context.Context) (batch []platform.Rating, more bool, err error) {
+func (s *ratingStream) next(ctx context.Context) (batch []ports.Rating, more bool, err error) {
 	for {
 		batch, next, err := s.ratings.Since(ctx, s.cursor, s.limit)
 		if err != nil {
--- a/internal/entry/recall_test.go
+++ b/internal/entry/recall_test.go
@@ -16,8 +16,8 @@
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -81,7 +81,7 @@
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, config: rollingOut(t, 0), entries: map[string]*Entry{}, version: oldKey.Version}
-	s.platform = fake.New(fake.Options{Judge: func(platform.Sample) bool {
+	s.platform = fake.New(fake.Options{Judge: func(ports.Sample) bool {
 		s.bad--
 		return s.bad < 0
 	}})
@@ -93,7 +93,7 @@
 	s.t.Helper()
 	for range n {
 		s.requests++
-		sample := platform.Sample{RequestID: fmt.Sprint(s.requests), Version: s.version}
+		sample := ports.Sample{RequestID: fmt.Sprint(s.requests), Version: s.version}
 		if err := s.platform.Ratings.Submit(s.t.Context(), sample); err != nil {
 			s.t.Fatal(err)
 		}
--- a/internal/entry/seen.go
+++ b/internal/entry/seen.go
@@ -1,6 +1,6 @@
 package entry
 
-import "tarragonbay.example/tarragonbay/internal/platform"
+import "tarragonbay.example/tarragonbay/internal/ports"
 
 // seenKept is how many ratings are remembered. An answer that is handed in twice,
 // since the first reply was lost, is handed in again within seconds.
@@ -18,8 +18,8 @@
 type ratedAnswer struct{ request, version string }
 
 // firsts returns the ratings of the batch that are the first of their answer.
-func (s *seenRatings) firsts(batch []platform.Rating) []platform.Rating {
-	out := make([]platform.Rating, 0, len(batch))
+func (s *seenRatings) firsts(batch []ports.Rating) []ports.Rating {
+	out := make([]ports.Rating, 0, len(batch))
 	for _, r := range batch {
 		if s.add(ratedAnswer{request: r.RequestID, version: r.Version}) {
 			out = append(out, r)
--- a/internal/entry/seen_test.go
+++ b/internal/entry/seen_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"testing/synctest"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 func TestAnAnswerHandedInTwiceIsRatedOnce(t *testing.T) {
@@ -31,8 +31,8 @@
 func TestSeenRatingsAreBounded(t *testing.T) {
 	var seen seenRatings
 	for i := range 3 * seenKept {
-		r := platform.Rating{RequestID: fmt.Sprint(i), Version: "m@1"}
-		if n := len(seen.firsts([]platform.Rating{r, r})); n != 1 {
+		r := ports.Rating{RequestID: fmt.Sprint(i), Version: "m@1"}
+		if n := len(seen.firsts([]ports.Rating{r, r})); n != 1 {
 			t.Fatalf("%d ratings of answer %d are taken, want 1", n, i)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,13 +7,13 @@
 
 var t0 = time.Unix(1000, 0)
 
-func up(id string) Upstream { return Upstream{ID: id, Service: "s", Address: id + ":1", Version: "v1"} }
+func up() Upstream { return Upstream{ID: "a", Service: "s", Address: "a:1", Version: "v1"} }
 
 func ids(f *Fleet) int { return len(f.ByService()["s"]) }
 
 func TestRemovalWaitsForTheGrace(t *testing.T) {
 	f := New()
-	f.Put(up("a"), 5)
+	f.Put(up(), 5)
 	f.Remove("a", 6, t0.Add(2*time.Second))
 	if gone := f.Expire(t0); len(gone) != 0 || ids(f) != 1 {
 		t.Errorf("gone at once: %v", gone)
@@ -25,9 +25,9 @@
 
 func TestEntryThatComesBackIsKept(t *testing.T) {
 	f := New()
-	f.Put(up("a"), 5)
+	f.Put(up(), 5)
 	f.RemoveOthers(nil, t0.Add(2*time.Second))
-	f.Put(up("a"), 10)
+	f.Put(up(), 10)
 	if gone := f.Expire(t0.Add(time.Minute)); len(gone) != 0 || ids(f) != 1 {
 		t.Errorf("gone: %v", gone)
 	}
@@ -37,13 +37,13 @@
 // changes nothing.
 func TestOldNewsIsIgnored(t *testing.T) {
 	f := New()
-	leaving := up("a")
+	leaving := up()
 	leaving.Leaving = true
 	f.Put(leaving, 7)
-	if f.Put(up("a"), 6) || ids(f) != 0 {
+	if f.Put(up(), 6) || ids(f) != 0 {
 		t.Error("an old row brought a leaving upstream back")
 	}
-	f.Put(up("a"), 8)
+	f.Put(up(), 8)
 	f.Remove("a", 7, t0)
 	if gone := f.Expire(t0.Add(time.Second)); len(gone) != 0 {
 		t.Error("an old removal took an upstream away")
@@ -52,7 +52,7 @@
 
 func TestSecondListDoesNotExtendTheGrace(t *testing.T) {
 	f := New()
-	f.Put(up("a"), 5)
+	f.Put(up(), 5)
 	f.RemoveOthers(nil, t0.Add(time.Second))
 	f.RemoveOthers(nil, t0.Add(time.Hour))
 	if gone := f.Expire(t0.Add(time.Second)); len(gone) != 1 {
@@ -62,7 +62,7 @@
 
 func TestLeavingTakesNothingNew(t *testing.T) {
 	f := New()
-	u := up("a")
+	u := up()
 	u.Leaving = true
 	f.Put(u, 1)
 	if ids(f) != 0 || f.Len() != 1 {
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -15,11 +15,10 @@
 }
 
 type slice struct {
-	second           int64
-	newGood, newBad  int
-	oldGood, oldBad  int
-	badUpstreams     map[string]bool
-	lastOldUpstreams map[string]bool
+	second          int64
+	newGood, newBad int
+	oldGood, oldBad int
+	badUpstreams    map[string]bool
 }
 
 const evidenceSlices = int(versionshift.EvidenceWindow/time.Second) + 1
--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -232,7 +232,7 @@
 	defer b.mu.Unlock()
 	var out []versionshift.Order
 	for _, s := range b.services {
-		if s.ordered && !(s.current() && s.state.Ended()) {
+		if s.ordered && (!s.current() || !s.state.Ended()) {
 			out = append(out, s.order)
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -208,7 +208,7 @@
 	in := bufio.NewReaderSize(e, 2<<10)
 	for n := 0; ; n++ {
 		event, err := r.next(in)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			j.whole()
 			return nil
 		}
@@ -250,9 +250,9 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case err == io.EOF && len(r.buffer) == 0:
+		case errors.Is(err, io.EOF) && len(r.buffer) == 0:
 			return nil, io.EOF
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return nil, errBadEvent
 		case err != nil:
 			return nil, err
--- a/internal/gateway/upstreams_test.go
+++ b/internal/gateway/upstreams_test.go
@@ -35,8 +35,9 @@
 	})
 }
 
-func row(id, value string, rev uint64) store.Row {
-	return store.Row{Key: store.Key{Name: id}, Value: []byte(value), Rev: rev, Removed: value == ""}
+// row is a row of the upstream "a"; an empty value is its removal.
+func row(value string, rev uint64) store.Row {
+	return store.Row{Key: store.Key{Name: "a"}, Value: []byte(value), Rev: rev, Removed: value == ""}
 }
 
 // TestRowsAreTakenInOrder replays the feed of a gateway that was cut off while
@@ -49,11 +50,11 @@
 		rows []store.Row
 		want int
 	}{
-		{"came and went", []store.Row{row("a", "v1 ready", 40), row("a", "", 50)}, 0},
-		{"went and came back", []store.Row{row("a", "", 40), row("a", "v1 ready", 50)}, 1},
-		{"was spoilt", []store.Row{row("a", "v1 ready", 40), row("a", "torn", 50)}, 0},
-		{"was mended", []store.Row{row("a", "torn", 40), row("a", "v1 ready", 50)}, 1},
-		{"left", []store.Row{row("a", "v1 ready", 40), row("a", "v1 leaving", 50)}, 0},
+		{"came and went", []store.Row{row("v1 ready", 40), row("", 50)}, 0},
+		{"went and came back", []store.Row{row("", 40), row("v1 ready", 50)}, 1},
+		{"was spoilt", []store.Row{row("v1 ready", 40), row("torn", 50)}, 0},
+		{"was mended", []store.Row{row("torn", 40), row("v1 ready", 50)}, 1},
+		{"left", []store.Row{row("v1 ready", 40), row("v1 leaving", 50)}, 0},
 	} {
 		for _, before := range []bool{false, true} {
 			known := fleet.New()
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -11,7 +11,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
--- a/internal/learned/recall.go
+++ b/internal/learned/recall.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/quality"
 )
 
@@ -22,7 +22,7 @@
 
 // Source is where an entry that starts looks for what was learned before.
 type Source struct {
-	Table platform.Table
+	Table ports.Table
 	// Self is the address of this entry, which is not asked.
 	Self string
 	// Peers lists daemons of any role. Agents name entries that are asked next.
--- a/internal/learned/store.go
+++ b/internal/learned/store.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"tarragonbay.example/tarragonbay/internal/lease"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/quality"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/wait"
@@ -36,7 +36,7 @@
 
 // Saver writes the platform's copy while it holds the lease.
 type Saver struct {
-	Table platform.Table
+	Table ports.Table
 	// Address of this entry on the link.
 	Address string
 	// Memory returns what this entry has learned.
@@ -83,10 +83,10 @@
 	if err != nil {
 		return result.Wrap(err, result.Internal, "the copy cannot be written")
 	}
-	return held.Commit(ctx, platform.Txn{
+	return held.Commit(ctx, ports.Txn{
 		OperationID: uuid.NewString(),
-		Conditions:  []platform.Condition{{Key: RowKey, Version: before.Version}},
-		Writes:      []platform.Write{{Key: RowKey, Value: value}},
+		Conditions:  []ports.Condition{{Key: RowKey, Version: before.Version}},
+		Writes:      []ports.Write{{Key: RowKey, Value: value}},
 	})
 }
 
--- a/internal/lease/bounds_test.go
+++ b/internal/lease/bounds_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 )
 
 // The bounds of leases, from the target of 320 daemons, 2,000 table reads and
--- a/internal/lease/held.go
+++ b/internal/lease/held.go
@@ -7,13 +7,13 @@
 
 	"github.com/google/uuid"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
 // Held is one tenure of a lease. It is safe for concurrent use.
 type Held struct {
-	table    platform.Table
+	table    ports.Table
 	item     string
 	owner    Owner
 	duration time.Duration
@@ -49,20 +49,20 @@
 
 // Condition returns what a transaction must hold to be this tenure's. It
 // stays the same through renewals.
-func (h *Held) Condition() platform.Condition {
-	return platform.Condition{Key: TenureKey(h.item, h.owner.Fence), Version: 1}
+func (h *Held) Condition() ports.Condition {
+	return ports.Condition{Key: TenureKey(h.item, h.owner.Fence), Version: 1}
 }
 
 // Commit writes under the lease: the transaction takes effect only while this
 // tenure lasts, whatever this process believes. LeaseLost means that it did
 // not and that another tenure has begun; TableConflict that another of its
 // conditions failed.
-func (h *Held) Commit(ctx context.Context, txn platform.Txn) error {
+func (h *Held) Commit(ctx context.Context, txn ports.Txn) error {
 	if err := h.Check(); err != nil {
 		return err
 	}
-	txn.Conditions = append([]platform.Condition{h.Condition()}, txn.Conditions...)
-	err := platform.CommitResolved(ctx, h.table, txn)
+	txn.Conditions = append([]ports.Condition{h.Condition()}, txn.Conditions...)
+	err := ports.CommitResolved(ctx, h.table, txn)
 	if !result.Is(err, result.TableConflict) {
 		return err
 	}
@@ -83,10 +83,10 @@
 
 // SaveNote leaves progress for the next holder and returns the new version.
 func (h *Held) SaveNote(ctx context.Context, note []byte, version uint64) (uint64, error) {
-	err := h.Commit(ctx, platform.Txn{
+	err := h.Commit(ctx, ports.Txn{
 		OperationID: uuid.NewString(),
-		Conditions:  []platform.Condition{{Key: NoteKey(h.item), Version: version}},
-		Writes:      []platform.Write{{Key: NoteKey(h.item), Value: note}},
+		Conditions:  []ports.Condition{{Key: NoteKey(h.item), Version: version}},
+		Writes:      []ports.Write{{Key: NoteKey(h.item), Value: note}},
 	})
 	if err != nil {
 		return version, err
@@ -107,10 +107,10 @@
 	if err != nil {
 		return err
 	}
-	err = platform.CommitResolved(ctx, h.table, platform.Txn{
+	err = ports.CommitResolved(ctx, h.table, ports.Txn{
 		OperationID: uuid.NewString(),
-		Conditions:  []platform.Condition{h.Condition(), {Key: BeatKey(h.item), Version: version}},
-		Writes:      []platform.Write{w},
+		Conditions:  []ports.Condition{h.Condition(), {Key: BeatKey(h.item), Version: version}},
+		Writes:      []ports.Write{w},
 	})
 	if result.Is(err, result.TableConflict) {
 		return h.reread(ctx)
@@ -161,10 +161,10 @@
 	if err != nil {
 		return err
 	}
-	return platform.CommitResolved(ctx, h.table, platform.Txn{
+	return ports.CommitResolved(ctx, h.table, ports.Txn{
 		OperationID: uuid.NewString(),
-		Conditions:  []platform.Condition{h.Condition(), {Key: BeatKey(h.item), Version: version}},
-		Writes:      []platform.Write{w},
+		Conditions:  []ports.Condition{h.Condition(), {Key: BeatKey(h.item), Version: version}},
+		Writes:      []ports.Write{w},
 	})
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -12,15 +12,15 @@
 	"pgregory.net/rapid"
 
 	"tarragonbay.example/tarragonbay/internal/order"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
 // pausable is a table as seen by a process that can be paused: its calls wait
 // until it runs again.
 type pausable struct {
-	platform.Table
+	ports.Table
 	mu   sync.Mutex
 	gate chan struct{}
 }
@@ -47,12 +47,12 @@
 	}
 }
 
-func (p *pausable) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (p *pausable) Get(ctx context.Context, key string) (ports.Row, bool, error) {
 	p.wait()
 	return p.Table.Get(ctx, key)
 }
 
-func (p *pausable) Commit(ctx context.Context, txn platform.Txn) error {
+func (p *pausable) Commit(ctx context.Context, txn ports.Txn) error {
 	p.wait()
 	return p.Table.Commit(context.WithoutCancel(ctx), txn)
 }
@@ -85,7 +85,7 @@
 }
 
 // run starts a manager that works until its lease is lost.
-func (g *group) run(ctx context.Context, name string, table platform.Table) {
+func (g *group) run(ctx context.Context, name string, table ports.Table) {
 	m := NewManager(Options{Table: table, Name: name, Candidates: g.candidates})
 	g.done.Go(func() { _ = m.Run(ctx, "item", g.work(name)) })
 }
@@ -234,14 +234,14 @@
 		if now.name != "b" || now.fence != old.Fence()+1 {
 			t.Fatalf("the lease went to %+v", now)
 		}
-		act := platform.Txn{
+		act := ports.Txn{
 			OperationID: uuid.NewString(),
-			Conditions:  []platform.Condition{guard},
-			Writes:      []platform.Write{{Key: "work", Value: []byte("stale")}},
+			Conditions:  []ports.Condition{guard},
+			Writes:      []ports.Write{{Key: "work", Value: []byte("stale")}},
 		}
 		wantCode(t, g.table.Commit(ctx, act), result.TableConflict)
 		wantCode(t, old.Check(), result.LeaseLost)
-		if err := current.Commit(ctx, platform.Txn{OperationID: "b", Writes: []platform.Write{{Key: "work", Value: []byte("new")}}}); err != nil {
+		if err := current.Commit(ctx, ports.Txn{OperationID: "b", Writes: []ports.Write{{Key: "work", Value: []byte("new")}}}); err != nil {
 			t.Error(err)
 		}
 		paused.resume()
@@ -255,7 +255,7 @@
 
 // checkGate sends the orders of both holders through an agent's gate that has
 // restarted and forgotten the highest number.
-func checkGate(t *testing.T, table platform.Table, old, current *Held) {
+func checkGate(t *testing.T, table ports.Table, old, current *Held) {
 	t.Helper()
 	gate := order.NewGate()
 	send := func(h *Held) error {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -12,14 +12,14 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
 // Options configure a Manager. Zero fields take the defaults.
 type Options struct {
-	Table platform.Table
+	Table ports.Table
 	// Name of this daemon.
 	Name string
 	// Duration is how long a holder may go without a renewal.
@@ -164,12 +164,12 @@
 		return nil, err
 	}
 	if before.Fence > 0 {
-		writes = append(writes, platform.Write{Key: TenureKey(item, before.Fence), Delete: true})
+		writes = append(writes, ports.Write{Key: TenureKey(item, before.Fence), Delete: true})
 	}
 	started := time.Now()
-	err = platform.CommitResolved(ctx, m.options.Table, platform.Txn{
+	err = ports.CommitResolved(ctx, m.options.Table, ports.Txn{
 		OperationID: owner.Token,
-		Conditions: []platform.Condition{
+		Conditions: []ports.Condition{
 			{Key: OwnerKey(item), Version: row.Version},
 			{Key: BeatKey(item), Version: beatVersion},
 			lastKept,
@@ -195,15 +195,15 @@
 // lastFence returns the fencing number of the item's last tenure, and the
 // condition that it is still the last: its tenure row, or for an item without
 // rows the floor.
-func (m *Manager) lastFence(ctx context.Context, item string, before Owner) (uint64, platform.Condition, error) {
+func (m *Manager) lastFence(ctx context.Context, item string, before Owner) (uint64, ports.Condition, error) {
 	if before.Fence > 0 {
-		return before.Fence, platform.Condition{Key: TenureKey(item, before.Fence), Version: 1}, nil
+		return before.Fence, ports.Condition{Key: TenureKey(item, before.Fence), Version: 1}, nil
 	}
 	f, version, err := readFloor(ctx, m.options.Table)
-	return f.Fence, platform.Condition{Key: FloorKey, Version: version}, err
+	return f.Fence, ports.Condition{Key: FloorKey, Version: version}, err
 }
 
-func readFloor(ctx context.Context, t platform.Table) (floor, uint64, error) {
+func readFloor(ctx context.Context, t ports.Table) (floor, uint64, error) {
 	row, _, err := t.Get(ctx, FloorKey)
 	if err != nil {
 		return floor{}, 0, err
@@ -213,7 +213,7 @@
 }
 
 // tenureWrites returns the rows of a tenure that begins.
-func tenureWrites(item string, owner Owner, duration time.Duration) ([]platform.Write, error) {
+func tenureWrites(item string, owner Owner, duration time.Duration) ([]ports.Write, error) {
 	ownerWrite, err := write(OwnerKey(item), owner)
 	if err != nil {
 		return nil, err
@@ -222,8 +222,8 @@
 	if err != nil {
 		return nil, err
 	}
-	tenure := platform.Write{Key: TenureKey(item, owner.Fence), Value: []byte(owner.Holder)}
-	return []platform.Write{ownerWrite, beatWrite, tenure}, nil
+	tenure := ports.Write{Key: TenureKey(item, owner.Fence), Value: []byte(owner.Holder)}
+	return []ports.Write{ownerWrite, beatWrite, tenure}, nil
 }
 
 // do runs the work and renews the lease beside it.
@@ -307,7 +307,7 @@
 // HighestFence returns the fencing number of an item's last tenure, or that of
 // all items whose rows were deleted. An agent that has restarted reads it before
 // it passes any order.
-func HighestFence(ctx context.Context, t platform.Table, item string) (uint64, error) {
+func HighestFence(ctx context.Context, t ports.Table, item string) (uint64, error) {
 	row, found, err := t.Get(ctx, OwnerKey(item))
 	if err != nil {
 		return 0, err
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -17,7 +17,7 @@
 	"fmt"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -70,7 +70,7 @@
 	Released bool `json:"released,omitempty"`
 }
 
-func decode[T any](row platform.Row) (T, error) {
+func decode[T any](row ports.Row) (T, error) {
 	var out T
 	if len(row.Value) == 0 {
 		return out, nil
@@ -81,12 +81,12 @@
 	return out, nil
 }
 
-func write(key string, value any) (platform.Write, error) {
+func write(key string, value any) (ports.Write, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Write{}, result.Wrap(err, result.Internal, "row %s cannot be written", key)
+		return ports.Write{}, result.Wrap(err, result.Internal, "row %s cannot be written", key)
 	}
-	return platform.Write{Key: key, Value: data}, nil
+	return ports.Write{Key: key, Value: data}, nil
 }
 
 // The margins of a lease.
--- a/internal/lease/retire.go
+++ b/internal/lease/retire.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/uuid"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -62,13 +62,13 @@
 	if err != nil {
 		return err
 	}
-	writes := []platform.Write{raised}
+	writes := []ports.Write{raised}
 	for _, key := range []string{OwnerKey(h.item), BeatKey(h.item), NoteKey(h.item), h.Condition().Key} {
-		writes = append(writes, platform.Write{Key: key, Delete: true})
+		writes = append(writes, ports.Write{Key: key, Delete: true})
 	}
-	err = platform.CommitResolved(ctx, h.table, platform.Txn{
+	err = ports.CommitResolved(ctx, h.table, ports.Txn{
 		OperationID: uuid.NewString(),
-		Conditions:  []platform.Condition{h.Condition(), {Key: FloorKey, Version: version}},
+		Conditions:  []ports.Condition{h.Condition(), {Key: FloorKey, Version: version}},
 		Writes:      writes,
 	})
 	if result.Is(err, result.TableConflict) {
--- a/internal/lease/retire_test.go
+++ b/internal/lease/retire_test.go
@@ -10,8 +10,8 @@
 
 	"pgregory.net/rapid"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -47,7 +47,7 @@
 				time.Sleep(time.Second)
 				next, _ = b.Try(ctx, "item")
 			}
-			stale := platform.Txn{OperationID: "stale", Conditions: []platform.Condition{old.Condition()}, Writes: []platform.Write{{Key: "work", Value: []byte("x")}}}
+			stale := ports.Txn{OperationID: "stale", Conditions: []ports.Condition{old.Condition()}, Writes: []ports.Write{{Key: "work", Value: []byte("x")}}}
 			wantCode(t, table.Commit(ctx, stale), result.TableConflict)
 			wantCode(t, old.renew(ctx), result.LeaseLost)
 			if next.Fence() <= old.Fence() || next.Check() != nil {
@@ -90,7 +90,7 @@
 	if held.Fence() <= last {
 		rt.Fatalf("%s: fencing number %d after %d", item, held.Fence(), last)
 	}
-	if err := held.Commit(ctx, platform.Txn{OperationID: held.owner.Token + "work"}); err != nil {
+	if err := held.Commit(ctx, ports.Txn{OperationID: held.owner.Token + "work"}); err != nil {
 		rt.Fatal(err)
 	}
 	if err := held.release(ctx); err != nil {
--- a/internal/ledger/charger.go
+++ b/internal/ledger/charger.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -48,8 +48,8 @@
 	// Agent and Incarnation name the agent that makes the charges.
 	Agent       string
 	Incarnation uint64
-	Table       platform.Table
-	Objects     platform.Objects
+	Table       ports.Table
+	Objects     ports.Objects
 	// Every returns the pause until the next write.
 	Every func() time.Duration
 	// NewID returns a new operation ID.
@@ -162,7 +162,7 @@
 	for o, list := range byOrigin {
 		rows = append(rows, c.handedIn(o, list)...)
 	}
-	if platform.CommitResolved(ctx, c.opts.Table, writeAll(c.opts.NewID(), rows)) != nil {
+	if ports.CommitResolved(ctx, c.opts.Table, writeAll(c.opts.NewID(), rows)) != nil {
 		return 0
 	}
 	return len(charges)
@@ -249,7 +249,7 @@
 func (c *Charger) write(ctx context.Context, g *group) bool {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := platform.CommitResolved(ctx, c.opts.Table, writeAll(g.operation, g.rows))
+	err := ports.CommitResolved(ctx, c.opts.Table, writeAll(g.operation, g.rows))
 	g.tried = g.tried || result.Is(err, result.TableUnknown)
 	return err == nil || result.Is(err, result.TableConflict)
 }
--- a/internal/ledger/charger_test.go
+++ b/internal/ledger/charger_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 )
 
 func charge(request string, step uint32, tokens uint64) *linkv1.Charge {
--- a/internal/ledger/fold.go
+++ b/internal/ledger/fold.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 const (
@@ -23,8 +23,8 @@
 
 // FolderOptions configure a Folder.
 type FolderOptions struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   ports.Table
+	Objects ports.Objects
 	Now     func() time.Time
 	NewID   func() string
 	// After is how old a minute is when it is folded, FoldAfter in service.
@@ -92,7 +92,7 @@
 	total  *Folded
 
 	// rows and objects are what the first pass saw and the end deletes.
-	rows    []platform.Row
+	rows    []ports.Row
 	objects []string
 	// ranges are the charges that are counted in sums.
 	ranges []*linkv1.SumRange
@@ -195,7 +195,7 @@
 	}
 }
 
-func (m *minuteFold) oneBlock(ctx context.Context, row platform.Row, note bool, do func(*linkv1.ChargeBlock, []entry)) error {
+func (m *minuteFold) oneBlock(ctx context.Context, row ports.Row, note bool, do func(*linkv1.ChargeBlock, []entry)) error {
 	b, entries, err := decodeBlock(row.Value)
 	object := b.GetObject()
 	if err == nil && object != "" {
@@ -214,7 +214,7 @@
 	do(b, entries)
 	if note {
 		m.total.Blocks++
-		m.rows = append(m.rows, platform.Row{Key: row.Key, Version: row.Version})
+		m.rows = append(m.rows, ports.Row{Key: row.Key, Version: row.Version})
 		if object != "" {
 			m.objects = append(m.objects, object)
 		}
@@ -226,16 +226,16 @@
 func (m *minuteFold) clean(ctx context.Context) error {
 	for rows := m.rows; len(rows) > 0; {
 		n := min(len(rows), foldPage)
-		txn := platform.Txn{OperationID: m.folder.opts.NewID()}
+		txn := ports.Txn{OperationID: m.folder.opts.NewID()}
 		for _, row := range rows[:n] {
-			txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
-			txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+			txn.Conditions = append(txn.Conditions, ports.Condition{Key: row.Key, Version: row.Version})
+			txn.Writes = append(txn.Writes, ports.Write{Key: row.Key, Delete: true})
 		}
 		rows = rows[n:]
 		if err := m.held(); err != nil {
 			return err
 		}
-		if err := platform.CommitResolved(ctx, m.folder.opts.Table, txn); err != nil {
+		if err := ports.CommitResolved(ctx, m.folder.opts.Table, txn); err != nil {
 			return err
 		}
 	}
--- a/internal/ledger/fold_test.go
+++ b/internal/ledger/fold_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 )
 
 func contextWithCancel(t *testing.T) (context.Context, context.CancelFunc) {
--- a/internal/ledger/merge.go
+++ b/internal/ledger/merge.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -92,10 +92,10 @@
 		return entries, err
 	}
 	key := bucketKey(m.minute, shard)
-	return entries, platform.CommitResolved(ctx, f.opts.Table, platform.Txn{
+	return entries, ports.CommitResolved(ctx, f.opts.Table, ports.Txn{
 		OperationID: f.opts.NewID(),
-		Conditions:  []platform.Condition{{Key: key, Version: version}},
-		Writes:      []platform.Write{{Key: key, Value: encode(bucket)}},
+		Conditions:  []ports.Condition{{Key: key, Version: version}},
+		Writes:      []ports.Write{{Key: key, Value: encode(bucket)}},
 	})
 }
 
--- a/internal/ledger/rows.go
+++ b/internal/ledger/rows.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 // The keys of the ledger's rows and the names of its objects. Blocks that
@@ -88,11 +88,11 @@
 }
 
 // writeAll returns the transaction that creates the rows.
-func writeAll(operationID string, rows []blockRow) platform.Txn {
-	txn := platform.Txn{OperationID: operationID}
+func writeAll(operationID string, rows []blockRow) ports.Txn {
+	txn := ports.Txn{OperationID: operationID}
 	for _, r := range rows {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: r.key})
-		txn.Writes = append(txn.Writes, platform.Write{Key: r.key, Value: r.value})
+		txn.Conditions = append(txn.Conditions, ports.Condition{Key: r.key})
+		txn.Writes = append(txn.Writes, ports.Write{Key: r.key, Value: r.value})
 	}
 	return txn
 }
--- a/internal/ledger/sums.go
+++ b/internal/ledger/sums.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 // Sum is what one organisation owes for one version or service.
@@ -60,7 +60,7 @@
 // both cut to the minute.
 func (f *Folder) Sums(ctx context.Context, from, to time.Time) ([]Sum, error) {
 	var all []entry
-	err := f.eachBucket(ctx, from, to, func(_ platform.Row, b *linkv1.ChargeBucket) error {
+	err := f.eachBucket(ctx, from, to, func(_ ports.Row, b *linkv1.ChargeBucket) error {
 		entries, err := entriesOf(sumsOf(b))
 		if err != nil {
 			return err
@@ -81,7 +81,7 @@
 // Each calls do with each billed charge of the time, as long as it is kept.
 // Charges that were counted in sums only are not among them.
 func (f *Folder) Each(ctx context.Context, from, to time.Time, do func(Billed) error) error {
-	return f.eachBucket(ctx, from, to, func(_ platform.Row, b *linkv1.ChargeBucket) error {
+	return f.eachBucket(ctx, from, to, func(_ ports.Row, b *linkv1.ChargeBucket) error {
 		for _, name := range b.GetSegments() {
 			entries, err := f.segment(ctx, name)
 			if err != nil {
@@ -98,7 +98,7 @@
 	})
 }
 
-func (f *Folder) eachBucket(ctx context.Context, from, to time.Time, do func(platform.Row, *linkv1.ChargeBucket) error) error {
+func (f *Folder) eachBucket(ctx context.Context, from, to time.Time, do func(ports.Row, *linkv1.ChargeBucket) error) error {
 	key := bucketPrefix + minuteOf(from).String()
 	end := bucketPrefix + minuteOf(to).String()
 	for {
@@ -127,16 +127,16 @@
 func (f *Folder) Expire(ctx context.Context, span time.Duration) (int, error) {
 	deleted := 0
 	to := f.opts.Now().Add(-Retention)
-	err := f.eachBucket(ctx, to.Add(-span), to, func(row platform.Row, b *linkv1.ChargeBucket) error {
+	err := f.eachBucket(ctx, to.Add(-span), to, func(row ports.Row, b *linkv1.ChargeBucket) error {
 		if len(b.GetSegments()) == 0 {
 			return nil
 		}
 		segments := b.GetSegments()
 		b.Segments = nil
-		err := platform.CommitResolved(ctx, f.opts.Table, platform.Txn{
+		err := ports.CommitResolved(ctx, f.opts.Table, ports.Txn{
 			OperationID: f.opts.NewID(),
-			Conditions:  []platform.Condition{{Key: row.Key, Version: row.Version}},
-			Writes:      []platform.Write{{Key: row.Key, Value: encode(b)}},
+			Conditions:  []ports.Condition{{Key: row.Key, Version: row.Version}},
+			Writes:      []ports.Write{{Key: row.Key, Value: encode(b)}},
 		})
 		if err != nil {
 			return err
--- a/internal/membership/listwatch.go
+++ b/internal/membership/listwatch.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/wait"
 )
 
@@ -33,9 +33,9 @@
 type ListOptions struct {
 	// Self is the name of this daemon.
 	Self  string
-	Hosts platform.Hosts
+	Hosts ports.Hosts
 	// OnRead takes each read; bytes is what it took.
-	OnRead func(list []platform.HostState, bytes int, err error)
+	OnRead func(list []ports.HostState, bytes int, err error)
 	// Tell passes on to a host's agent what the list has just begun to say of
 	// it. Nil tells nobody.
 	Tell func(ctx context.Context, host string, leaving bool)
@@ -58,7 +58,7 @@
 		o.Rand = rand.Float64
 	}
 	if o.OnRead == nil {
-		o.OnRead = func([]platform.HostState, int, error) {}
+		o.OnRead = func([]ports.HostState, int, error) {}
 	}
 	return &ListWatch{options: o}
 }
@@ -93,10 +93,10 @@
 
 // news returns the hosts of which the list says something else than before
 // and which this daemon is to tell. What the first list says is no news.
-func (w *ListWatch) news(list []platform.HostState) []platform.HostState {
+func (w *ListWatch) news(list []ports.HostState) []ports.HostState {
 	before := w.leaving
 	w.leaving = make(map[string]bool, len(list))
-	var out []platform.HostState
+	var out []ports.HostState
 	for _, h := range list {
 		w.leaving[h.Name] = h.Leaving
 		was, known := before[h.Name]
@@ -105,14 +105,14 @@
 			out = append(out, h)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.HostState) int {
+	slices.SortFunc(out, func(a, b ports.HostState) int {
 		return cmp.Compare(rank(w.options.Self, a.Name), rank(w.options.Self, b.Name))
 	})
 	return out
 }
 
 // tells reports whether this daemon is among those that tell the host.
-func (w *ListWatch) tells(list []platform.HostState, host string) bool {
+func (w *ListWatch) tells(list []ports.HostState, host string) bool {
 	mine := rank(w.options.Self, host)
 	lower := 0
 	for _, h := range list {
@@ -123,7 +123,7 @@
 	return lower < listTellers
 }
 
-func (w *ListWatch) tell(ctx context.Context, news []platform.HostState) {
+func (w *ListWatch) tell(ctx context.Context, news []ports.HostState) {
 	if w.options.Tell == nil {
 		return
 	}
--- a/internal/membership/listwatch_test.go
+++ b/internal/membership/listwatch_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 )
 
 const (
@@ -56,7 +56,7 @@
 	p := fake.New(fake.Options{})
 	name := func(i int) string { return fmt.Sprintf("h%03d", i) }
 	for i := range daemons {
-		p.Hosts.Put(platform.HostState{Name: name(i)})
+		p.Hosts.Put(ports.HostState{Name: name(i)})
 	}
 	out := &told{first: map[string]time.Time{}, count: map[string]int{}, bytes: map[string]int{}}
 	ctx, stop := context.WithCancel(t.Context())
@@ -66,7 +66,7 @@
 			Self:  name(i),
 			Hosts: p.Hosts,
 			Rand:  seeded(uint64(i)),
-			OnRead: func(_ []platform.HostState, bytes int, _ error) {
+			OnRead: func(_ []ports.HostState, bytes int, _ error) {
 				out.mu.Lock()
 				defer out.mu.Unlock()
 				out.bytes[name(i)] += bytes
@@ -81,7 +81,7 @@
 	out.mu.Unlock()
 	changed := map[string]time.Time{}
 	for i := range 10 {
-		p.Hosts.Put(platform.HostState{Name: name(i), Leaving: true})
+		p.Hosts.Put(ports.HostState{Name: name(i), Leaving: true})
 		changed[name(i)+" true"] = time.Now()
 		time.Sleep(7 * time.Second)
 	}
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -11,7 +11,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 // Reporter sends a heartbeat to an agent. An error means that a pooled and a
@@ -25,7 +25,7 @@
 	Settings Settings
 	Reporter Reporter
 	// Hosts is the platform's host list; nil leaves it out.
-	Hosts platform.Hosts
+	Hosts ports.Hosts
 	// OnEvent takes each change of a host. It must not block or call back.
 	OnEvent func(Event)
 	// OnReport takes each answer to a heartbeat. It must not block.
@@ -250,7 +250,7 @@
 }
 
 // listed takes one read of the host list.
-func (r *Runner) listed(list []platform.HostState, bytes int, err error) {
+func (r *Runner) listed(list []ports.HostState, bytes int, err error) {
 	r.count(func(s *Stats) {
 		s.ListReads++
 		s.Bytes += uint64(bytes)
--- a/internal/membership/runner_test.go
+++ b/internal/membership/runner_test.go
@@ -10,8 +10,8 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/wait"
 )
@@ -97,7 +97,7 @@
 }
 
 // run starts an entry's runner and returns it.
-func run(t testing.TB, name string, a *agents, list platform.Hosts, set *catalog.Set) *Runner {
+func run(t testing.TB, name string, a *agents, list ports.Hosts, set *catalog.Set) *Runner {
 	r := NewRunner(Options{Settings: Settings{Entry: name}, Reporter: a, Hosts: list})
 	r.SetCatalog(set)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -109,7 +109,7 @@
 
 func listHosts(p *fake.Platform, set *catalog.Set) {
 	for _, u := range set.Upstreams {
-		p.Hosts.Put(platform.HostState{Name: u.Host, Domain: u.Domain, Address: u.Agent})
+		p.Hosts.Put(ports.HostState{Name: u.Host, Domain: u.Domain, Address: u.Agent})
 	}
 }
 
@@ -233,7 +233,7 @@
 		asked := a.total()
 		time.Sleep(10 * time.Second)
 		a.cut(false)
-		p.Hosts.Put(platform.HostState{Name: "h001", Domain: "b"})
+		p.Hosts.Put(ports.HostState{Name: "h001", Domain: "b"})
 		time.Sleep(time.Minute)
 		if got := statesOf(r)["b"]; got[Alive.String()] != 1 {
 			t.Errorf("the host that came back is %v (asked %d)", got, asked)
@@ -251,7 +251,7 @@
 		r := run(t, "e1", newAgents(), p.Hosts, set)
 		time.Sleep(time.Minute)
 		r.Answered("h000", 1<<40, true, time.Now())
-		p.Hosts.Put(platform.HostState{Name: "h001", Domain: "b", Leaving: true})
+		p.Hosts.Put(ports.HostState{Name: "h001", Domain: "b", Leaving: true})
 		time.Sleep(3 * time.Second)
 		lines, _ := r.Dump()
 		if !lines[0].Leaving || !lines[1].Leaving {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 // View is what one daemon believes of all hosts. It is not safe for
@@ -218,8 +218,8 @@
 // Listed takes one read of the host list. The list lags, so a host that
 // answers is alive whatever the list says. A host that the list has never named
 // is not removed for missing from it.
-func (v *View) Listed(list []platform.HostState, now time.Time) []Event {
-	byName := make(map[string]platform.HostState, len(list))
+func (v *View) Listed(list []ports.HostState, now time.Time) []Event {
+	byName := make(map[string]ports.HostState, len(list))
 	for _, s := range list {
 		byName[s.Name] = s
 	}
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -26,10 +26,10 @@
 	return out
 }
 
-func listOf(hs []Host) []platform.HostState {
-	var out []platform.HostState
+func listOf(hs []Host) []ports.HostState {
+	var out []ports.HostState
 	for _, h := range hs {
-		out = append(out, platform.HostState{Name: h.Name, Domain: h.Domain})
+		out = append(out, ports.HostState{Name: h.Name, Domain: h.Domain})
 	}
 	return out
 }
--- a/internal/orderrun/runner.go
+++ b/internal/orderrun/runner.go
@@ -20,7 +20,7 @@
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/order"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 // Item is the work item of engine orders.
@@ -41,7 +41,7 @@
 type Options struct {
 	Leases  *lease.Manager
 	Sender  Sender
-	Weights platform.Weights
+	Weights ports.Weights
 	// Set returns the configuration in force, or nil.
 	Set func() *catalog.Set
 	// Demand returns what runs and waits for each target at this entry.
--- a/internal/orderrun/runner_test.go
+++ b/internal/orderrun/runner_test.go
@@ -13,7 +13,7 @@
 	"tarragonbay.example/tarragonbay/internal/lease"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
 	"tarragonbay.example/tarragonbay/internal/order"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 )
 
 // site is three empty engines that may load one version.
--- a/internal/platform/client/bounds_test.go
+++ b/internal/ports/client/bounds_test.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"testing"
 
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	standin "tarragonbay.example/tarragonbay/internal/standin/platform"
 )
 
--- a/internal/platform/client/caller.go
+++ b/internal/ports/client/caller.go
@@ -11,7 +11,7 @@
 	"github.com/go-resty/resty/v2"
 	"github.com/juju/errors"
 
-	"tarragonbay.example/tarragonbay/internal/platform/wire"
+	"tarragonbay.example/tarragonbay/internal/ports/wire"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
--- a/internal/platform/client/client.go
+++ b/internal/ports/client/client.go
@@ -11,8 +11,8 @@
 	"net/url"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/wire"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/wire"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -111,17 +111,17 @@
 // Table is the client of the table service.
 type Table struct{ caller *caller }
 
-var _ platform.Table = (*Table)(nil)
+var _ ports.Table = (*Table)(nil)
 
 // Get returns one row.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (t *Table) Get(ctx context.Context, key string) (ports.Row, bool, error) {
 	var out wire.RowResponse
 	err := t.caller.do(ctx, read(wire.PathTableGet, wire.KeyRequest{Key: key}), &out)
 	return out.Row, out.Found, err
 }
 
 // Scan returns at most limit rows with from <= key < to, in key order.
-func (t *Table) Scan(ctx context.Context, from, to string, limit int) ([]platform.Row, error) {
+func (t *Table) Scan(ctx context.Context, from, to string, limit int) ([]ports.Row, error) {
 	var out wire.ScanResponse
 	err := t.caller.do(ctx, read(wire.PathTableScan, wire.ScanRequest{From: from, To: to, Limit: limit}), &out)
 	return out.Rows, err
@@ -129,7 +129,7 @@
 
 // Commit sends the transaction once. TableUnknown means that it may have
 // taken effect; Resolve commits and finds out.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *Table) Commit(ctx context.Context, txn ports.Txn) error {
 	k := call{method: http.MethodPost, path: wire.PathTableCommit, body: txn}
 	return t.caller.do(ctx, k, &wire.Empty{})
 }
@@ -142,15 +142,15 @@
 }
 
 // Resolve commits the transaction and resolves a lost reply by its operation
-// ID. See platform.CommitResolved.
-func (t *Table) Resolve(ctx context.Context, txn platform.Txn) error {
-	return platform.CommitResolved(ctx, t, txn)
+// ID. See ports.CommitResolved.
+func (t *Table) Resolve(ctx context.Context, txn ports.Txn) error {
+	return ports.CommitResolved(ctx, t, txn)
 }
 
 // Objects is the client of the object store.
 type Objects struct{ caller *caller }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ ports.Objects = (*Objects)(nil)
 
 func objectPath(name string) string { return wire.PathObjects + url.PathEscape(name) }
 
@@ -175,10 +175,10 @@
 // Hosts is the client of the host list.
 type Hosts struct{ caller *caller }
 
-var _ platform.Hosts = (*Hosts)(nil)
+var _ ports.Hosts = (*Hosts)(nil)
 
 // List returns the lagging host list.
-func (h *Hosts) List(ctx context.Context) ([]platform.HostState, error) {
+func (h *Hosts) List(ctx context.Context) ([]ports.HostState, error) {
 	var out wire.HostsResponse
 	err := h.caller.do(ctx, call{method: http.MethodGet, path: wire.PathHosts, repeatable: true}, &out)
 	return out.Hosts, err
@@ -187,16 +187,16 @@
 // Ratings is the client of the rating service.
 type Ratings struct{ caller *caller }
 
-var _ platform.Ratings = (*Ratings)(nil)
+var _ ports.Ratings = (*Ratings)(nil)
 
 // Submit hands an answer in for rating. It may be handed in twice when a
 // reply is lost; the reader of the ratings counts each request ID once.
-func (r *Ratings) Submit(ctx context.Context, s platform.Sample) error {
+func (r *Ratings) Submit(ctx context.Context, s ports.Sample) error {
 	return r.caller.do(ctx, read(wire.PathRatingsSubmit, s), &wire.Empty{})
 }
 
 // Since returns the ratings made after the cursor, and the next cursor.
-func (r *Ratings) Since(ctx context.Context, cursor uint64, limit int) ([]platform.Rating, uint64, error) {
+func (r *Ratings) Since(ctx context.Context, cursor uint64, limit int) ([]ports.Rating, uint64, error) {
 	var out wire.SinceResponse
 	if err := r.caller.do(ctx, read(wire.PathRatingsSince, wire.SinceRequest{Cursor: cursor, Limit: limit}), &out); err != nil {
 		return nil, cursor, err
@@ -207,7 +207,7 @@
 // Weights is the client of the weight store.
 type Weights struct{ caller *caller }
 
-var _ platform.Weights = (*Weights)(nil)
+var _ ports.Weights = (*Weights)(nil)
 
 // Reserve asks for a place in the rate limit. It returns WeightsLimited with
 // a time to come back, also when the store does not answer.
--- a/internal/platform/client/client_test.go
+++ b/internal/ports/client/client_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 	standin "tarragonbay.example/tarragonbay/internal/standin/platform"
 )
@@ -25,18 +25,18 @@
 	return p, New(o)
 }
 
-func txn(id, key, value string, version uint64) platform.Txn {
-	return platform.Txn{
+func txn(id, key, value string, version uint64) ports.Txn {
+	return ports.Txn{
 		OperationID: id,
-		Conditions:  []platform.Condition{{Key: key, Version: version}},
-		Writes:      []platform.Write{{Key: key, Value: []byte(value)}},
+		Conditions:  []ports.Condition{{Key: key, Version: version}},
+		Writes:      []ports.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
 func TestAllPortsWorkOverHTTP(t *testing.T) {
 	ctx := t.Context()
 	p, c := start(t, Options{})
-	p.Hosts.Put(platform.HostState{Name: "h1", Address: "127.0.0.1:1"})
+	p.Hosts.Put(ports.HostState{Name: "h1", Address: "127.0.0.1:1"})
 	if err := c.Table.Commit(ctx, txn("1", "a/b", "x", 0)); err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +65,7 @@
 	if hosts, err := c.Hosts.List(ctx); len(hosts) != 1 || err != nil {
 		t.Errorf("hosts: %v %v", hosts, err)
 	}
-	if err := c.Ratings.Submit(ctx, platform.Sample{RequestID: "r"}); err != nil {
+	if err := c.Ratings.Submit(ctx, ports.Sample{RequestID: "r"}); err != nil {
 		t.Error(err)
 	}
 	if got, next, err := c.Ratings.Since(ctx, 0, 1); len(got) != 1 || next != 1 || err != nil {
--- a/internal/platform/client/services_bytes_test.go
+++ b/internal/ports/client/services_bytes_test.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"testing"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	standin "tarragonbay.example/tarragonbay/internal/standin/platform"
 )
 
@@ -33,7 +33,7 @@
 	count(reserve)
 	text := strings.Repeat("x", 1000)
 	submit := func(i int) error {
-		return c.Ratings.Submit(t.Context(), platform.Sample{
+		return c.Ratings.Submit(t.Context(), ports.Sample{
 			RequestID: fmt.Sprintf("00000000-0000-4000-8000-%012d", i),
 			Version:   "kiln-writer@3", Class: "dossier-review", Prompt: text, Answer: text,
 		})
--- a/internal/platform/fake/hosts.go
+++ b/internal/ports/fake/hosts.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -25,7 +25,7 @@
 	now func() time.Time
 
 	mu     sync.Mutex
-	states map[string]platform.HostState
+	states map[string]ports.HostState
 	past   []pastList
 	faults HostFaults
 	usage  Usage
@@ -34,13 +34,13 @@
 // pastList is the list as it stood from a time on.
 type pastList struct {
 	from  time.Time
-	hosts []platform.HostState
+	hosts []ports.HostState
 }
 
-var _ platform.Hosts = (*Hosts)(nil)
+var _ ports.Hosts = (*Hosts)(nil)
 
 func newHosts(now func() time.Time) *Hosts {
-	return &Hosts{now: now, states: map[string]platform.HostState{}}
+	return &Hosts{now: now, states: map[string]ports.HostState{}}
 }
 
 // SetFaults replaces the switches.
@@ -65,7 +65,7 @@
 }
 
 // Put adds or replaces one host.
-func (h *Hosts) Put(s platform.HostState) {
+func (h *Hosts) Put(s ports.HostState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.states[s.Name] = s
@@ -82,16 +82,16 @@
 
 // remember keeps the list as it stands now. The caller holds the lock.
 func (h *Hosts) remember() {
-	list := make([]platform.HostState, 0, len(h.states))
+	list := make([]ports.HostState, 0, len(h.states))
 	for _, s := range h.states {
 		list = append(list, s)
 	}
-	slices.SortFunc(list, func(a, b platform.HostState) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b ports.HostState) int { return strings.Compare(a.Name, b.Name) })
 	h.past = append(h.past, pastList{from: h.now(), hosts: list})
 }
 
 // List returns the list as it stood a lag ago.
-func (h *Hosts) List(ctx context.Context) ([]platform.HostState, error) {
+func (h *Hosts) List(ctx context.Context) ([]ports.HostState, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.faults.Outage || ctx.Err() != nil {
@@ -100,7 +100,7 @@
 	}
 	h.usage.Reads++
 	at := h.now().Add(-h.faults.Lag)
-	var list []platform.HostState
+	var list []ports.HostState
 	for _, p := range h.past {
 		if p.from.After(at) {
 			break
--- a/internal/platform/fake/objects.go
+++ b/internal/ports/fake/objects.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -34,7 +34,7 @@
 	usage   Usage
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ ports.Objects = (*Objects)(nil)
 
 func newObjects() *Objects {
 	return &Objects{objects: map[string][]byte{}}
--- a/internal/platform/fake/ratings.go
+++ b/internal/ports/fake/ratings.go
@@ -7,12 +7,12 @@
 
 	"golang.org/x/time/rate"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
 // Judge decides whether an answer is good.
-type Judge func(platform.Sample) bool
+type Judge func(ports.Sample) bool
 
 // RatingFaults are the switches of the rating service.
 type RatingFaults struct {
@@ -31,19 +31,19 @@
 	judge Judge
 
 	mu      sync.Mutex
-	pending []platform.Rating
-	made    []platform.Rating
+	pending []ports.Rating
+	made    []ports.Rating
 	seen    int
 	faults  RatingFaults
 	usage   Usage
 }
 
-var _ platform.Ratings = (*Ratings)(nil)
+var _ ports.Ratings = (*Ratings)(nil)
 
 func newRatings(o Options) *Ratings {
 	judge := o.Judge
 	if judge == nil {
-		judge = func(platform.Sample) bool { return true }
+		judge = func(ports.Sample) bool { return true }
 	}
 	return &Ratings{now: o.Now, judge: judge}
 }
@@ -70,7 +70,7 @@
 }
 
 // Submit takes an answer in; it is rated after the delay, if sampled.
-func (r *Ratings) Submit(ctx context.Context, s platform.Sample) error {
+func (r *Ratings) Submit(ctx context.Context, s ports.Sample) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.refused(ctx); err != nil {
@@ -82,7 +82,7 @@
 	if n := r.faults.SampleEvery; n > 1 && r.seen%n != 0 {
 		return nil
 	}
-	r.pending = append(r.pending, platform.Rating{
+	r.pending = append(r.pending, ports.Rating{
 		RequestID: s.RequestID,
 		Version:   s.Version,
 		Class:     s.Class,
@@ -103,7 +103,7 @@
 }
 
 // Since returns at most limit ratings made after the cursor.
-func (r *Ratings) Since(ctx context.Context, cursor uint64, limit int) ([]platform.Rating, uint64, error) {
+func (r *Ratings) Since(ctx context.Context, cursor uint64, limit int) ([]ports.Rating, uint64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.refused(ctx); err != nil {
@@ -116,13 +116,13 @@
 	if limit > 0 && len(out) > limit {
 		out = out[:limit]
 	}
-	return append([]platform.Rating(nil), out...), from + uint64(len(out)), nil
+	return append([]ports.Rating(nil), out...), from + uint64(len(out)), nil
 }
 
 // settle moves the ratings that are due. The caller holds the lock.
 func (r *Ratings) settle() {
 	now := r.now()
-	var later []platform.Rating
+	var later []ports.Rating
 	for _, p := range r.pending {
 		if p.At.After(now) {
 			later = append(later, p)
@@ -150,7 +150,7 @@
 	usage  Usage
 }
 
-var _ platform.Weights = (*Weights)(nil)
+var _ ports.Weights = (*Weights)(nil)
 
 func newWeights(o Options) *Weights {
 	return &Weights{now: o.Now, limiter: limiter(o.WeightsPerSecond)}
--- a/internal/platform/fake/table.go
+++ b/internal/ports/fake/table.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -39,21 +39,21 @@
 	writes *rate.Limiter
 
 	mu         sync.Mutex
-	rows       map[string]platform.Row
+	rows       map[string]ports.Row
 	operations map[string]time.Time
 	swept      time.Time
 	faults     TableFaults
 	usage      Usage
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ ports.Table = (*Table)(nil)
 
 func newTable(o Options) *Table {
 	return &Table{
 		now:        o.Now,
 		reads:      limiter(o.TableReadsPerSecond),
 		writes:     limiter(o.TableWritesPerSecond),
-		rows:       map[string]platform.Row{},
+		rows:       map[string]ports.Row{},
 		operations: map[string]time.Time{},
 	}
 }
@@ -88,26 +88,26 @@
 }
 
 // Get returns one row.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (t *Table) Get(ctx context.Context, key string) (ports.Row, bool, error) {
 	if err := t.beforeRead(ctx); err != nil {
-		return platform.Row{}, false, err
+		return ports.Row{}, false, err
 	}
 	t.mu.Lock()
 	row, ok := t.rows[key]
-	err := t.countRead([]platform.Row{row})
+	err := t.countRead([]ports.Row{row})
 	half := t.faults.Latency / 2
 	t.mu.Unlock()
 	if err == nil && !wait(ctx, half) {
 		err = unavailable(ctx)
 	}
 	if err != nil {
-		return platform.Row{}, false, err
+		return ports.Row{}, false, err
 	}
 	return copyRow(row), ok, nil
 }
 
 // Scan returns at most limit rows with from <= key < to, in key order.
-func (t *Table) Scan(ctx context.Context, from, to string, limit int) ([]platform.Row, error) {
+func (t *Table) Scan(ctx context.Context, from, to string, limit int) ([]ports.Row, error) {
 	if err := t.beforeRead(ctx); err != nil {
 		return nil, err
 	}
@@ -126,7 +126,7 @@
 }
 
 // between copies the rows of a key range. The caller holds the lock.
-func (t *Table) between(from, to string, limit int) []platform.Row {
+func (t *Table) between(from, to string, limit int) []ports.Row {
 	var keys []string
 	for k := range t.rows {
 		if from <= k && k < to {
@@ -137,7 +137,7 @@
 	if limit > 0 && len(keys) > limit {
 		keys = keys[:limit]
 	}
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]ports.Row, 0, len(keys))
 	for _, k := range keys {
 		rows = append(rows, copyRow(t.rows[k]))
 	}
@@ -174,7 +174,7 @@
 }
 
 // countRead takes the rows from the read budget. The caller holds the lock.
-func (t *Table) countRead(rows []platform.Row) error {
+func (t *Table) countRead(rows []ports.Row) error {
 	n := max(1, len(rows))
 	if !t.reads.AllowN(t.now(), n) {
 		t.usage.Refused++
@@ -189,7 +189,7 @@
 
 // Commit applies the transaction as a whole, or not at all. An operation ID
 // that was used before conflicts, so that no effect is doubled.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *Table) Commit(ctx context.Context, txn ports.Txn) error {
 	half := t.Faults().Latency / 2
 	if !wait(ctx, half) {
 		return lost(ctx)
@@ -207,7 +207,7 @@
 }
 
 // commit is Commit without the latency. The caller holds the lock.
-func (t *Table) commit(txn platform.Txn) error {
+func (t *Table) commit(txn ports.Txn) error {
 	if t.faults.Outage {
 		t.usage.Refused++
 		return result.New(result.TableUnavailable, "the table service does not answer")
@@ -232,7 +232,7 @@
 }
 
 // checkTxn tells whether every condition holds. The caller holds the lock.
-func (t *Table) checkTxn(txn platform.Txn) error {
+func (t *Table) checkTxn(txn ports.Txn) error {
 	if txn.OperationID == "" {
 		return result.New(result.TableConflict, "the transaction has no operation ID")
 	}
@@ -249,7 +249,7 @@
 
 // apply writes the rows and remembers the operation. The caller holds the
 // lock.
-func (t *Table) apply(txn platform.Txn) {
+func (t *Table) apply(txn ports.Txn) {
 	for _, w := range txn.Writes {
 		t.usage.Writes++
 		t.usage.BytesWritten += uint64(len(w.Key) + len(w.Value))
@@ -258,7 +258,7 @@
 			continue
 		}
 		version := t.rows[w.Key].Version + 1
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: version}
+		t.rows[w.Key] = ports.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: version}
 	}
 	now := t.now()
 	t.operations[txn.OperationID] = now
@@ -272,7 +272,7 @@
 
 // Backup is a copy of the rows at one time.
 type Backup struct {
-	rows       map[string]platform.Row
+	rows       map[string]ports.Row
 	operations map[string]time.Time
 }
 
@@ -292,7 +292,7 @@
 	t.operations = maps.Clone(b.operations)
 }
 
-func copyRow(r platform.Row) platform.Row {
+func copyRow(r ports.Row) ports.Row {
 	r.Value = bytes.Clone(r.Value)
 	return r
 }
--- a/internal/platform/fake/table_test.go
+++ b/internal/ports/fake/table_test.go
@@ -6,15 +6,15 @@
 	"testing/synctest"
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
-func put(id, key, value string, version uint64) platform.Txn {
-	return platform.Txn{
+func put(id, key, value string, version uint64) ports.Txn {
+	return ports.Txn{
 		OperationID: id,
-		Conditions:  []platform.Condition{{Key: key, Version: version}},
-		Writes:      []platform.Write{{Key: key, Value: []byte(value)}},
+		Conditions:  []ports.Condition{{Key: key, Version: version}},
+		Writes:      []ports.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	bad := put("2", "b", "y", 0)
-	bad.Conditions = append(bad.Conditions, platform.Condition{Key: "a", Version: 7})
+	bad.Conditions = append(bad.Conditions, ports.Condition{Key: "a", Version: 7})
 	wantCode(t, tab.Commit(ctx, bad), result.TableConflict)
 	if _, ok, _ := tab.Get(ctx, "b"); ok {
 		t.Error("a refused transaction wrote a row")
@@ -83,7 +83,7 @@
 		ctx := t.Context()
 		tab := New(Options{TableWritesPerSecond: 2}).Table
 		txn := put("1", "a", "x", 0)
-		txn.Writes = append(txn.Writes, platform.Write{Key: "b", Value: []byte("y")})
+		txn.Writes = append(txn.Writes, ports.Write{Key: "b", Value: []byte("y")})
 		if err := tab.Commit(ctx, txn); err != nil {
 			t.Fatal(err)
 		}
@@ -115,7 +115,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := t.Context()
 		p := New(Options{WeightsPerSecond: 1})
-		p.Hosts.Put(platform.HostState{Name: "h1"})
+		p.Hosts.Put(ports.HostState{Name: "h1"})
 		_ = p.Objects.PutIfAbsent(ctx, "o", []byte("data"))
 		_ = p.Objects.PutIfAbsent(ctx, "gone", []byte("data"))
 		p.SetFaults(Faults{
@@ -131,8 +131,8 @@
 		}
 		_, err := p.Objects.Get(ctx, "gone")
 		wantCode(t, err, result.ObjectMissing)
-		_ = p.Ratings.Submit(ctx, platform.Sample{RequestID: "1"})
-		_ = p.Ratings.Submit(ctx, platform.Sample{RequestID: "2"})
+		_ = p.Ratings.Submit(ctx, ports.Sample{RequestID: "1"})
+		_ = p.Ratings.Submit(ctx, ports.Sample{RequestID: "2"})
 		if got, _, _ := p.Ratings.Since(ctx, 0, 10); len(got) != 0 {
 			t.Error("the rating is not late")
 		}
--- a/internal/platform/platform.go
+++ b/internal/ports/platform.go
@@ -1,11 +1,11 @@
-// Package platform declares the ports through which the product meets the
+// Package ports declares the ports through which the product meets the
 // platform's services: table service, object store, host list, rating service
-// and weight store. Clients live in platform/client, an in-memory fake with
-// the same semantics in platform/fake, and a stand-in server around the fake
+// and weight store. Clients live in ports/client, an in-memory fake with
+// the same semantics in ports/fake, and a stand-in server around the fake
 // in internal/standin.
 //
 // Every call takes a context with a deadline and returns a *result.Error.
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/platform/resolve.go
+++ b/internal/ports/resolve.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/platform/wire/wire.go
+++ b/internal/ports/wire/wire.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -38,8 +38,8 @@
 
 // RowResponse is the answer to a read of one row.
 type RowResponse struct {
-	Found bool         `json:"found"`
-	Row   platform.Row `json:"row"`
+	Found bool      `json:"found"`
+	Row   ports.Row `json:"row"`
 }
 
 // ScanRequest asks for a key range.
@@ -51,7 +51,7 @@
 
 // ScanResponse is the answer to a scan.
 type ScanResponse struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []ports.Row `json:"rows"`
 }
 
 // AppliedRequest asks about one operation ID.
@@ -66,7 +66,7 @@
 
 // HostsResponse is the host list.
 type HostsResponse struct {
-	Hosts []platform.HostState `json:"hosts"`
+	Hosts []ports.HostState `json:"hosts"`
 }
 
 // SinceRequest asks for the ratings after a cursor.
@@ -77,8 +77,8 @@
 
 // SinceResponse is the answer to SinceRequest.
 type SinceResponse struct {
-	Ratings []platform.Rating `json:"ratings"`
-	Next    uint64            `json:"next"`
+	Ratings []ports.Rating `json:"ratings"`
+	Next    uint64         `json:"next"`
 }
 
 // ReserveRequest asks the weight store for a place.
--- a/internal/publish/cluster_test.go
+++ b/internal/publish/cluster_test.go
@@ -13,7 +13,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
--- a/internal/publish/follower_test.go
+++ b/internal/publish/follower_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
--- a/internal/publish/history.go
+++ b/internal/publish/history.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -81,10 +81,10 @@
 	if err != nil {
 		return err
 	}
-	return platform.CommitResolved(ctx, s.Table, platform.Txn{
+	return ports.CommitResolved(ctx, s.Table, ports.Txn{
 		OperationID: operation,
-		Conditions:  []platform.Condition{{Key: HeadKey, Version: head.RowVersion}},
-		Writes:      []platform.Write{{Key: HeadKey, Value: row}},
+		Conditions:  []ports.Condition{{Key: HeadKey, Version: head.RowVersion}},
+		Writes:      []ports.Write{{Key: HeadKey, Value: row}},
 	})
 }
 
--- a/internal/publish/line.go
+++ b/internal/publish/line.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 	"fmt"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -29,7 +29,7 @@
 // lineWrites returns the writes that keep the starts of the digests since the
 // snapshot before the one of the next state. A publication does not fail for
 // them: without the row, peers prove the line.
-func (s Store) lineWrites(ctx context.Context, head Head, next State) []platform.Write {
+func (s Store) lineWrites(ctx context.Context, head Head, next State) []ports.Write {
 	first := max(newest(head)+1, head.Oldest)
 	deltas, err := s.Deltas(ctx, first-1, head.Revision)
 	if err != nil {
@@ -40,7 +40,7 @@
 		value = binary.BigEndian.AppendUint64(value, digestStart(d.GetDigest()))
 	}
 	value = binary.BigEndian.AppendUint64(value, digestStart(next.Digest))
-	writes := []platform.Write{{Key: LineKey(next.Revision), Value: value}}
+	writes := []ports.Write{{Key: LineKey(next.Revision), Value: value}}
 	if next.Revision <= keptLine {
 		return writes
 	}
@@ -49,7 +49,7 @@
 		return writes
 	}
 	for _, row := range old {
-		writes = append(writes, platform.Write{Key: row.Key, Delete: true})
+		writes = append(writes, ports.Write{Key: row.Key, Delete: true})
 	}
 	return writes
 }
--- a/internal/publish/line_test.go
+++ b/internal/publish/line_test.go
@@ -4,8 +4,8 @@
 	"strings"
 	"testing"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -103,7 +103,7 @@
 		t.Fatalf("%d rows, %v", len(rows), err)
 	}
 	for _, row := range rows {
-		txn := platform.Txn{OperationID: row.Key, Writes: []platform.Write{{Key: row.Key, Delete: true}}}
+		txn := ports.Txn{OperationID: row.Key, Writes: []ports.Write{{Key: row.Key, Delete: true}}}
 		if err := c.store.Table.Commit(t.Context(), txn); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -10,7 +10,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -117,7 +117,7 @@
 // Edit publishes what the function changes. The guards are further conditions
 // of the transaction, such as the row of a lease; LeaseLost means that one of
 // them no longer holds.
-func (p *Publisher) Edit(ctx context.Context, author string, edit EditFunc, guards ...platform.Condition) (Published, error) {
+func (p *Publisher) Edit(ctx context.Context, author string, edit EditFunc, guards ...ports.Condition) (Published, error) {
 	var lastErr error
 	for race := range maxRaces {
 		if race > 0 && !pauseAfterRace(ctx, race) {
@@ -153,7 +153,7 @@
 
 // try makes one publication on the head as read. TableConflict means that
 // another one came first.
-func (p *Publisher) try(ctx context.Context, head Head, author string, edit EditFunc, guards []platform.Condition) (Published, error) {
+func (p *Publisher) try(ctx context.Context, head Head, author string, edit EditFunc, guards []ports.Condition) (Published, error) {
 	if err := p.checkFloor(ctx, head); err != nil {
 		return Published{}, err
 	}
@@ -177,12 +177,12 @@
 	if err != nil {
 		return Published{}, err
 	}
-	txn := platform.Txn{
+	txn := ports.Txn{
 		OperationID: operation,
-		Conditions:  append([]platform.Condition{{Key: HeadKey, Version: head.RowVersion}}, guards...),
+		Conditions:  append([]ports.Condition{{Key: HeadKey, Version: head.RowVersion}}, guards...),
 		Writes:      writes,
 	}
-	if err := platform.CommitResolved(ctx, p.store.Table, txn); err != nil {
+	if err := ports.CommitResolved(ctx, p.store.Table, txn); err != nil {
 		return Published{}, err
 	}
 	p.last = next
@@ -238,7 +238,7 @@
 
 // writes returns the new head and the rows of one publication: the delta, the
 // head and the deletion of deltas that no snapshot needs any more.
-func (p *Publisher) writes(ctx context.Context, head Head, next State, delta catalog.Delta, author, operation string, intact bool) (Head, []platform.Write, error) {
+func (p *Publisher) writes(ctx context.Context, head Head, next State, delta catalog.Delta, author, operation string, intact bool) (Head, []ports.Write, error) {
 	message := toWire(delta, next)
 	message.Author = author
 	message.AtMs = p.options.Now().UnixMilli()
@@ -248,7 +248,7 @@
 		return Head{}, nil, err
 	}
 	newHead := p.nextHead(ctx, head, next, message, intact)
-	writes := []platform.Write{{Key: DeltaKey(next.Revision), Value: value}}
+	writes := []ports.Write{{Key: DeltaKey(next.Revision), Value: value}}
 	writes = append(writes, compact(head, &newHead)...)
 	if newest(newHead) == next.Revision {
 		writes = append(writes, p.store.lineWrites(ctx, head, next)...)
@@ -257,7 +257,7 @@
 	if err != nil {
 		return Head{}, nil, err
 	}
-	return newHead, append(writes, platform.Write{Key: HeadKey, Value: row}), nil
+	return newHead, append(writes, ports.Write{Key: HeadKey, Value: row}), nil
 }
 
 // nextHead returns the head of the next state, with a new snapshot when one
@@ -301,14 +301,14 @@
 }
 
 // compact deletes some deltas that the older of the two snapshots covers.
-func compact(head Head, newHead *Head) []platform.Write {
+func compact(head Head, newHead *Head) []ports.Write {
 	if len(newHead.Snapshots) < 2 {
 		return nil
 	}
 	covered := newHead.Snapshots[1].Revision
-	var writes []platform.Write
+	var writes []ports.Write
 	for len(writes) < compactPerPublish && newHead.Oldest <= covered && newHead.Oldest <= head.Revision {
-		writes = append(writes, platform.Write{Key: DeltaKey(newHead.Oldest), Delete: true})
+		writes = append(writes, ports.Write{Key: DeltaKey(newHead.Oldest), Delete: true})
 		newHead.Oldest++
 	}
 	return writes
--- a/internal/publish/publisher_test.go
+++ b/internal/publish/publisher_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
-	"tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -118,8 +118,8 @@
 // cutStore fails the n-th call and every later one, as a publisher that is
 // killed there. The call itself takes effect or not.
 type cutStore struct {
-	platform.Table
-	platform.Objects
+	ports.Table
+	ports.Objects
 	left   *int
 	effect bool
 }
@@ -135,7 +135,7 @@
 	return result.New(result.TableUnavailable, "cut")
 }
 
-func (c cutStore) Commit(ctx context.Context, txn platform.Txn) error {
+func (c cutStore) Commit(ctx context.Context, txn ports.Txn) error {
 	return c.step(func() error { return c.Table.Commit(ctx, txn) })
 }
 
@@ -149,7 +149,7 @@
 
 type cutTable struct{ cutStore }
 
-func (c cutTable) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (c cutTable) Get(ctx context.Context, key string) (ports.Row, bool, error) {
 	return c.Table.Get(ctx, key)
 }
 
@@ -242,7 +242,7 @@
 	c := newCluster(t, fake.Options{})
 	c.publish(1)
 	p := NewPublisher(c.store, PublisherOptions{})
-	_, err := p.Edit(t.Context(), "holder", putUpstream(2), platform.Condition{Key: "lease/x", Version: 4})
+	_, err := p.Edit(t.Context(), "holder", putUpstream(2), ports.Condition{Key: "lease/x", Version: 4})
 	wantCode(t, err, result.LeaseLost)
 	head, _, _ := c.store.Head(t.Context())
 	if head.Revision != 1 {
@@ -253,7 +253,7 @@
 // deafTable goes out with the first commit, which takes effect.
 type deafTable struct{ *fake.Table }
 
-func (d deafTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (d deafTable) Commit(ctx context.Context, txn ports.Txn) error {
 	err := d.Table.Commit(ctx, txn)
 	d.SetFaults(fake.TableFaults{Outage: true})
 	return err
--- a/internal/publish/slope_test.go
+++ b/internal/publish/slope_test.go
@@ -12,7 +12,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 )
 
 // revisionEvery is the time between two revisions at the target.
--- a/internal/publish/store.go
+++ b/internal/publish/store.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tarragonbay.example/tarragonbay/internal/link/linkv1"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -73,8 +73,8 @@
 
 // Store reads and writes revisions in the platform's services.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   ports.Table
+	Objects ports.Objects
 }
 
 // Head reads the head. It reports false before the first publication.
@@ -87,7 +87,7 @@
 	return h, err == nil, err
 }
 
-func parseHead(row platform.Row) (Head, error) {
+func parseHead(row ports.Row) (Head, error) {
 	var h Head
 	if err := json.Unmarshal(row.Value, &h); err != nil {
 		return Head{}, result.Wrap(err, result.DeltaBroken, "the head cannot be read")
@@ -123,7 +123,7 @@
 	return out, nil
 }
 
-func (s Store) decodeDelta(ctx context.Context, row platform.Row) (*linkv1.Delta, error) {
+func (s Store) decodeDelta(ctx context.Context, row ports.Row) (*linkv1.Delta, error) {
 	var r deltaRow
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return nil, result.Wrap(err, result.DeltaBroken, "row %s cannot be read", row.Key)
--- a/internal/publish/wait_test.go
+++ b/internal/publish/wait_test.go
@@ -11,7 +11,7 @@
 
 	"connectrpc.com/connect"
 
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
--- a/internal/rolloutrun/runner.go
+++ b/internal/rolloutrun/runner.go
@@ -16,7 +16,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/lease"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/rollout"
 )
@@ -37,13 +37,13 @@
 
 // Publisher publishes edits. It is implemented by publish.Publisher.
 type Publisher interface {
-	Edit(ctx context.Context, author string, edit publish.EditFunc, guards ...platform.Condition) (publish.Published, error)
+	Edit(ctx context.Context, author string, edit publish.EditFunc, guards ...ports.Condition) (publish.Published, error)
 }
 
 // Lease is one tenure of a work item. It is implemented by lease.Held.
 type Lease interface {
 	Check() error
-	Condition() platform.Condition
+	Condition() ports.Condition
 	Note(ctx context.Context) (note []byte, version uint64, err error)
 	SaveNote(ctx context.Context, note []byte, version uint64) (uint64, error)
 }
--- a/internal/rolloutrun/runner_test.go
+++ b/internal/rolloutrun/runner_test.go
@@ -12,7 +12,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
 	"tarragonbay.example/tarragonbay/internal/lease"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/rollout"
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 
-	ports "tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
-	"tarragonbay.example/tarragonbay/internal/platform/wire"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/wire"
 )
 
 // handleAdmin routes the administration: faults, counters, backups and hosts.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -15,9 +15,9 @@
 
 	"github.com/juju/errors"
 
-	ports "tarragonbay.example/tarragonbay/internal/platform"
-	"tarragonbay.example/tarragonbay/internal/platform/fake"
-	"tarragonbay.example/tarragonbay/internal/platform/wire"
+	"tarragonbay.example/tarragonbay/internal/ports"
+	"tarragonbay.example/tarragonbay/internal/ports/fake"
+	"tarragonbay.example/tarragonbay/internal/ports/wire"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
--- a/internal/versionshift/versionshift_test.go
+++ b/internal/versionshift/versionshift_test.go
@@ -74,56 +74,26 @@
 		oldBad   float64
 		withdraw bool
 	}{
-		{"good", func(float64) float64 { return 0.01 }, 0.01, false},
-		{"good beside failures", func(float64) float64 { return 0.1 }, 0.1, false},
-		{"bad", func(float64) float64 { return 0.36 }, 0.01, true},
+		{"good", always(0.01), 0.01, false},
+		{"good beside failures", always(0.1), 0.1, false},
+		{"bad", always(0.36), 0.01, true},
 		{"bad later", func(p float64) float64 {
 			if p < 0.2 {
 				return 0.01
 			}
 			return 0.36
 		}, 0.01, true},
-		{"bad beside failures", func(float64) float64 { return 0.5 }, 0.1, true},
+		{"bad beside failures", always(0.5), 0.1, true},
 	} {
 		wrong := 0
 		for seed := range uint64(seeds) {
-			r := rand.New(rand.NewPCG(seed, 1))
-			s := Start(Order{Within: within}, 0)
-			var window []Evidence
-			judged, exposed, all := 0, 0, 0
-			for at := step; at <= within; at += step {
-				var e Evidence
-				for range perStep {
-					all++
-					if r.Float64() < s.Share(exposure) {
-						exposed++
-						if r.Float64() < c.newBad(float64(at)/float64(within)) {
-							e.NewBad++
-							e.BadUpstreams = 3
-						} else {
-							e.NewGood++
-							judged++
-						}
-					} else if r.Float64() < c.oldBad {
-						e.OldBad++
-					} else {
-						e.OldGood++
-					}
-				}
-				window = append(window, e)
-				window = window[max(0, len(window)-int(EvidenceWindow/step)):]
-				var sum Evidence
-				for _, w := range window {
-					sum = sum.Add(w)
-				}
-				sum.Judged = judged
-				s = Next(s, sum, at)
-			}
+			p := play{rand: rand.New(rand.NewPCG(seed, 1)), newBad: c.newBad, oldBad: c.oldBad, exposure: exposure}
+			s := p.run(within, step, perStep)
 			if (s.Phase == Withdrawn) != c.withdraw {
 				wrong++
 			}
-			if c.withdraw && float64(exposed) > exposure*float64(all)+30 {
-				t.Errorf("%s, seed %d: %d of %d exposed", c.name, seed, exposed, all)
+			if c.withdraw && float64(p.exposed) > exposure*float64(p.all)+30 {
+				t.Errorf("%s, seed %d: %d of %d exposed", c.name, seed, p.exposed, p.all)
 			}
 		}
 		if wrong > 1 {
@@ -132,6 +102,60 @@
 	}
 }
 
+func always(rate float64) func(float64) float64 { return func(float64) float64 { return rate } }
+
+// play is one shift with random answers.
+type play struct {
+	rand             *rand.Rand
+	newBad           func(part float64) float64
+	oldBad, exposure float64
+	exposed, all     int
+}
+
+func (p *play) run(within, step time.Duration, perStep int) State {
+	s := Start(Order{Within: within}, 0)
+	var window []Evidence
+	judged := 0
+	for at := step; at <= within; at += step {
+		e := p.step(s, float64(at)/float64(within), perStep)
+		judged += e.NewGood
+		window = append(window, e)
+		window = window[max(0, len(window)-int(EvidenceWindow/step)):]
+		var sum Evidence
+		for _, w := range window {
+			sum = sum.Add(w)
+		}
+		sum.Judged = judged
+		s = Next(s, sum, at)
+	}
+	return s
+}
+
+func (p *play) step(s State, part float64, n int) (e Evidence) {
+	for range n {
+		p.all++
+		isNew := p.rand.Float64() < s.Share(p.exposure)
+		rate := p.oldBad
+		if isNew {
+			p.exposed++
+			rate = p.newBad(part)
+		}
+		bad := p.rand.Float64() < rate
+		switch {
+		case isNew && bad:
+			e.NewBad++
+			e.BadUpstreams = 3
+		case isNew:
+			e.NewGood++
+		case bad:
+			e.OldBad++
+		default:
+			e.OldGood++
+		}
+	}
+	return e
+}
+
 // TestPhasesOnlyGoForward: whatever the evidence, a phase never goes back and
 // an end is final.
 func TestPhasesOnlyGoForward(t *testing.T) {
--- a/internal/watch/marks.go
+++ b/internal/watch/marks.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/wait"
 )
@@ -25,7 +25,7 @@
 // Mark finds out whether the host ran the version before, and leaves the mark.
 // It tries until the table service answers or ctx ends; until then the host
 // grants no answer of the version.
-func Mark(ctx context.Context, t platform.Table, h *Host, version catalog.VersionName) {
+func Mark(ctx context.Context, t ports.Table, h *Host, version catalog.VersionName) {
 	for {
 		ranBefore, err := mark(ctx, t, MarkKey(version, h.name))
 		if err == nil {
@@ -38,15 +38,15 @@
 	}
 }
 
-func mark(ctx context.Context, t platform.Table, key string) (ranBefore bool, err error) {
+func mark(ctx context.Context, t ports.Table, key string) (ranBefore bool, err error) {
 	_, found, err := t.Get(ctx, key)
 	if err != nil || found {
 		return found, err
 	}
-	err = platform.CommitResolved(ctx, t, platform.Txn{
+	err = ports.CommitResolved(ctx, t, ports.Txn{
 		OperationID: uuid.NewString(),
-		Conditions:  []platform.Condition{{Key: key}},
-		Writes:      []platform.Write{{Key: key, Value: []byte("1")}},
+		Conditions:  []ports.Condition{{Key: key}},
+		Writes:      []ports.Write{{Key: key, Value: []byte("1")}},
 	})
 	if result.Is(err, result.TableConflict) {
 		return true, nil
--- a/internal/watch/sampler.go
+++ b/internal/watch/sampler.go
@@ -8,7 +8,7 @@
 
 	"github.com/alitto/pond/v2"
 
-	"tarragonbay.example/tarragonbay/internal/platform"
+	"tarragonbay.example/tarragonbay/internal/ports"
 )
 
 // Bounds of handing answers in for rating.
@@ -36,14 +36,14 @@
 // Sampler hands answers in for rating, a bounded number at a time. What finds
 // no place is dropped and counted.
 type Sampler struct {
-	ratings platform.Ratings
+	ratings ports.Ratings
 	pool    pond.Pool
 	dropped atomic.Uint64
 	failed  atomic.Uint64
 }
 
 // NewSampler returns a sampler. Close must be called.
-func NewSampler(ratings platform.Ratings) *Sampler {
+func NewSampler(ratings ports.Ratings) *Sampler {
 	return &Sampler{
 		ratings: ratings,
 		pool:    pond.NewPool(sampleWorkers, pond.WithQueueSize(sampleQueue), pond.WithNonBlocking(true)),
@@ -51,7 +51,7 @@
 }
 
 // Submit hands an answer in. It does not block.
-func (s *Sampler) Submit(sample platform.Sample) {
+func (s *Sampler) Submit(sample ports.Sample) {
 	err := s.pool.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 		defer cancel()
