--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,7 +87,7 @@
 	// talk is nil when no address for datagrams is set.
 	talk     *peers.Talk
 	stopping atomic.Bool
-	// stopSince is when the stop began, in Unix nanoseconds.
+	// stopSince is when the stop began, after the start on the steady clock.
 	stopSince atomic.Int64
 	count     *counters
 
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -23,8 +23,17 @@
 
 const evidenceSlices = int(versionshift.EvidenceWindow/time.Second) + 1
 
+// steadySecond counts seconds on the steady clock: the time of day may jump.
+func steadySecond(now time.Time) int64 {
+	return int64((now.Sub(processStart) + evidenceOrigin) / time.Second)
+}
+
+// evidenceOrigin keeps the count above zero for times before the start, which
+// only tests use.
+const evidenceOrigin = time.Hour
+
 func (e *evidence) at(now time.Time) *slice {
-	sec := now.Unix()
+	sec := steadySecond(now)
 	s := &e.slices[sec%int64(evidenceSlices)]
 	if s.second != sec {
 		*s = slice{second: sec}
@@ -37,7 +46,7 @@
 	bad := map[string]bool{}
 	for i := range e.slices {
 		s := &e.slices[i]
-		if now.Unix()-s.second >= int64(evidenceSlices) {
+		if steadySecond(now)-s.second >= int64(evidenceSlices) {
 			continue
 		}
 		out.NewGood += s.newGood
--- /dev/null
+++ b/internal/gateway/judge_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/versionshift"
+)
+
+// book returns a book with an order for version v2 and twenty usual answers of
+// the old version.
+func book(now time.Time) *shiftBook {
+	b := newShiftBook(0.15)
+	o := observed{service: "s", version: "v1", upstream: "u", gap: 10}
+	o.timed(100*time.Millisecond, 100*time.Millisecond)
+	for range 20 {
+		b.observe(o, now)
+	}
+	b.order(versionshift.Order{Service: "s", To: "v2", Rev: 5}, false)
+	return b
+}
+
+func TestSlowAnswersCountAgainstAVersion(t *testing.T) {
+	now := processStart.Add(time.Minute)
+	for _, c := range []struct {
+		name           string
+		took, expected time.Duration
+		gap            float64
+		failed, bad    bool
+	}{
+		{"usual", 100 * time.Millisecond, 100 * time.Millisecond, 10, false, false},
+		{"first event late", 900 * time.Millisecond, 100 * time.Millisecond, 10, false, true},
+		{"late as expected", 900 * time.Millisecond, 900 * time.Millisecond, 10, false, false},
+		{"late by little", 200 * time.Millisecond, 0, 10, false, false},
+		{"slow pace", 100 * time.Millisecond, 100 * time.Millisecond, 80, false, true},
+		{"failed", 10 * time.Millisecond, 100 * time.Millisecond, 0, true, true},
+	} {
+		b := book(now)
+		o := observed{service: "s", version: "v2", upstream: "n", gap: c.gap, failed: c.failed}
+		o.timed(c.took, c.expected)
+		b.observe(o, now)
+		e := b.evidence("s", now)
+		if (e.NewBad == 1) != c.bad || e.NewGood+e.NewBad != 1 {
+			t.Errorf("%s: %+v", c.name, e)
+		}
+	}
+}
+
+// TestEvidenceIgnoresTheTimeOfDay: evidence ages by the steady clock, however
+// the time of day jumps.
+func TestEvidenceIgnoresTheTimeOfDay(t *testing.T) {
+	now := processStart.Add(time.Minute)
+	b := book(now)
+	o := observed{service: "s", version: "v2", upstream: "n", failed: true}
+	for i := range 3 {
+		b.observe(o, now.Add(time.Duration(i)*time.Second))
+	}
+	if e := b.evidence("s", now.Add(3*time.Second)); e.NewBad != 3 || e.BadUpstreams != 1 {
+		t.Errorf("evidence %+v", e)
+	}
+	if e := b.evidence("s", now.Add(2*versionshift.EvidenceWindow)); e.NewBad != 0 {
+		t.Errorf("old evidence still counts: %+v", e)
+	}
+	if steadySecond(now.Add(time.Second)) != steadySecond(now)+1 {
+		t.Error("seconds do not follow the steady clock")
+	}
+}
+
+func TestEvidenceOfAnEarlierOrderIsForgotten(t *testing.T) {
+	now := processStart.Add(time.Minute)
+	b := book(now)
+	b.observe(observed{service: "s", version: "v2", upstream: "n", failed: true}, now)
+	b.order(versionshift.Order{Service: "s", To: "v3", Rev: 9}, false)
+	if e := b.evidence("s", now); e != (versionshift.Evidence{}) {
+		t.Errorf("evidence %+v", e)
+	}
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -101,7 +101,7 @@
 // elsewhere, because the grace would end in the middle of it.
 func (g *Gateway) leaving(q *request) *result.Error {
 	if !g.stopping.Load() || q.route.Kind != routetable.Stream ||
-		q.arrived.Sub(time.Unix(0, g.stopSince.Load())) < leaveTime {
+		q.arrived.Sub(g.start)-time.Duration(g.stopSince.Load()) < leaveTime {
 		return nil
 	}
 	return result.New(result.Stopping, "this gateway is stopping").WithRetryAfter(leastRetry)
@@ -110,7 +110,7 @@
 // drain serves what still arrives until nothing runs or the grace is over.
 func (g *Gateway) drain(servers []*server) {
 	began := time.Now()
-	g.stopSince.Store(began.UnixNano())
+	g.stopSince.Store(int64(began.Sub(g.start)))
 	g.stopping.Store(true)
 	end := began.Add(time.Duration((1 - lastPart) * float64(g.settings().Grace)))
 	g.log.Event(part, "stopping", zap.Int("running", g.conns.running()), zap.Duration("graceMs", g.settings().Grace))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -43,12 +43,14 @@
 func NewBook() *Book { return &Book{peers: map[string]*heard{}} }
 
 // Take takes in news; it reports whether they were new. Older datagrams of
-// the same incarnation are ignored, and so are older incarnations.
+// the same incarnation are ignored, and so are older incarnations while the
+// newer one is heard: the time of day, of which an incarnation is made, may have
+// gone back over a restart.
 func (b *Book) Take(n *gossipv1.News, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.peers[n.GetGateway()]
-	if old != nil && (n.GetIncarnation() < old.news.GetIncarnation() ||
+	if old != nil && now.Sub(old.at) <= fresh && (n.GetIncarnation() < old.news.GetIncarnation() ||
 		(n.GetIncarnation() == old.news.GetIncarnation() && n.GetNumber() <= old.news.GetNumber())) {
 		return false
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// TestRestartAfterTheClockWentBack: the new incarnation has the lower number.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	b := NewBook()
+	b.Take(news("a", 9, 100, 7), t0)
+	later := t0.Add(fresh + time.Millisecond)
+	if !b.Take(news("a", 8, 1, 2), later) || b.Loads(later)[Hash("u")].Running != 2 {
+		t.Error("a restarted peer is not heard")
+	}
+}
+
 func TestTornNewsAreLeftOut(t *testing.T) {
 	b := NewBook()
 	n := news("a", 1, 1, 7)
