Escalate within the rest of the target, or late for the prompt's own length

Cause: the largest tenth of the long prompts kept answers of the small model that were likely wrong, because the bound of the estimate (0.6 of the target) dates from before speeds were learned. Now 0.85 of the rest, and a prompt that is late for its own length is made again unless it would wait half of that for others.

--- a/internal/placement/escalate.go
+++ b/internal/placement/escalate.go
@@ -27,6 +27,12 @@
 	// busyPart is the part of the target that a request waits for others when
 	// engines are busy.
 	busyPart = 0.15
+	// soon is the part of the target's rest that the estimate may use; it is
+	// calibrated, so little is left for what it does not see.
+	soon = 0.85
+	// longQueue is how long, against its own work, a long prompt may wait for
+	// others before its small answer is kept after all.
+	longQueue = 0.5
 )
 
 // Escalate reports whether the answer should be dropped. It answers three
@@ -34,15 +40,17 @@
 // model; as engines fill, only those that are more likely wrong; in a rush,
 // when the largest model would start late for the work of others, none.
 func Escalate(o Opinion) bool {
-	if o.Confidence < 0 || o.Larger.Index < 0 || o.Target <= 0 {
+	if o.Confidence < 0 || o.Larger.Index < 0 {
 		return false
 	}
-	queue := max(0, o.Larger.Expected-ms(o.Larger.WorkMS))
-	busy := min(1, float64(queue)/(busyPart*float64(o.Target)))
-	if o.Larger.Expected <= scale(o.Target, onTime) {
+	work := ms(o.Larger.WorkMS)
+	queue := max(0, o.Larger.Expected-work)
+	if o.Larger.Expected <= scale(o.Target, soon) {
+		busy := min(1, float64(queue)/(busyPart*float64(o.Target)))
 		return float64(o.Confidence) < confidentQuiet-busy*(confidentQuiet-confidentBusy)
 	}
-	// A prompt so long that it is late at any time: a good answer that comes
+	// Late for its own length rather than for others: a good answer that comes
 	// late is worth more to the caller than one that is likely wrong.
-	return busy < 1 && o.Confidence < confidentBusy && o.Larger.Expected <= scale(o.Left, refuseAt)
+	return o.Confidence < confidentBusy && queue <= scale(work, longQueue) &&
+		o.Larger.Expected <= scale(o.Left, refuseAt)
 }
