One loop of attempts for streams and plain requests

The two loops held the same rules twice. A caller that cannot be written to counts as gone wherever that is asked.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,8 @@
 	// escalated is true once a small model's answer was dropped; the repeat
 	// was drawn from the budget then.
 	escalated bool
+	// lost is true once an answer could not be written to the caller.
+	lost bool
 	// sizes of the prompt: what other requests share, and all of it.
 	shared, tokens int
 	affinity       string
@@ -169,7 +171,7 @@
 func (q *request) left(now time.Time) time.Duration { return q.limit.Sub(now) }
 
 // gone reports whether the caller has closed its connection.
-func (q *request) gone() bool { return q.in.Context().Err() != nil }
+func (q *request) gone() bool { return q.lost || q.in.Context().Err() != nil }
 
 // Urgencies that engines know, where 0 is the first and 9 the last.
 const (
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,69 +48,31 @@
 // errBadEvent means that an event is too long or the stream ended inside one.
 var errBadEvent = errors.New("the stream broke off inside an event")
 
-// errCaller means that the caller does not take the stream any more.
-var errCaller = errors.New("the caller does not read")
-
 // stream answers a request with events. Only whole events are passed on. When
 // an upstream breaks off, a resumable stream goes on at another one within the
 // same answer.
 func (g *Gateway) stream(w http.ResponseWriter, q *request) {
 	r := &relay{g: g, q: q, w: w, last: q.call.ResumeAfter}
-	var failure *result.Error
-	var last *answer
-	var lastFrom picked
-	unsent := 0
-	granted := false // a repeat was drawn from the budget already
-	for {
-		p, err := g.pick(q, time.Now())
-		if err != nil {
-			failure = firstOf(failure, err)
-			break
-		}
-		if q.sent == 0 && unsent == 0 {
-			g.countRequest(q)
-		} else if q.sent > 0 && !granted && !g.mayRepeat(q) {
-			failure = firstOf(failure, result.New(result.RetriesSpent, "the budget for repeats is spent").WithRetryAfter(jitter(shortRetry)))
-			break
-		}
-		a, v, why := r.try(p)
-		if granted = v == dropped; granted {
-			q.escalated = true
-			continue
-		}
-		if v == answered && a == nil {
-			r.finish(p)
-			return
-		}
-		if a != nil {
-			last, lastFrom = a, p
-		}
-		failure = q.failed(v, p.up.ID, why)
-		if v == notSent {
-			unsent++
-		}
-		if errors.Is(why, errCaller) || q.gone() || unsent >= maxUnsent || !q.mayGoOn(v, time.Now()) {
-			break
-		}
-		g.log.Event(part, "stream goes on elsewhere", q.fields(zap.String("left", p.up.ID), zap.String("lastEvent", r.last))...)
+	o := g.attempts(q, r.try)
+	switch {
+	case r.started && o.failure != nil:
+		r.cut(o.failure)
+	case r.started:
+		r.finish(o.from)
+	case o.answer != nil:
+		g.pass(w, q, o.from, o.answer)
+	default:
+		g.refuse(w, q, q.final(o.failure))
 	}
-	r.fail(failure, last, lastFrom)
 }
 
-// fail ends a stream that no upstream completes.
-func (r *relay) fail(failure *result.Error, last *answer, from picked) {
-	g, q := r.g, r.q
-	if r.started {
-		g.count.cutStreams.Inc(1)
-		g.log.Event(part, "stream cut", q.fields(zap.Int("events", r.events), zap.String("lastEvent", r.last),
-			zap.String("code", failure.Code.String()), zap.String("why", failure.Error()))...)
-		panic(http.ErrAbortHandler) // an answer that is not whole must not look complete
-	}
-	if last != nil {
-		g.pass(r.w, q, from, last)
-		return
-	}
-	g.refuse(r.w, q, q.final(failure))
+// cut ends a stream that no upstream completes. An answer that is not whole
+// must not look complete.
+func (r *relay) cut(failure *result.Error) {
+	r.g.count.cutStreams.Inc(1)
+	r.g.log.Event(part, "stream cut", r.q.fields(zap.Int("events", r.events), zap.String("lastEvent", r.last),
+		zap.String("code", failure.Code.String()), zap.String("why", failure.Error()))...)
+	panic(http.ErrAbortHandler)
 }
 
 func (r *relay) finish(p picked) {
@@ -131,7 +93,7 @@
 	ctx, cancel := context.WithDeadline(q.in.Context(), q.limit)
 	defer cancel()
 	a, v, err := r.run(ctx, p, s, began)
-	failed := (v == unknown && !q.gone() && !errors.Is(err, errCaller)) || v == notSent || v == notThere || a != nil
+	failed := (v == unknown && !q.gone()) || v == notSent || v == notThere || a != nil
 	s.end(weight(v, failed), time.Now())
 	if a != nil {
 		g.judge(q, p, a, v, began)
@@ -225,10 +187,12 @@
 			r.head(e)
 		}
 		if _, err := r.w.Write(event); err != nil {
-			return errors.Join(errCaller, err)
+			q.lost = true
+			return err
 		}
 		if err := flusher.Flush(); err != nil {
-			return errors.Join(errCaller, err)
+			q.lost = true
+			return err
 		}
 		r.events++
 		if id := g.proto.EventID(event); id != "" {
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -58,51 +58,12 @@
 // unary answers a request of a plain service: the whole answer is read before
 // any of it is passed on, so a broken one never reaches the caller.
 func (g *Gateway) unary(w http.ResponseWriter, q *request) {
-	var last *answer // an upstream's own failure, kept in case nothing better comes
-	var lastFrom picked
-	unsent := 0
-	var failure *result.Error
-	for {
-		p, err := g.pick(q, time.Now())
-		if err != nil {
-			failure = firstOf(failure, err)
-			break
-		}
-		if q.sent == 0 && unsent == 0 {
-			g.countRequest(q)
-		} else if q.sent > 0 && !g.mayRepeat(q) {
-			failure = firstOf(failure, result.New(result.RetriesSpent, "the budget for repeats is spent").WithRetryAfter(jitter(shortRetry)))
-			break
-		}
-		a, v, why := g.try(q, p)
-		if v == answered && (a.status < http.StatusInternalServerError || !q.route.Repeats()) {
-			g.pass(w, q, p, a)
-			return
-		}
-		if a != nil {
-			last, lastFrom = a, p
-		}
-		failure = q.failed(v, p.up.ID, why)
-		if v == notSent {
-			unsent++
-		}
-		if q.gone() || unsent >= maxUnsent || !q.mayGoOn(v, time.Now()) {
-			break
-		}
-	}
-	if last != nil {
-		g.pass(w, q, lastFrom, last)
+	o := g.attempts(q, func(p picked) (*answer, verdict, error) { return g.try(q, p) })
+	if o.answer != nil {
+		g.pass(w, q, o.from, o.answer)
 		return
 	}
-	g.refuse(w, q, q.final(failure))
-}
-
-// firstOf keeps the cause of an earlier failure over a later refusal.
-func firstOf(a, b *result.Error) *result.Error {
-	if a != nil {
-		return a
-	}
-	return b
+	g.refuse(w, q, q.final(o.failure))
 }
 
 // mayGoOn reports whether another upstream may be tried after the verdict.
