--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -142,13 +144,20 @@
 	case s.known && s.state.Phase == versionshift.Withdrawn:
 		return from
 	case takesNew && len(to) > 0:
-		return to
+		return b.pressed(s, to)
 	case len(from) > 0:
 		return from
 	}
 	return to
 }
 
+// pressed returns the upstreams of the new version that take its share of the
+// work, the same at every gateway.
+func (b *shiftBook) pressed(s *serviceShift, to []fleet.Upstream) []fleet.Upstream {
+	slices.SortFunc(to, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return to[:s.state.Upstreams(b.exposure, len(to))]
+}
+
 func (s *serviceShift) established(ups []fleet.Upstream, now time.Time) []fleet.Upstream {
 	out := make([]fleet.Upstream, 0, len(ups))
 	for _, u := range ups {
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -103,6 +103,10 @@
 	// doneBy is when the old version is ended even if requests still run on
 	// it; the rest is slack for the write of the result.
 	doneBy = 0.9
+	// pressed is the part of the upstreams that a share of the work would need
+	// which get it, leastUpstreams the least number: a verdict takes two.
+	pressed        = 0.67
+	leastUpstreams = 2
 	// minGood is how many good answers let a version leave its trial early in
 	// its second half; without them it waits until trialLate.
 	minGood   = 12
@@ -156,6 +160,17 @@
 	return 0
 }
 
+// Upstreams returns how many of the new version's upstreams take its share of
+// the work until all of it has moved: fewer than the share would need, so that
+// each is loaded more than usual. It answers a version that fails only under
+// load, which a small share spread over all of its upstreams never shows.
+func (s State) Upstreams(exposure float64, all int) int {
+	if s.Phase != Trial && s.Phase != Half {
+		return all
+	}
+	return min(all, max(leastUpstreams, int(math.Ceil(pressed*s.Share(exposure)*float64(all)))))
+}
+
 // FirstHalf reports whether sessions of the old version must stay there.
 func (s State) FirstHalf(now time.Duration) bool {
 	return s.Phase == Trial && now-s.Started < time.Duration(trialUntil*float64(s.Within))
