--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -8,17 +8,21 @@
 )
 
 // evidence is what this gateway has seen of a shift's two versions in the last
-// seconds, in slices of a second.
+// seconds, in slices of a second, by route.
 type evidence struct {
 	slices [evidenceSlices]slice
-	judged int
+	judged map[string]int
 }
 
 type slice struct {
-	second          int64
-	newGood, newBad int
-	oldGood, oldBad int
-	badUpstreams    map[string]bool
+	second int64
+	routes map[string]*answers
+}
+
+// answers counts the answers of one route in one second.
+type answers struct {
+	newGood, newBad, oldGood, oldBad int
+	upstreams, badUpstreams          map[string]bool
 }
 
 const evidenceSlices = int(versionshift.EvidenceWindow/time.Second) + 1
@@ -32,35 +36,56 @@
 // only tests use.
 const evidenceOrigin = time.Hour
 
-func (e *evidence) at(now time.Time) *slice {
+func (e *evidence) at(route string, now time.Time) *answers {
 	sec := steadySecond(now)
 	s := &e.slices[sec%int64(evidenceSlices)]
 	if s.second != sec {
-		*s = slice{second: sec}
+		*s = slice{second: sec, routes: map[string]*answers{}}
+	}
+	a := s.routes[route]
+	if a == nil {
+		a = &answers{upstreams: map[string]bool{}, badUpstreams: map[string]bool{}}
+		s.routes[route] = a
 	}
-	return s
+	return a
 }
 
-func (e *evidence) sum(now time.Time) versionshift.Evidence {
-	out := versionshift.Evidence{Judged: e.judged}
-	bad := map[string]bool{}
+func (e *evidence) sum(now time.Time) versionshift.Seen {
+	out := versionshift.Seen{}
+	used, bad := map[string]map[string]bool{}, map[string]map[string]bool{}
+	for route, n := range e.judged {
+		out[route] = versionshift.Evidence{Judged: n}
+	}
 	for i := range e.slices {
 		s := &e.slices[i]
 		if steadySecond(now)-s.second >= int64(evidenceSlices) {
 			continue
 		}
-		out.NewGood += s.newGood
-		out.NewBad += s.newBad
-		out.OldGood += s.oldGood
-		out.OldBad += s.oldBad
-		for id := range s.badUpstreams {
-			bad[id] = true
+		for route, a := range s.routes {
+			sum := out[route]
+			sum.NewGood += a.newGood
+			sum.NewBad += a.newBad
+			sum.OldGood += a.oldGood
+			sum.OldBad += a.oldBad
+			sum.NewUpstreams = join(used, route, a.upstreams)
+			sum.BadUpstreams = join(bad, route, a.badUpstreams)
+			out[route] = sum
 		}
 	}
-	out.BadUpstreams = len(bad)
 	return out
 }
 
+// join adds the upstreams to those of the route and returns how many they are.
+func join(all map[string]map[string]bool, route string, more map[string]bool) int {
+	if all[route] == nil {
+		all[route] = map[string]bool{}
+	}
+	for id := range more {
+		all[route][id] = true
+	}
+	return len(all[route])
+}
+
 // paceKey names answers that take about the same time.
 type paceKey struct {
 	route, model string
@@ -152,18 +177,21 @@
 		}
 		return
 	}
-	at := s.seen.at(now)
+	at := s.seen.at(o.key.route, now)
 	bad := o.failed || p.slow(o)
+	if isNew {
+		at.upstreams[o.upstream] = true
+	}
 	switch {
 	case isNew && bad:
 		at.newBad++
-		if at.badUpstreams == nil {
-			at.badUpstreams = map[string]bool{}
-		}
 		at.badUpstreams[o.upstream] = true
 	case isNew:
 		at.newGood++
-		s.seen.judged++
+		if s.seen.judged == nil {
+			s.seen.judged = map[string]int{}
+		}
+		s.seen.judged[o.key.route]++
 	case bad:
 		at.oldBad++
 	default:
--- a/internal/gateway/judge_test.go
+++ b/internal/gateway/judge_test.go
@@ -39,7 +39,7 @@
 		o := observed{service: "s", version: "v2", upstream: "n", gap: c.gap, failed: c.failed}
 		o.timed(c.took, c.expected)
 		b.observe(o, now)
-		e := b.evidence("s", now)
+		e := b.evidence("s", now).Sum()
 		if (e.NewBad == 1) != c.bad || e.NewGood+e.NewBad != 1 {
 			t.Errorf("%s: %+v", c.name, e)
 		}
@@ -55,10 +55,10 @@
 	for i := range 3 {
 		b.observe(o, now.Add(time.Duration(i)*time.Second))
 	}
-	if e := b.evidence("s", now.Add(3*time.Second)); e.NewBad != 3 || e.BadUpstreams != 1 {
+	if e := b.evidence("s", now.Add(3*time.Second)).Sum(); e.NewBad != 3 || e.BadUpstreams != 1 {
 		t.Errorf("evidence %+v", e)
 	}
-	if e := b.evidence("s", now.Add(2*versionshift.EvidenceWindow)); e.NewBad != 0 {
+	if e := b.evidence("s", now.Add(2*versionshift.EvidenceWindow)).Sum(); e.NewBad != 0 {
 		t.Errorf("old evidence still counts: %+v", e)
 	}
 	if steadySecond(now.Add(time.Second)) != steadySecond(now)+1 {
@@ -71,7 +71,7 @@
 	b := book(now)
 	b.observe(observed{service: "s", version: "v2", upstream: "n", failed: true}, now)
 	b.order(versionshift.Order{Service: "s", To: "v3", Rev: 9}, false)
-	if e := b.evidence("s", now); e != (versionshift.Evidence{}) {
+	if e := b.evidence("s", now); len(e) != 0 {
 		t.Errorf("evidence %+v", e)
 	}
 }
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -16,7 +16,7 @@
 	n := &gossipv1.News{OldSessions: g.shifts.oldSessions(now, maxSessionsTold)}
 	g.loads.tell(n)
 	for _, o := range g.shifts.open() {
-		n.Sightings = append(n.Sightings, peers.Sighting(o.Service, o.Rev, g.ownEvidence(o)))
+		n.Sightings = append(n.Sightings, peers.Sightings(o.Service, o.Rev, g.ownEvidence(o))...)
 	}
 	return n
 }
--- a/internal/gateway/shifts.go
+++ b/internal/gateway/shifts.go
@@ -70,8 +70,8 @@
 				continue
 			}
 			pause(ctx, time.Duration(rand.Int64N(int64(turnTime))))
-			if st, e, change := g.nextShift(o); change {
-				g.writeShift(ctx, st, e)
+			if st, seen, change := g.nextShift(o); change {
+				g.writeShift(ctx, st, seen)
 			}
 		}
 	}
@@ -80,30 +80,30 @@
 
 // nextShift returns the state that should follow; change is false when it is
 // the one in force or not known yet.
-func (g *Gateway) nextShift(o versionshift.Order) (next versionshift.State, e versionshift.Evidence, change bool) {
+func (g *Gateway) nextShift(o versionshift.Order) (next versionshift.State, seen versionshift.Seen, change bool) {
 	now := time.Now()
 	st, storeNow, ok := g.shifts.stateOf(o, now)
 	if !ok {
-		return st, e, false
+		return st, nil, false
 	}
 	if st.Order < o.Rev {
-		return versionshift.Start(o, storeNow), e, true
+		return versionshift.Start(o, storeNow), nil, true
 	}
-	e = g.ownEvidence(o).Add(g.peersEvidence(o, now))
-	next = versionshift.Next(st, e, storeNow)
-	return next, e, next.Phase != st.Phase
+	seen = g.ownEvidence(o).Add(g.peersEvidence(o, now))
+	next = versionshift.Next(st, seen, storeNow)
+	return next, seen, next.Phase != st.Phase
 }
 
-func (g *Gateway) peersEvidence(o versionshift.Order, now time.Time) versionshift.Evidence {
+func (g *Gateway) peersEvidence(o versionshift.Order, now time.Time) versionshift.Seen {
 	if g.talk == nil {
-		return versionshift.Evidence{}
+		return nil
 	}
 	return g.talk.Book.Evidence(o.Service, o.Rev, now)
 }
 
-// ownEvidence is what this gateway has seen, and what it still runs on the old
-// version.
-func (g *Gateway) ownEvidence(o versionshift.Order) versionshift.Evidence {
+// ownEvidence is what this gateway has seen by route, and, under no route, what
+// it still runs on the old version.
+func (g *Gateway) ownEvidence(o versionshift.Order) versionshift.Seen {
 	e := g.shifts.evidence(o.Service, time.Now())
 	view := g.fleet.Load()
 	if view == nil {
@@ -115,17 +115,17 @@
 			old = append(old, u.ID)
 		}
 	}
-	e.OldRunning = g.loads.runningAt(old)
+	e[""] = versionshift.Evidence{OldRunning: g.loads.runningAt(old)}
 	return e
 }
 
 // writeShift writes a new state together with the status that the operator
 // reads. A lost answer is resolved by the feed of the table.
-func (g *Gateway) writeShift(ctx context.Context, st versionshift.State, e versionshift.Evidence) {
+func (g *Gateway) writeShift(ctx context.Context, st versionshift.State, seen versionshift.Seen) {
 	rev := g.shifts.revOf(st.Service)
 	fields := []zap.Field{
 		zap.String("service", st.Service), zap.String("to", st.To), zap.String("phase", string(st.Phase)),
-		zap.String("why", st.Why), zap.Uint64("atRev", rev), zap.Any("evidence", e),
+		zap.String("why", st.Why), zap.Uint64("atRev", rev), zap.Any("evidence", seen),
 	}
 	value, err := json.Marshal(st)
 	if err != nil {
@@ -163,7 +163,7 @@
 }
 
 // evidence returns what was seen of a service's shift.
-func (b *shiftBook) evidence(service string, now time.Time) versionshift.Evidence {
+func (b *shiftBook) evidence(service string, now time.Time) versionshift.Seen {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.of(service).seen.sum(now)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -94,17 +94,17 @@
 }
 
 // Evidence sums what peers have seen of the shift that an order asks for.
-func (b *Book) Evidence(service string, order uint64, now time.Time) versionshift.Evidence {
+func (b *Book) Evidence(service string, order uint64, now time.Time) versionshift.Seen {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	var sum versionshift.Evidence
+	sum := versionshift.Seen{}
 	for _, h := range b.peers {
 		if now.Sub(h.at) > fresh {
 			continue
 		}
 		for _, s := range h.news.GetSightings() {
 			if s.GetService() == service && s.GetOrder() == order {
-				sum = sum.Add(evidence(s))
+				sum[s.GetRoute()] = sum[s.GetRoute()].Add(evidence(s))
 			}
 		}
 	}
@@ -114,18 +114,24 @@
 func evidence(s *gossipv1.Sighting) versionshift.Evidence {
 	return versionshift.Evidence{
 		Judged:  int(s.GetJudged()),
-		NewGood: int(s.GetNewGood()), NewBad: int(s.GetNewBad()), BadUpstreams: int(s.GetBadUpstreams()),
+		NewGood: int(s.GetNewGood()), NewBad: int(s.GetNewBad()),
+		NewUpstreams: int(s.GetNewUpstreams()), BadUpstreams: int(s.GetBadUpstreams()),
 		OldGood: int(s.GetOldGood()), OldBad: int(s.GetOldBad()), OldRunning: int(s.GetOldRunning()),
 	}
 }
 
-// Sighting encodes this gateway's evidence.
-func Sighting(service string, order uint64, e versionshift.Evidence) *gossipv1.Sighting {
-	return &gossipv1.Sighting{
-		Service: service, Order: order, Judged: uint32(e.Judged),
-		NewGood: uint32(e.NewGood), NewBad: uint32(e.NewBad), BadUpstreams: uint32(e.BadUpstreams),
-		OldGood: uint32(e.OldGood), OldBad: uint32(e.OldBad), OldRunning: uint32(e.OldRunning),
+// Sightings encodes this gateway's evidence, route by route.
+func Sightings(service string, order uint64, seen versionshift.Seen) []*gossipv1.Sighting {
+	out := make([]*gossipv1.Sighting, 0, len(seen))
+	for route, e := range seen {
+		out = append(out, &gossipv1.Sighting{
+			Service: service, Order: order, Route: route, Judged: uint32(e.Judged),
+			NewGood: uint32(e.NewGood), NewBad: uint32(e.NewBad),
+			NewUpstreams: uint32(e.NewUpstreams), BadUpstreams: uint32(e.BadUpstreams),
+			OldGood: uint32(e.OldGood), OldBad: uint32(e.OldBad), OldRunning: uint32(e.OldRunning),
+		})
 	}
+	return out
 }
 
 // OnOldVersion reports whether a peer runs the session on the old version of a
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -47,16 +47,16 @@
 func TestOldNewsExpire(t *testing.T) {
 	b := NewBook()
 	n := news("a", 1, 1, 7)
-	n.Sightings = []*gossipv1.Sighting{Sighting("s", 9, versionshift.Evidence{NewBad: 3, OldRunning: 2})}
+	n.Sightings = Sightings("s", 9, versionshift.Seen{"r": {NewBad: 3, OldRunning: 2}})
 	b.Take(n, t0)
-	if e := b.Evidence("s", 9, t0); e.NewBad != 3 || e.OldRunning != 2 {
+	if e := b.Evidence("s", 9, t0)["r"]; e.NewBad != 3 || e.OldRunning != 2 {
 		t.Errorf("evidence %+v", e)
 	}
-	if e := b.Evidence("s", 8, t0); e != (versionshift.Evidence{}) {
+	if e := b.Evidence("s", 8, t0); len(e) != 0 {
 		t.Errorf("evidence of another order: %+v", e)
 	}
 	later := t0.Add(fresh + time.Millisecond)
-	if len(b.Loads(later)) != 0 || b.Heard(later) != 0 || b.Evidence("s", 9, later) != (versionshift.Evidence{}) {
+	if len(b.Loads(later)) != 0 || b.Heard(later) != 0 || len(b.Evidence("s", 9, later)) != 0 {
 		t.Error("a silent peer still counts")
 	}
 }
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -69,7 +69,9 @@
 	// slower than the old version's.
 	NewGood int `json:"newGood"`
 	NewBad  int `json:"newBad"`
-	// BadUpstreams counts the upstreams of the new version with bad answers.
+	// NewUpstreams counts the upstreams of the new version that answered,
+	// BadUpstreams those of them with bad answers.
+	NewUpstreams int `json:"newUpstreams"`
 	BadUpstreams int `json:"badUpstreams"`
 	OldGood      int `json:"oldGood"`
 	OldBad       int `json:"oldBad"`
@@ -77,12 +79,13 @@
 	OldRunning int `json:"oldRunning"`
 }
 
-// Add sums the evidence of two gateways. Upstreams seen bad by both are
+// Add sums the evidence of two gateways. Upstreams seen by both are
 // counted by the larger number, since they may be the same ones.
 func (e Evidence) Add(o Evidence) Evidence {
 	return Evidence{
 		Judged:  e.Judged + o.Judged,
 		NewGood: e.NewGood + o.NewGood, NewBad: e.NewBad + o.NewBad,
+		NewUpstreams: max(e.NewUpstreams, o.NewUpstreams),
 		BadUpstreams: max(e.BadUpstreams, o.BadUpstreams),
 		OldGood:      e.OldGood + o.OldGood, OldBad: e.OldBad + o.OldBad,
 		OldRunning: e.OldRunning + o.OldRunning,
@@ -130,6 +133,10 @@
 	// time after which it no longer does.
 	holdAt    = 1.0
 	heldUntil = 0.8
+	// badPart is the least part of a version's upstreams that give bad answers
+	// when it is the version that is bad: above the part that the users' faults
+	// of single upstreams reach, which is a fifth.
+	badPart = 0.3
 	// minBad is the least number of bad answers for a withdrawal.
 	minBad = 4
 )
@@ -138,6 +145,49 @@
 // thirty answers of the users' services.
 const EvidenceWindow = 6 * time.Second
 
+// Seen is the evidence of each route by its name. A version may be bad for the
+// requests of one route only, which the sum over all of them hides.
+type Seen map[string]Evidence
+
+// Add sums the evidence of two gateways, route by route.
+func (s Seen) Add(o Seen) Seen {
+	out := make(Seen, len(s)+len(o))
+	for route, e := range s {
+		out[route] = e
+	}
+	for route, e := range o {
+		out[route] = out[route].Add(e)
+	}
+	return out
+}
+
+// Sum is the evidence of all routes.
+func (s Seen) Sum() Evidence {
+	var sum Evidence
+	for _, e := range s {
+		sum = sum.Add(e)
+	}
+	return sum
+}
+
+// oddsBad returns the highest odds of all routes and of their sum, among those
+// with enough bad answers at enough upstreams, and the highest without that.
+func (s Seen) oddsBad() (proven, suspected float64) {
+	check := func(e Evidence) {
+		odds := oddsBad(e)
+		suspected = max(suspected, odds)
+		if e.NewBad >= minBad && e.BadUpstreams >= 2 &&
+			float64(e.BadUpstreams) >= badPart*float64(e.NewUpstreams) {
+			proven = max(proven, odds)
+		}
+	}
+	for _, e := range s {
+		check(e)
+	}
+	check(s.Sum())
+	return proven, suspected
+}
+
 // Start returns the state of a new shift.
 func Start(o Order, now time.Duration) State {
 	return State{
@@ -178,18 +228,19 @@
 
 // Next returns the state after the evidence so far. It answers two patterns: a
 // version that fails a part of its requests from the start, later or only
-// under load, which must reach few callers; and a good one beside upstreams
+// under load or for one route, which must reach few callers; and a good one beside upstreams
 // that fail for other reasons, which must not be withdrawn for them.
-func Next(s State, e Evidence, now time.Duration) State {
+func Next(s State, seen Seen, now time.Duration) State {
 	if s.Ended() {
 		return s
 	}
-	odds := oddsBad(e)
-	if odds >= withdrawAt && e.NewBad >= minBad && e.BadUpstreams >= 2 {
+	proven, suspected := seen.oddsBad()
+	if proven >= withdrawAt {
 		return s.to(Withdrawn, now, "bad answers")
 	}
+	e := seen.Sum()
 	part := float64(now-s.Started) / float64(max(s.Within, time.Second))
-	if odds > holdAt && part < heldUntil {
+	if suspected > holdAt && part < heldUntil {
 		return s
 	}
 	switch s.Phase {
@@ -216,9 +267,9 @@
 }
 
 // oddsBad is a sequential test of the new version's rate of bad answers against
-// that of the old one: the logarithm of the odds that the version is bad. A
-// single upstream that fails is no verdict on a version, so the caller also
-// asks for two.
+// that of the old one: the logarithm of the odds that the version is bad. A few
+// upstreams that fail are no verdict on a version, so the caller also asks how
+// many do.
 func oddsBad(e Evidence) float64 {
 	old := baseFloor
 	if n := e.OldGood + e.OldBad; n > 0 {
--- a/internal/versionshift/versionshift_test.go
+++ b/internal/versionshift/versionshift_test.go
@@ -16,7 +16,7 @@
 		if at < 17*time.Second {
 			e.OldRunning = 5
 		}
-		next := Next(s, e, 100*time.Second+at)
+		next := Next(s, Seen{"r": e}, 100*time.Second+at)
 		if next.Phase != s.Phase {
 			phases = append(phases, next.Phase)
 		}
@@ -38,6 +38,8 @@
 		want  Phase
 	}{
 		{"failures from the start", Trial, 0.1, Evidence{NewGood: 6, NewBad: 6, BadUpstreams: 3, OldGood: 100}, Withdrawn},
+		{"few of its upstreams fail", Half, 0.55, Evidence{NewGood: 20, NewBad: 20, BadUpstreams: 2, NewUpstreams: 7, OldGood: 100}, Half},
+		{"most of its upstreams fail", Half, 0.55, Evidence{NewGood: 20, NewBad: 20, BadUpstreams: 5, NewUpstreams: 7, OldGood: 100}, Withdrawn},
 		{"one bad upstream", Trial, 0.1, Evidence{NewGood: 6, NewBad: 6, BadUpstreams: 1, OldGood: 100}, Trial},
 		{"failures beside those of the old version", Trial, 0.1, Evidence{NewGood: 6, NewBad: 6, BadUpstreams: 3, OldGood: 50, OldBad: 50}, Trial},
 		{"few failures", Trial, 0.6, Evidence{Judged: 40, NewGood: 40, NewBad: 2, BadUpstreams: 2, OldGood: 100}, Half},
@@ -53,7 +55,7 @@
 		{"a withdrawal is final", Withdrawn, 0.95, Evidence{NewGood: 100}, Withdrawn},
 	} {
 		s := State{Phase: c.phase, Within: within}
-		if got := Next(s, c.e, time.Duration(c.part*float64(within))); got.Phase != c.want {
+		if got := Next(s, Seen{"r": c.e}, time.Duration(c.part*float64(within))); got.Phase != c.want {
 			t.Errorf("%s: %s, want %s", c.name, got.Phase, c.want)
 		}
 	}
@@ -126,7 +128,7 @@
 			sum = sum.Add(w)
 		}
 		sum.Judged = judged
-		s = Next(s, sum, at)
+		s = Next(s, Seen{"r": sum}, at)
 	}
 	return s
 }
@@ -166,11 +168,11 @@
 		for range 50 {
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
 			n := rapid.IntRange(0, 30)
-			next := Next(s, Evidence{
+			next := Next(s, Seen{"r": {
 				Judged: n.Draw(t, "judged"), NewGood: n.Draw(t, "good"), NewBad: n.Draw(t, "bad"),
 				BadUpstreams: n.Draw(t, "ups"), OldGood: n.Draw(t, "oldGood"), OldBad: n.Draw(t, "oldBad"),
 				OldRunning: n.Draw(t, "running"),
-			}, now)
+			}}, now)
 			if rank[next.Phase] < rank[s.Phase] || (s.Ended() && next.Phase != s.Phase) {
 				t.Fatalf("%s became %s", s.Phase, next.Phase)
 			}
@@ -202,3 +204,20 @@
 		}
 	}
 }
+
+// TestVersionThatIsBadForOneRoute is from lemnotrat, one-class-bad-and-storms:
+// the failures of one route are lost in the good answers of the others.
+func TestVersionThatIsBadForOneRoute(t *testing.T) {
+	s := State{Phase: Trial, Within: 20 * time.Second}
+	seen := Seen{
+		"bad":   {NewGood: 3, NewBad: 5, BadUpstreams: 2, OldGood: 60},
+		"good":  {NewGood: 40, OldGood: 300},
+		"other": {NewGood: 20, OldGood: 150},
+	}
+	if got := Next(s, seen, time.Second); got.Phase != Withdrawn {
+		t.Errorf("phase %s", got.Phase)
+	}
+	if got := Next(s, Seen{"all": seen.Sum()}, time.Second); got.Phase != Trial {
+		t.Errorf("the sum alone should hide it: %s", got.Phase)
+	}
+}
