--- a/internal/gateway/judge_test.go
+++ b/internal/gateway/judge_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"tarragonbay.example/tarragonbay/internal/fleet"
 	"tarragonbay.example/tarragonbay/internal/versionshift"
 )
 
@@ -75,3 +76,21 @@
 		t.Errorf("evidence %+v", e)
 	}
 }
+
+// TestTrialGoesOnElsewhere: with the few upstreams of a trial dead, a request
+// goes to the version's others. It is from lemnotrat, scale-1.
+func TestTrialGoesOnElsewhere(t *testing.T) {
+	now := processStart.Add(time.Minute)
+	b := book(now)
+	b.adopt(versionshift.State{Service: "s", To: "v2", Order: 5, Phase: versionshift.Trial, Within: time.Minute}, 9)
+	ups := make([]fleet.Upstream, 0, 24)
+	for i := range 24 {
+		ups = append(ups, fleet.Upstream{ID: string(rune('a' + i)), Service: "s", Version: []string{"v1", "v2"}[i%2]})
+	}
+	count := func(again bool) int {
+		return len(b.allowed("s", "", 0, ups, now, func(string) bool { return false }, again))
+	}
+	if first, next := count(false), count(true); first != 2 || next != 12 {
+		t.Errorf("%d upstreams for the first try, %d for the next; want 2 and 12", first, next)
+	}
+}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -40,7 +40,7 @@
 	}
 	all := view.byService[q.service]
 	ups := make([]fleet.Upstream, 0, len(all))
-	for _, u := range g.shifts.allowed(q.service, q.call.Session, q.sessionPoint(), all, now, g.sessionElsewhere) {
+	for _, u := range g.shifts.allowed(q.service, q.call.Session, q.sessionPoint(), all, now, g.sessionElsewhere, len(q.tried) > 0) {
 		if !q.tried[u.ID] {
 			ups = append(ups, u)
 		}
--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -115,8 +115,10 @@
 const tellTime = 1200 * time.Millisecond
 
 // allowed returns the upstreams whose version may take the request. elsewhere
-// tells whether a peer runs the session on the old version.
-func (b *shiftBook) allowed(service, session string, point float64, ups []fleet.Upstream, now time.Time, elsewhere func(session string) bool) []fleet.Upstream {
+// tells whether a peer runs the session on the old version; again is true once
+// an upstream failed, when any of the version's may take it.
+func (b *shiftBook) allowed(service, session string, point float64, ups []fleet.Upstream, now time.Time,
+	elsewhere func(session string) bool, again bool) []fleet.Upstream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(service)
@@ -143,6 +145,8 @@
 	switch {
 	case s.known && s.state.Phase == versionshift.Withdrawn:
 		return from
+	case takesNew && len(to) > 0 && again:
+		return to
 	case takesNew && len(to) > 0:
 		return b.pressed(s, to)
 	case len(from) > 0:
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -210,12 +210,13 @@
 	return 0
 }
 
-// Upstreams returns how many of the new version's upstreams take its share of
-// the work until all of it has moved: fewer than the share would need, so that
-// each is loaded more than usual. It answers a version that fails only under
-// load, which a small share spread over all of its upstreams never shows.
+// Upstreams returns how many of the new version's upstreams take the work of a
+// trial: fewer than its share would need, so that each is loaded more than
+// usual. It answers a version that fails only under load, which a small share
+// spread over all of its upstreams never shows. Half of the work is spread over
+// all, because callers would wait on fewer.
 func (s State) Upstreams(exposure float64, all int) int {
-	if s.Phase != Trial && s.Phase != Half {
+	if s.Phase != Trial {
 		return all
 	}
 	return min(all, max(leastUpstreams, int(math.Ceil(pressed*s.Share(exposure)*float64(all)))))
