Cut a stream whose rest is answered with a status

Cause, found while reading the diff: since the loop of attempts is shared, a stream that broke off and whose resumption was answered with 404 or 400 ended as if it were whole. Calls to the store and the bytes read from it are on the metrics address.

--- a/internal/daemoncmd/gateway.go
+++ b/internal/daemoncmd/gateway.go
@@ -33,14 +33,17 @@
 			if err != nil {
 				return err
 			}
+			store, metrics := platform.NewStore(s.Store), telemetry.NewMetrics()
+			metrics.GaugeFunc("store", "calls", func() int64 { calls, _ := store.Calls(); return calls })
+			metrics.GaugeFunc("store", "read_bytes", func() int64 { _, bytes := store.Calls(); return bytes })
 			g := gateway.New(gateway.Options{
 				Settings:     s,
 				SettingsFile: path,
 				Protocol:     platform.Protocol{},
 				Documents:    platform.Documents{},
-				Store:        platform.NewStore(s.Store),
+				Store:        store,
 				Log:          eventlog.New(stdout),
-				Metrics:      telemetry.NewMetrics(),
+				Metrics:      metrics,
 				BootClock:    bootclock.Now,
 			})
 			return g.Run(cmd.Context())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,6 +57,8 @@
 	switch {
 	case r.started && o.failure != nil:
 		r.cut(o.failure)
+	case r.started && o.answer != nil:
+		r.cut(result.New(result.UpstreamFailed, "upstream %s answered the rest with status %d", o.from.up.ID, o.answer.status))
 	case r.started:
 		r.finish(o.from)
 	case o.answer != nil:
