--- a/internal/placement/escalate.go
+++ b/internal/placement/escalate.go
@@ -18,8 +18,8 @@
 
 // Bounds on the confidence of an answer that is kept.
 const (
-	// confidentQuiet is used while engines are idle: a fifth of the answers at
-	// this confidence are still wrong, and there is time to make them again.
+	// confidentQuiet is used while engines are idle and there is time to make a
+	// doubtful answer again.
 	confidentQuiet = 60
 	// confidentBusy is used when they are not: from here on an answer is more
 	// likely right than wrong.
