--- a/internal/ctl/bench.go
+++ b/internal/ctl/bench.go
@@ -4,13 +4,16 @@
 	"bytes"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
 
+	"tarragonbay.example/tarragonbay/internal/losses"
 	"tarragonbay.example/tarragonbay/internal/policybench"
 	"tarragonbay.example/tarragonbay/internal/policybench/host"
 	"tarragonbay.example/tarragonbay/internal/policybench/version"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/platform/report"
 )
 
 // policyBench compares one kind of decision with plain baselines.
@@ -28,7 +31,7 @@
 	cmd := &cobra.Command{Use: "bench", Short: "Measure decisions on seeded models"}
 	var seed uint64
 	var quick bool
-	var report string
+	var page string
 	policy := &cobra.Command{
 		Use:   "policy [NAME]",
 		Short: "Compare each policy with plain baselines; the same seed gives the same figures",
@@ -38,8 +41,8 @@
 			if err != nil {
 				return err
 			}
-			if report != "" {
-				if err := writeReport(report, rows); err != nil {
+			if page != "" {
+				if err := writeReport(page, rows); err != nil {
 					return err
 				}
 			}
@@ -51,11 +54,37 @@
 	}
 	policy.Flags().Uint64Var(&seed, "seed", 1, "seed of the models")
 	policy.Flags().BoolVar(&quick, "quick", false, "run shorter loads")
-	policy.Flags().StringVar(&report, "report", "", "also write an HTML page with plots to this file")
-	cmd.AddCommand(policy)
+	policy.Flags().StringVar(&page, "report", "", "also write an HTML page with plots to this file")
+	spent := &cobra.Command{
+		Use:   "losses REPORT...",
+		Short: "Show where the worth of days went that were played on the users' bench",
+		Args:  rangeArgs(1, maxReports),
+		RunE:  func(_ *cobra.Command, args []string) error { return a.printLosses(args) },
+	}
+	cmd.AddCommand(policy, spent)
 	return cmd
 }
 
+// maxReports bounds the reports that one command prints.
+const maxReports = 100
+
+func (a *app) printLosses(paths []string) error {
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return result.Wrap(err, result.ReadFailed, "the report cannot be read")
+		}
+		day, err := report.Read(text)
+		if err != nil {
+			return err
+		}
+		if err := losses.Print(a.Out, filepath.Base(path), day); err != nil {
+			return result.Wrap(err, result.ReadFailed, "the losses cannot be printed")
+		}
+	}
+	return nil
+}
+
 func writeReport(path string, rows []policybench.Row) error {
 	var page bytes.Buffer
 	if err := policybench.WriteReport(&page, rows); err != nil {
--- /dev/null
+++ b/internal/losses/losses_test.go
@@ -0,0 +1,50 @@
+package losses
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+var day = Day{
+	Worth: 0.4,
+	Parts: []Part{{"whole day", 0.5, 0.8}, {"worst windows", 0.5, 0.3}},
+	Costs: []Cost{{"hosts", 350, 0.04}, {"probes", 0, 0}},
+	Windows: []Window{
+		{"0", 100, 0.9}, {"2", 3, 0}, {"4", 80, 0.2}, {"6", 90, 0.5}, {"8", 90, 0.6}, {"10", 90, 0.7},
+	},
+	Routes: []Route{{Name: "a", Asked: 10, OnTime: 7, Late: 1, Failed: 2, Earned: 0.75}},
+}
+
+func TestBudgetListsTheLargestLossFirst(t *testing.T) {
+	got := Budget(day)
+	want := []string{"not earned, worst windows", "not earned, whole day", "hosts"}
+	if len(got) != len(want) {
+		t.Fatalf("%d items: %+v", len(got), got)
+	}
+	for i, w := range want {
+		if got[i].Cause != w {
+			t.Errorf("item %d is %q, want %q", i, got[i].Cause, w)
+		}
+	}
+}
+
+// TestWorstWindows: a window in which next to nothing was owed says nothing.
+func TestWorstWindows(t *testing.T) {
+	got := Worst(day)
+	if len(got) != worstWindows || got[0].From != "4" || got[3].From != "10" {
+		t.Errorf("windows %+v", got)
+	}
+}
+
+func TestPrint(t *testing.T) {
+	var out bytes.Buffer
+	if err := Print(&out, "a day", day); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"a day: worth 0.400", "0.3500  not earned, worst windows", "0.0400  hosts", "350"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
