--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,10 +19,6 @@
 	// delivered at once; the wait bounds how long a connection that fell
 	// silent goes unnoticed.
 	waitPart = 0.7
-	// pausePart of the time in which a leaving upstream must be left alone is
-	// the pause between two reads of the upstreams' changes, so that one read
-	// may fail.
-	pausePart = 0.4
 	// overdue is how many waits without a confirmation are too long.
 	overdue = 2
 	// awayPause is the pause after a call that failed.
@@ -34,11 +30,6 @@
 	return time.Duration(waitPart * float64(g.settings().ConfigWithin))
 }
 
-// upstreamPause is the pause between two reads of the upstreams' changes.
-func (g *Gateway) upstreamPause() time.Duration {
-	return time.Duration(pausePart * float64(g.settings().DrainWithin))
-}
-
 // follower reads one table: a list first, then its feed.
 type follower struct {
 	g     *Gateway
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,14 +76,16 @@
 	boot  func() time.Duration
 	start time.Time
 
-	pool    *h1.Pool
-	table   atomic.Pointer[routetable.Table]
-	fleet   atomic.Pointer[fleetView]
-	contact contact
-	loads   *loadBook
-	speeds  *speedBook
-	shifts  *shiftBook
-	conns   *connBook
+	pool  *h1.Pool
+	table atomic.Pointer[routetable.Table]
+	fleet atomic.Pointer[fleetView]
+	// listRead is the last read of the list of upstreams; nil before the first.
+	listRead atomic.Pointer[listRead]
+	contact  contact
+	loads    *loadBook
+	speeds   *speedBook
+	shifts   *shiftBook
+	conns    *connBook
 	// talk is nil when no address for datagrams is set.
 	talk     *peers.Talk
 	stopping atomic.Bool
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -102,6 +102,28 @@
 	return out
 }
 
+// Reading returns what peers of the gateway with this name tell of the list of
+// upstreams: the latest read, the last change that any of them found, and how
+// many of them read the list before this gateway does.
+func (b *Book) Reading(name string, now time.Time) (last time.Time, changed uint64, before int) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for peer, h := range b.peers {
+		ago := h.news.GetListReadMsAgo()
+		if now.Sub(h.at) > fresh || ago == 0 {
+			continue
+		}
+		if at := h.at.Add(-time.Duration(ago-1) * time.Millisecond); at.After(last) {
+			last = at
+		}
+		changed = max(changed, h.news.GetListChanged())
+		if peer < name {
+			before++
+		}
+	}
+	return last, changed, before
+}
+
 // Evidence sums what peers have seen of the shift that an order asks for.
 func (b *Book) Evidence(service string, order uint64, now time.Time) versionshift.Seen {
 	b.mu.RLock()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// TestReadingOfPeers: silent peers and those that have not read the list do not
+// spare anybody a read.
+func TestReadingOfPeers(t *testing.T) {
+	b := NewBook()
+	for name, ago := range map[string]uint32{"a": 501, "c": 201, "d": 0} {
+		n := news(name, 1, 1, 0)
+		n.ListReadMsAgo, n.ListChanged = ago, uint64(ago)
+		b.Take(n, t0)
+	}
+	last, changed, before := b.Reading("b", t0.Add(time.Second))
+	if !last.Equal(t0.Add(-200*time.Millisecond)) || changed != 501 || before != 1 {
+		t.Errorf("last %v, changed %d, %d before", last, changed, before)
+	}
+	if last, _, before := b.Reading("b", t0.Add(fresh+time.Millisecond)); !last.IsZero() || before != 0 {
+		t.Errorf("silent peers count: %v, %d before", last, before)
+	}
+}
+
 func talk(t *testing.T, st store.Store, name string, running uint32) *Talk {
 	t.Helper()
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
