--- a/internal/gateway/judge_test.go
+++ b/internal/gateway/judge_test.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// TestWaitsAtFilledUpstreamsAreNoEvidence is from khl-galley, quiet-1: a good
+// version was withdrawn because its callers waited for one another while few of
+// its upstreams were filled. Failures still count.
+func TestWaitsAtFilledUpstreamsAreNoEvidence(t *testing.T) {
+	now := processStart.Add(time.Minute)
+	b := book(now)
+	b.adopt(versionshift.State{Service: "s", To: "v2", Order: 5, Phase: versionshift.Pressed, Within: time.Minute}, 9)
+	slow := observed{service: "s", version: "v2", upstream: "n", gap: 80}
+	slow.timed(900*time.Millisecond, 100*time.Millisecond)
+	if b.slow(slow) || b.observe(slow, now) {
+		t.Error("a wait at a filled upstream counts against the version")
+	}
+	if !b.observe(observed{service: "s", version: "v2", upstream: "n", failed: true}, now) {
+		t.Error("a failure does not count")
+	}
+}
+
 // TestEvidenceIgnoresTheTimeOfDay: evidence ages by the steady clock, however
 // the time of day jumps.
 func TestEvidenceIgnoresTheTimeOfDay(t *testing.T) {
