Let some long prompts into the pressed phase; leave out the worst upstreams in a fixed order

Change: three in ten of the long prompts' sessions go to the new version in the pressed phase, above the trial's share so that no session goes back (TestShareOnlyGrows); ties are broken by the good answers.

--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -171,7 +171,7 @@
 // takesNew reports whether the new version's share takes a request.
 func (b *shiftBook) takesNew(s *serviceShift, q seeker, now time.Time, told peersNews) bool {
 	at := b.storeNow(now)
-	inShare := s.current() && q.point < s.state.Share(b.exposure) && (q.short || !s.state.Fills())
+	inShare := s.current() && s.state.Takes(q.point, q.short, b.exposure)
 	if p, ok := b.sessions[q.session]; ok && q.session != "" && p.service == q.service {
 		inShare = b.pin(s, p, inShare, now)
 		if p.version == s.order.To {
--- a/internal/versionshift/evidence.go
+++ b/internal/versionshift/evidence.go
@@ -1,6 +1,7 @@
 package versionshift
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -69,7 +70,9 @@
 	for _, n := range e.New {
 		upstreams = append(upstreams, n)
 	}
-	slices.SortFunc(upstreams, func(a, b Tally) int { return b.Bad - a.Bad })
+	slices.SortFunc(upstreams, func(a, b Tally) int {
+		return cmp.Or(cmp.Compare(b.Bad, a.Bad), cmp.Compare(a.Good, b.Good))
+	})
 	faulty := int(math.Ceil(faultyPart * float64(len(upstreams))))
 	for _, n := range upstreams[min(faulty, len(upstreams)):] {
 		t.Good += n.Good
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -70,6 +70,9 @@
 	// pressedShare fills upstreams within a second or two; Spent bounds what it
 	// exposes.
 	pressedShare = 0.75
+	// longShare is the part of the long prompts in the pressed phase, above that
+	// of the trial so that sessions keep their version.
+	longShare = 0.3
 	// pressedUntil is the earliest time at which a version that was seen busy
 	// gets all work, pressedLate when one gets it that was not, for want of
 	// traffic.
@@ -120,6 +123,16 @@
 	return 0
 }
 
+// Takes reports whether the new version's share takes a request whose session
+// has the given place among all, in [0, 1). Long prompts do not fill upstreams;
+// some of them are taken all the same, since the version may be bad for them.
+func (s State) Takes(point float64, short bool, exposure float64) bool {
+	if s.Phase == Pressed && !short {
+		return point < longShare
+	}
+	return point < s.Share(exposure)
+}
+
 // Upstreams returns how many of the new version's upstreams take the work of a
 // trial: fewer than its share would need, so that each gets enough answers for
 // a verdict.
--- a/internal/versionshift/versionshift_test.go
+++ b/internal/versionshift/versionshift_test.go
@@ -235,6 +235,27 @@
 	}
 }
 
+// TestShareOnlyGrows: a session that the new version has taken must not go back
+// for the next phase's smaller share.
+func TestShareOnlyGrows(t *testing.T) {
+	for _, short := range []bool{true, false} {
+		taken := 0.0
+		for _, phase := range []Phase{Trial, Pressed, Moved, Done} {
+			s, n := State{Phase: phase}, 0
+			for point := 0.0; point < 1; point += 0.001 {
+				if s.Takes(point, short, 0.15) {
+					n++
+				}
+			}
+			if share := float64(n) / 1000; share <= taken && phase != Done {
+				t.Errorf("%s, short %t: share %.3f after %.3f", phase, short, share, taken)
+			} else {
+				taken = share
+			}
+		}
+	}
+}
+
 // TestVersionThatIsBadForOneRoute is from lemnotrat, one-class-bad-and-storms:
 // the failures of one route are lost in the good answers of the others.
 func TestVersionThatIsBadForOneRoute(t *testing.T) {
