--- a/internal/fleet/reading_test.go
+++ b/internal/fleet/reading_test.go
@@ -61,29 +61,8 @@
 		{"half of the news are lost", 6, 0.5, false}, {"no news", 6, 1, false}, {"the first ones die", 6, 0, true},
 	} {
 		for seed := range uint64(20) {
-			start := time.Unix(1000, 0)
-			g := &readers{rand: rand.New(rand.NewPCG(seed, 1)), known: make([]Reading, c.gateways), dead: make([]bool, c.gateways), lost: c.lost}
-			for i := range g.known {
-				g.known[i].Before = i
-			}
-			var changedAt time.Time
-			const tick, seconds = 50 * time.Millisecond, 60
-			for n := range int(seconds * time.Second / tick) {
-				now := start.Add(time.Duration(n) * tick)
-				if n%73 == 50 {
-					g.changed, changedAt = g.changed+1, now
-				}
-				if c.deaths && n == 300 {
-					g.dead[0], g.dead[1] = true, true
-				}
-				g.step(now, n%5 == int(seed%5))
-				for i, r := range g.known {
-					if !g.dead[i] && r.Seen < g.changed && now.Sub(changedAt) > within*3/4 {
-						t.Fatalf("%s, seed %d: gateway %d does not know a change after %v", c.name, seed, i, now.Sub(changedAt))
-					}
-				}
-			}
-			each := float64(g.calls) / seconds / float64(c.gateways)
+			g := newReaders(c.gateways, c.lost, seed)
+			each := g.play(t, c.name, seed, c.deaths)
 			if c.gateways > 1 && c.lost == 0 && !c.deaths && each > 1 {
 				t.Errorf("%s, seed %d: %.2f reads a second and gateway", c.name, seed, each)
 			}
@@ -93,3 +72,44 @@
 		}
 	}
 }
+
+func newReaders(n int, lost float64, seed uint64) *readers {
+	g := &readers{rand: rand.New(rand.NewPCG(seed, 1)), known: make([]Reading, n), dead: make([]bool, n), lost: lost}
+	for i := range g.known {
+		g.known[i].Before = i
+	}
+	return g
+}
+
+// play runs a minute with changes now and then; it returns the reads a second
+// and gateway.
+func (g *readers) play(t *testing.T, name string, seed uint64, deaths bool) float64 {
+	t.Helper()
+	const tick, seconds = 50 * time.Millisecond, 60
+	start := time.Unix(1000, 0)
+	var changedAt time.Time
+	for n := range int(seconds * time.Second / tick) {
+		now := start.Add(time.Duration(n) * tick)
+		if n%73 == 50 {
+			g.changed, changedAt = g.changed+1, now
+		}
+		if deaths && n == 300 {
+			g.dead[0], g.dead[1] = true, true
+		}
+		g.step(now, n%5 == int(seed%5))
+		if i := g.unaware(); i >= 0 && now.Sub(changedAt) > within*3/4 {
+			t.Fatalf("%s, seed %d: gateway %d does not know a change after %v", name, seed, i, now.Sub(changedAt))
+		}
+	}
+	return float64(g.calls) / seconds / float64(len(g.known))
+}
+
+// unaware returns a gateway that does not know the last change, or -1.
+func (g *readers) unaware() int {
+	for i, r := range g.known {
+		if !g.dead[i] && r.Seen < g.changed {
+			return i
+		}
+	}
+	return -1
+}
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -171,7 +171,7 @@
 	at := s.seen.at(class, now)
 	// While the new version's upstreams are filled, its callers wait for one
 	// another more than the old one's do.
-	bad := o.failed || (p.slow(o) && !(isNew && s.state.Fills()))
+	bad := o.failed || (p.slow(o) && (!isNew || !s.state.Fills()))
 	switch {
 	case isNew:
 		s.seen.note(at, class, o.upstream, bad)
