Wait between two reads of a list that does not show a told change yet

Change: at least a tenth of the time allowed lies between two own reads. Stale comments and one name of the shift's constants follow its phases. Measured: TestStoreThatLagsIsNotReadAllTheTime fails without the change.

--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -23,6 +23,9 @@
 	readStep = 0.12
 	// laterGateways bounds the steps.
 	laterGateways = 2
+	// againPart is the least time between two own reads: the store may not show a
+	// change yet that a peer has found.
+	againPart = 0.1
 	// ownPart is the greatest age of a gateway's own last read: peers may be
 	// wrong in what they tell.
 	ownPart = 2.5
@@ -33,7 +36,7 @@
 // others theirs, and a change that one found is read by all at once.
 func (r Reading) Due(within time.Duration) time.Time {
 	if r.Changed > r.Seen {
-		return time.Time{}
+		return r.Own.Add(time.Duration(againPart * float64(within)))
 	}
 	step := float64(min(r.Before, laterGateways))
 	due := r.Last().Add(time.Duration((readPart + readStep*step) * float64(within)))
--- a/internal/fleet/reading_test.go
+++ b/internal/fleet/reading_test.go
@@ -113,3 +113,17 @@
 	}
 	return -1
 }
+
+// TestStoreThatLagsIsNotReadAllTheTime: a peer has found a change that the store
+// does not show to this gateway yet.
+func TestStoreThatLagsIsNotReadAllTheTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := Reading{Own: now, Told: now, Seen: 5, Changed: 6}
+	if due := r.Due(within); due.Sub(now) < within/20 || due.Sub(now) > within/4 {
+		t.Errorf("due after %v", due.Sub(now))
+	}
+	r.Own = now.Add(-time.Second)
+	if due := r.Due(within); due.After(now) {
+		t.Errorf("a change is read %v late", due.Sub(now))
+	}
+}
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -59,9 +59,9 @@
 
 // Shares and times of a shift.
 const (
-	// trialPart is the part of the allowed exposure that a trial uses. The
-	// trial lasts at most trialLate of the time, which leaves the rest of the
-	// exposure for the second under half load.
+	// trialPart is the part of the allowed exposure that a trial's share of the
+	// work is. The trial ends after trialUntil of the time, which leaves the other
+	// half of the exposure to the pressed phase.
 	trialPart = 0.9
 	// trialUntil is the part of the time until which sessions stay on the old
 	// version; the users set it. trialLate ends a trial that has too few answers.
@@ -81,9 +81,9 @@
 	// doneBy is when the old version is ended even if requests still run on
 	// it; the rest is slack for the write of the result.
 	doneBy = 0.9
-	// pressed is the part of the upstreams that a share of the work would need
-	// which get it, leastUpstreams the least number: a verdict takes two.
-	pressed        = 0.67
+	// trialSpread is the part of the upstreams that the trial's share of the work
+	// would need which get it, leastUpstreams the least number: a verdict takes two.
+	trialSpread    = 0.67
 	leastUpstreams = 2
 	// leastPassed is the part of the time from which the work so far tells that
 	// of the whole shift.
@@ -140,7 +140,7 @@
 	if s.Phase != Trial {
 		return all
 	}
-	return min(all, max(leastUpstreams, int(math.Ceil(pressed*s.Share(exposure)*float64(all)))))
+	return min(all, max(leastUpstreams, int(math.Ceil(trialSpread*s.Share(exposure)*float64(all)))))
 }
 
 // Spent reports whether the new version has had the work that a bad one may
