--- a/internal/versionshift/busy_test.go
+++ b/internal/versionshift/busy_test.go
@@ -35,12 +35,13 @@
 }
 
 func (p *busyPlay) run(within time.Duration, exposure float64) State {
-	const step = 0.1
+	const step, look = 0.1, 3 // gateways look at the evidence each third step
 	s := Start(Order{Within: within}, 0)
 	p.ends = make([][]float64, p.engines)
-	for at := step; at <= within.Seconds(); at += step {
+	var seen Seen
+	for n := 1; float64(n)*step <= within.Seconds(); n++ {
+		at := float64(n) * step
 		p.pass(at)
-		seen := p.seen(at)
 		for range int(p.rate*step + p.rand.Float64()) {
 			p.all++
 			sent := Evidence{Sent: p.all, SentNew: p.exposed}
@@ -51,7 +52,10 @@
 			p.exposed++
 			p.answers = append(p.answers, p.send(s, seen, at, exposure))
 		}
-		s = Next(s, p.seen(at), time.Duration(at*float64(time.Second)))
+		if n%look == 0 {
+			seen = p.seen(at)
+			s = Next(s, seen, time.Duration(at*float64(time.Second)))
+		}
 	}
 	return s
 }
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -85,6 +85,9 @@
 	// would need which get it, leastUpstreams the least number: a verdict takes two.
 	trialSpread    = 0.67
 	leastUpstreams = 2
+	// spentPart of the allowed exposure leaves the rest, and the fixed slack, to
+	// sessions that go on and to sends that news do not tell of yet.
+	spentPart = 0.9
 	// leastPassed is the part of the time from which the work so far tells that
 	// of the whole shift.
 	leastPassed = 0.2
@@ -97,8 +100,8 @@
 	holdUntil = 0.8
 	// minBusy is how many good answers of busy upstreams let it leave the
 	// pressed phase before pressedLate: with them, a version that fails three
-	// in ten when busy shows a failure with 97 in 100.
-	minBusy = 10
+	// in ten when busy shows a failure with 996 in 1,000.
+	minBusy = 16
 )
 
 // Start returns the state of a new shift.
@@ -152,7 +155,7 @@
 	}
 	passed := max(now-s.Started, time.Duration(leastPassed*float64(s.Within)))
 	whole := float64(seen.Sent) * max(1, float64(s.Within)/float64(max(passed, 1)))
-	return float64(seen.SentNew) > exposure*whole
+	return float64(seen.SentNew) > spentPart*exposure*whole
 }
 
 // Fills reports whether the new version's work is filled into as few of its
