Keep the runtime's least heap within the floor

Cause: the runtime scales its least heap of 4 MB by the percentage of growth. With little alive the percentage stood at 2,000, so the first collections came at 84 MB whatever the floor was (log of a trial run with the sizes of the heap). Change: the percentage is at most the floor over the least heap.

--- a/internal/gctune/gctune.go
+++ b/internal/gctune/gctune.go
@@ -19,6 +19,9 @@
 	// minChange is the change of the percentage that is worth the short stop
 	// of the process which setting it takes.
 	minChange = 25
+	// runtimeLeast is the heap in bytes below which the runtime does not collect
+	// at a percentage of 100; it scales with the percentage.
+	runtimeLeast = 4 << 20
 )
 
 // every is the pause between two looks at the heap. Until the next look a heap
@@ -40,7 +43,7 @@
 	if u.live >= floor || u.live+u.roots == 0 {
 		return minPercent
 	}
-	p := (floor - u.live) * 100 / (u.live + u.roots)
+	p := min((floor-u.live)*100/(u.live+u.roots), floor*100/runtimeLeast)
 	return int(min(max(p, minPercent), maxPercent))
 }
 
--- a/internal/gctune/gctune_test.go
+++ b/internal/gctune/gctune_test.go
@@ -16,6 +16,8 @@
 	}{
 		{"before the first collection", usage{}, 80 * mb, 100},
 		{"nearly empty", usage{live: mb}, 80 * mb, 2000},
+		{"before the first collection, globals known", usage{roots: mb / 2}, 22 * mb, 550},
+		{"a small live heap", usage{live: mb}, 22 * mb, 550},
 		{"small", usage{live: 16 * mb}, 80 * mb, 400},
 		{"small with stacks", usage{live: 8 * mb, roots: 4 * mb}, 80 * mb, 600},
 		{"over half of the floor", usage{live: 50 * mb}, 80 * mb, 100},
@@ -30,6 +32,20 @@
 	}
 }
 
+// The runtime scales its least heap by the percentage as well, so a percentage
+// for a small live heap may let it grow far past the floor.
+func TestLeastHeapOfTheRuntimeStaysWithinTheFloor(t *testing.T) {
+	for live := uint64(0); live < 30*mb; live += mb / 4 {
+		for _, floor := range []uint64{5 * mb, 22 * mb, 47 * mb, 80 * mb} {
+			p := percent(usage{live: live, roots: mb / 8}, floor)
+			least := runtimeLeast * uint64(p) / 100
+			if least > max(floor, runtimeLeast) {
+				t.Errorf("live %d, floor %d: %d percent lets the heap grow to %d", live, floor, p, least)
+			}
+		}
+	}
+}
+
 func TestSmallChangesAreLeftAlone(t *testing.T) {
 	before := debug.SetGCPercent(minPercent)
 	defer debug.SetGCPercent(before)
