--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,9 +174,9 @@
 	})
 }
 
-// heapFloor lets the heap grow to a sixth of the process's memory before it is
+// heapFloor lets the heap grow to a twelfth of the process's memory before it is
 // collected.
-func heapFloor(s settings.Gateway) int64 { return int64(s.MemoryMB) << 20 / 6 }
+func heapFloor(s settings.Gateway) int64 { return int64(s.MemoryMB) << 20 / 12 }
 
 // jitter spreads d by a quarter either way, so that gateways and callers that
 // were told the same do not act together.
