--- a/internal/ctl/bench.go
+++ b/internal/ctl/bench.go
@@ -1,19 +1,15 @@
 package ctl
 
 import (
-	"bytes"
 	"fmt"
-	"os"
-	"path/filepath"
+	"io"
 
 	"github.com/spf13/cobra"
 
-	"tarragonbay.example/tarragonbay/internal/losses"
 	"tarragonbay.example/tarragonbay/internal/policybench"
 	"tarragonbay.example/tarragonbay/internal/policybench/host"
 	"tarragonbay.example/tarragonbay/internal/policybench/version"
 	"tarragonbay.example/tarragonbay/internal/result"
-	"tarragonbay.example/tarragonbay/platform/report"
 )
 
 // policyBench compares one kind of decision with plain baselines.
@@ -55,45 +51,12 @@
 	policy.Flags().Uint64Var(&seed, "seed", 1, "seed of the models")
 	policy.Flags().BoolVar(&quick, "quick", false, "run shorter loads")
 	policy.Flags().StringVar(&page, "report", "", "also write an HTML page with plots to this file")
-	spent := &cobra.Command{
-		Use:   "losses REPORT...",
-		Short: "Show where the worth of days went that were played on the users' bench",
-		Args:  rangeArgs(1, maxReports),
-		RunE:  func(_ *cobra.Command, args []string) error { return a.printLosses(args) },
-	}
-	cmd.AddCommand(policy, spent)
+	cmd.AddCommand(policy, a.lossesCommand(), a.roundsCommand())
 	return cmd
 }
 
-// maxReports bounds the reports that one command prints.
-const maxReports = 100
-
-func (a *app) printLosses(paths []string) error {
-	for _, path := range paths {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			return result.Wrap(err, result.ReadFailed, "the report cannot be read")
-		}
-		day, err := report.Read(text)
-		if err != nil {
-			return err
-		}
-		if err := losses.Print(a.Out, filepath.Base(path), day); err != nil {
-			return result.Wrap(err, result.ReadFailed, "the losses cannot be printed")
-		}
-	}
-	return nil
-}
-
 func writeReport(path string, rows []policybench.Row) error {
-	var page bytes.Buffer
-	if err := policybench.WriteReport(&page, rows); err != nil {
-		return err
-	}
-	if err := os.WriteFile(path, page.Bytes(), 0o644); err != nil {
-		return result.Wrap(err, result.ReadFailed, "the report cannot be written")
-	}
-	return nil
+	return writePage(path, func(w io.Writer) error { return policybench.WriteReport(w, rows) })
 }
 
 // benchRows is the JSON form of the figures.
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -10,6 +10,8 @@
 	"text/tabwriter"
 
 	"github.com/juju/errors"
+
+	"tarragonbay.example/tarragonbay/internal/plot"
 )
 
 // Day is one measured day.
@@ -117,3 +119,16 @@
 	_, _ = fmt.Fprintln(t)
 	return errors.Trace(t.Flush())
 }
+
+// mostBars bounds the losses that are drawn; the others are in the table.
+const mostBars = 8
+
+// Plot writes the largest losses of a day as an SVG bar chart.
+func Plot(w io.Writer, name string, d Day) error {
+	items := Budget(d)
+	bars := make([]plot.Bar, 0, mostBars)
+	for _, i := range items[:min(len(items), mostBars)] {
+		bars = append(bars, plot.Bar{Label: i.Cause, Value: i.Worth})
+	}
+	return errors.Trace(plot.Bars(w, fmt.Sprintf("%s: worth %.3f, lost by", name, d.Worth), bars))
+}
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 )
 
 var day = Day{
@@ -48,3 +49,46 @@
 		}
 	}
 }
+
+func TestPlot(t *testing.T) {
+	var out bytes.Buffer
+	if err := Plot(&out, "a day", day); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"<svg", "a day: worth 0.400", "hosts"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing", want)
+		}
+	}
+	if err := Plot(&out, "a day without losses", Day{Worth: 1}); err == nil {
+		t.Error("a day without losses was drawn")
+	}
+}
+
+func TestRounds(t *testing.T) {
+	at := time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+	rounds := []Round{
+		{At: at.Add(time.Hour), Site: "b", Commit: "0123456789", Score: 0.9, Purpose: "later"},
+		{At: at, Site: "b", Commit: "abcdef", Changed: true, Score: 0.8, Purpose: "earlier"},
+		{At: at, Site: "a", Score: 0.5},
+	}
+	var out bytes.Buffer
+	if err := PrintRounds(&out, rounds); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 4 || !strings.HasPrefix(lines[1], "a ") ||
+		!strings.Contains(lines[2], "abcdef+") || !strings.Contains(lines[3], "01234567  0.900") {
+		t.Errorf("rounds:\n%s", out.String())
+	}
+	out.Reset()
+	if err := PlotRounds(&out, rounds); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), "<svg") || strings.Contains(out.String(), ">a<") {
+		t.Error("the site with one round was drawn, or nothing")
+	}
+	if err := PlotRounds(&out, rounds[:1]); err == nil {
+		t.Error("a single round was drawn")
+	}
+}
--- a/internal/policybench/report.go
+++ b/internal/policybench/report.go
@@ -8,14 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/wcharczuk/go-chart/v2"
-)
 
-// Size of one plot, in pixels.
-const (
-	plotWidth  = 640
-	plotHeight = 320
-	barWidth   = 48
+	"tarragonbay.example/tarragonbay/internal/plot"
 )
 
 // metric is a figure that is plotted.
@@ -61,40 +55,24 @@
 // plot draws each metric that differs from zero for some policy.
 func (g *group) plot() error {
 	for _, m := range metrics {
-		bars := make([]chart.Value, len(g.Rows))
+		bars := make([]plot.Bar, len(g.Rows))
 		greatest := 0.0
 		for i, r := range g.Rows {
-			bars[i] = chart.Value{Label: r.Policy, Value: m.value(r)}
+			bars[i] = plot.Bar{Label: r.Policy, Value: m.value(r)}
 			greatest = max(greatest, bars[i].Value)
 		}
 		if greatest == 0 || len(bars) < 2 {
 			continue
 		}
-		svg, err := draw(m.name, bars, greatest)
-		if err != nil {
-			return err
+		var svg bytes.Buffer
+		if err := plot.Bars(&svg, m.name, bars); err != nil {
+			return errors.Trace(err)
 		}
-		g.Plots = append(g.Plots, svg)
+		g.Plots = append(g.Plots, template.HTML(svg.String()))
 	}
 	return nil
 }
 
-func draw(title string, bars []chart.Value, greatest float64) (template.HTML, error) {
-	c := chart.BarChart{
-		Title:    title,
-		Width:    plotWidth,
-		Height:   plotHeight,
-		BarWidth: barWidth,
-		Bars:     bars,
-		YAxis:    chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: greatest}},
-	}
-	var b bytes.Buffer
-	if err := c.Render(chart.SVG, &b); err != nil {
-		return "", errors.Annotatef(err, "plot %q", title)
-	}
-	return template.HTML(b.String()), nil
-}
-
 var page = template.Must(template.New("report").Funcs(template.FuncMap{
 	"ms": func(d time.Duration) string { return fmt.Sprintf("%.1f", millis(d)) },
 }).Parse(`<!DOCTYPE html>
