--- a/internal/gateway/judgement.go
+++ b/internal/gateway/judgement.go
@@ -15,9 +15,11 @@
 	began   time.Time
 	// expected is the time to the first event that was estimated.
 	expected time.Duration
-	first    time.Time
-	events   int
-	counted  bool
+	// work is the part of it that the prompt itself takes.
+	work    time.Duration
+	first   time.Time
+	events  int
+	counted bool
 }
 
 // Events of a run after which its pace is judged.
@@ -30,7 +32,7 @@
 
 func newJudgement(g *Gateway, q *request, p picked, began time.Time) *judgement {
 	return &judgement{
-		g: g, request: q.call.ID, began: began, expected: p.choice.Expected,
+		g: g, request: q.call.ID, began: began, expected: p.choice.Expected, work: p.choice.Work(),
 		seen: observed{
 			service: q.service, version: p.up.Version, upstream: p.up.ID,
 			key:   paceKey{route: q.route.Name, model: p.choice.Model},
@@ -45,7 +47,7 @@
 	if j.events == 1 {
 		j.first = now
 		j.seen.timed(now.Sub(j.began), j.expected)
-		j.g.speeds.learn(j.seen.service, j.seen.key.model, j.expected, now.Sub(j.began))
+		j.g.speeds.learn(j.seen.service, j.seen.key.model, j.work, j.expected, now.Sub(j.began))
 	} else if j.events >= leastEvents {
 		j.seen.gap = float64(now.Sub(j.first)) / float64(time.Millisecond) / float64(j.events-1)
 	}
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -33,8 +33,8 @@
 	return b.of(service, model).Factor()
 }
 
-func (b *speedBook) learn(service, model string, expected, took time.Duration) {
+func (b *speedBook) learn(service, model string, work, expected, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service, model).Learn(expected, took)
+	b.of(service, model).Learn(work, expected, took)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -72,6 +72,9 @@
 	Wait time.Duration
 }
 
+// Work is the prompt work as a time.
+func (c Choice) Work() time.Duration { return ms(c.WorkMS) }
+
 // Weights of the choice.
 const (
 	// homes is how many upstreams are taken to keep a shared part: two bear a
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -164,20 +164,42 @@
 	var s Speed
 	const token, tokens = 0.05, 4000
 	for range 300 {
-		s.Learn(ms(token*tokens*s.Factor()), ms(4*token*tokens))
+		work := ms(token * tokens * s.Factor())
+		s.Learn(work, work, ms(4*token*tokens))
 	}
 	if f := s.Factor(); f < 3.5 || f > 4.5 {
 		t.Errorf("factor %.2f, want about 4", f)
 	}
 	before := s.Factor()
-	s.Learn(100*time.Millisecond, time.Minute)
+	s.Learn(100*time.Millisecond, 100*time.Millisecond, time.Minute)
 	if s.Factor() > 1.05*before {
 		t.Errorf("one hanging upstream moved the factor from %.2f to %.2f", before, s.Factor())
 	}
 	for range 10_000 {
-		s.Learn(time.Millisecond, time.Minute)
+		s.Learn(time.Second, time.Second, time.Minute)
 	}
 	if s.Factor() > 10.1 {
 		t.Errorf("factor %.2f has no bound", s.Factor())
 	}
 }
+
+// TestWaitsSayLittleOfTheSpeed: at a busy installation short prompts wait for
+// other prompts that the estimate did not know of; only long ones, most of whose
+// time is their own work, tell how fast an engine reads. It is from
+// khl-galley-grown, quiet-1, where long prompts of the smallest model were taken
+// to need three times as long as they did.
+func TestWaitsSayLittleOfTheSpeed(t *testing.T) {
+	var s Speed
+	const token, long, short = 0.05, 20_000, 200
+	for range 300 {
+		for range 10 {
+			work := ms(token * short * s.Factor())
+			s.Learn(work, work+10*time.Millisecond, 150*time.Millisecond)
+		}
+		work := ms(token * long * s.Factor())
+		s.Learn(work, work+10*time.Millisecond, ms(token*long)+10*time.Millisecond)
+	}
+	if f := s.Factor(); f < 0.75 || f > 1.35 {
+		t.Errorf("factor %.2f, want about 1", f)
+	}
+}
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -25,13 +25,20 @@
 	// speedFloor is added to both times: below it the path counts more than
 	// the engine.
 	speedFloor = 20 * time.Millisecond
+	// speedWork is the work of a prompt that counts by a half: what it may wait
+	// for is then no longer than itself.
+	speedWork = 100 * time.Millisecond
 )
 
-// Learn takes in one first event.
-func (s *Speed) Learn(expected, took time.Duration) {
+// Learn takes in one first event: the work that was estimated for the prompt, the
+// time that was expected of all, and the time that it took. The longer the work,
+// the more an event counts: what a short prompt waits for is the work of others.
+func (s *Speed) Learn(work, expected, took time.Duration) {
 	r := math.Log(float64(took+speedFloor) / float64(expected+speedFloor))
 	r = max(-speedOnce, min(speedOnce, r))
-	s.log = max(-speedBound, min(speedBound, s.log+speedWeight*r))
+	w := float64(work) * float64(work)
+	part := w / (w + float64(speedWork)*float64(speedWork))
+	s.log = max(-speedBound, min(speedBound, s.log+speedWeight*part*r))
 }
 
 // Factor multiplies the estimated time of a token.
