Gateways tell one another of long prompts at once

Cause: peers heard of a prompt with the next round, 0.2 to 0.4 s later; until then all of them took the same engine for idle. Change: a request of 20 ms of work or more is told in a datagram of its own, which adds to the sender's last news and shrinks as the engine reads. The log of a stream names the size of its prompt and the time to its first event.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,6 +13,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/h1"
+	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -40,6 +41,8 @@
 	// last is the id of the last event that was passed on.
 	last   string
 	events int
+	// first is the time from the last send to its first event.
+	first time.Duration
 	// confidence is the model's own opinion of the answer, or negative.
 	confidence int
 	buffer     []byte
@@ -84,6 +87,7 @@
 	g.log.Routine(part, "streamed", q.fields(zap.String("upstream", p.up.ID), zap.String("version", p.up.Version),
 		zap.String("model", p.choice.Model), zap.Int("events", r.events),
 		zap.Int("confidence", r.confidence), zap.Duration("expectedMs", p.choice.Expected),
+		zap.Duration("firstMs", r.first), zap.Int("promptTokens", q.tokens), zap.Int("sharedTokens", q.shared),
 		zap.Int("running", p.choice.Running))...)
 }
 
@@ -93,6 +97,9 @@
 	g, q := r.g, r.q
 	began := time.Now()
 	s := g.loads.begin(p.up.ID, p.choice.WorkMS)
+	if g.talk != nil {
+		g.talk.Tell(peers.Begun{Upstream: p.up.ID, WorkMS: p.choice.WorkMS})
+	}
 	ctx, cancel := context.WithDeadline(q.in.Context(), q.limit)
 	defer cancel()
 	a, v, err := r.run(ctx, p, s, began)
@@ -184,6 +191,7 @@
 		j.event(time.Now())
 		if n == 0 {
 			s.read()
+			r.first = time.Since(j.began)
 			g.count.firstEvent.Observe(time.Since(q.arrived))
 		}
 		if !r.started {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -39,8 +39,21 @@
 	news     *gossipv1.News
 	at       time.Time
 	old, new map[uint32]bool // sessions by the version they ran on
+	// begun are requests that the peer has sent since the news.
+	begun []begun
 }
 
+// begun is a request that a peer has just sent.
+type begun struct {
+	upstream uint32
+	workMS   float64
+	at       time.Time
+}
+
+// mostBegun bounds the requests that are kept of one peer between two of its
+// news.
+const mostBegun = 1000
+
 // NewBook returns an empty book.
 func NewBook() *Book { return &Book{peers: map[string]*heard{}} }
 
@@ -52,6 +65,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.peers[n.GetGateway()]
+	if n.GetAddition() {
+		return old != nil && old.add(n, now)
+	}
 	if old != nil && now.Sub(old.at) <= fresh && (n.GetIncarnation() < old.news.GetIncarnation() ||
 		(n.GetIncarnation() == old.news.GetIncarnation() && n.GetNumber() <= old.news.GetNumber())) {
 		return false
@@ -61,6 +77,20 @@
 	return true
 }
 
+// add takes in requests that were sent since the news; it reports whether they
+// were not among them already.
+func (h *heard) add(n *gossipv1.News, now time.Time) bool {
+	all := len(n.GetUpstreams())
+	if n.GetIncarnation() != h.news.GetIncarnation() || n.GetNumber() < h.news.GetNumber() ||
+		len(n.GetUnreadMs()) != all || len(h.begun)+all > mostBegun {
+		return false
+	}
+	for i, id := range n.GetUpstreams() {
+		h.begun = append(h.begun, begun{upstream: id, workMS: float64(n.GetUnreadMs()[i]), at: now})
+	}
+	return true
+}
+
 func set(hashes []uint32) map[uint32]bool {
 	out := make(map[uint32]bool, len(hashes))
 	for _, h := range hashes {
@@ -98,6 +128,13 @@
 			l.UnreadMS += float64(n.GetUnreadMs()[i])
 			out[id] = l
 		}
+		for _, r := range h.begun {
+			l := out[r.upstream]
+			l.Running++
+			l.Waiting++
+			l.UnreadMS += max(0, r.workMS-float64(now.Sub(r.at))/float64(time.Millisecond))
+			out[r.upstream] = l
+		}
 	}
 	return out
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -71,6 +71,53 @@
 	}
 }
 
+func addition(gateway string, incarnation uint64, number uint32, works ...uint32) *gossipv1.News {
+	n := &gossipv1.News{Gateway: gateway, Incarnation: incarnation, Number: number, Addition: true}
+	for _, w := range works {
+		n.Upstreams, n.UnreadMs = append(n.Upstreams, Hash("u")), append(n.UnreadMs, w)
+	}
+	return n
+}
+
+// TestAdditionsCountUntilTheNextNews: what a peer has sent since its news adds to
+// them, is read by the upstream as time goes by, and is part of the next news.
+func TestAdditionsCountUntilTheNextNews(t *testing.T) {
+	b := NewBook()
+	if b.Take(addition("a", 1, 1, 100), t0) {
+		t.Error("an addition to nothing was taken")
+	}
+	b.Take(news("a", 1, 5, 7), t0)
+	if !b.Take(addition("a", 1, 5, 100, 300), t0) {
+		t.Fatal("an addition was not taken")
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  Load
+	}{
+		{0, Load{Running: 9, Waiting: 3, UnreadMS: 410}},
+		{60 * time.Millisecond, Load{Running: 9, Waiting: 3, UnreadMS: 290}},
+		{200 * time.Millisecond, Load{Running: 9, Waiting: 3, UnreadMS: 110}},
+		{400 * time.Millisecond, Load{Running: 9, Waiting: 3, UnreadMS: 10}},
+	} {
+		if got := b.Loads(t0.Add(c.after))[Hash("u")]; got != c.want {
+			t.Errorf("after %v: %+v, want %+v", c.after, got, c.want)
+		}
+	}
+	for name, old := range map[string]*gossipv1.News{
+		"to earlier news": addition("a", 1, 4, 100), "of another incarnation": addition("a", 2, 5, 100),
+		"with torn columns": {Gateway: "a", Incarnation: 1, Number: 5, Addition: true, Upstreams: []uint32{Hash("u")}},
+		"of a stranger":     addition("x", 1, 5, 100), "without end": addition("a", 1, 5, make([]uint32, mostBegun)...),
+	} {
+		if b.Take(old, t0) {
+			t.Errorf("an addition %s was taken", name)
+		}
+	}
+	b.Take(news("a", 1, 6, 3), t0)
+	if got := b.Loads(t0)[Hash("u")]; got != (Load{Running: 3, Waiting: 1, UnreadMS: 10}) {
+		t.Errorf("after the next news: %+v", got)
+	}
+}
+
 func TestTornNewsAreLeftOut(t *testing.T) {
 	b := NewBook()
 	n := news("a", 1, 1, 7)
@@ -168,6 +215,12 @@
 	start(c)
 	until(t, "news of c at a", func() bool { return a.Book.Loads(time.Now())[Hash("u")].Running == 6 })
 
+	// The news of the test are always the same, so this comes as an addition.
+	b.Tell(Begun{Upstream: "u", WorkMS: leastTold / 2})
+	b.Tell(Begun{Upstream: "u", WorkMS: 1e6})
+	until(t, "a long prompt of b at a", func() bool { return a.Book.Loads(time.Now())[Hash("u")].UnreadMS > 9e5 })
+	until(t, "the next news of b at a", func() bool { return a.Book.Loads(time.Now())[Hash("u")].UnreadMS < 9e5 })
+
 	conn, err := net.Dial("udp4", a.o.Address)
 	if err != nil {
 		t.Fatal(err)
@@ -193,3 +246,15 @@
 		t.Errorf("%d rows left behind, %v", len(page.Rows), err)
 	}
 }
+
+// TestTellingNeverBlocks: nobody sends, and the queue is full.
+func TestTellingNeverBlocks(t *testing.T) {
+	tk := talk(t, storefake.New(), "a", 1)
+	defer tk.conn.Close()
+	for range 2 * mostQueued {
+		tk.Tell(Begun{Upstream: "u", WorkMS: 100})
+	}
+	if n := len(tk.begun); n != mostQueued {
+		t.Errorf("%d requests are queued, want %d", n, mostQueued)
+	}
+}
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -35,6 +35,12 @@
 	// leaveTime bounds the removal of the row at the end, which must fit the
 	// last part of the grace.
 	leaveTime = 200 * time.Millisecond
+	// leastTold is the prompt work in milliseconds from which a request is told
+	// at once: less hardly moves an estimate until the next round.
+	leastTold = 20.0
+	// mostQueued bounds the requests that wait to be told; further ones wait for
+	// the next round.
+	mostQueued = 256
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 8 << 10
 )
@@ -58,11 +64,22 @@
 	o    Options
 	conn *net.UDPConn
 
+	// begun are requests to be told before the next round.
+	begun chan Begun
+
 	mu     sync.Mutex
 	listed map[string]netip.AddrPort
 	again  chan struct{}
 }
 
+// Begun is a request that this gateway has just sent.
+type Begun struct {
+	// Upstream is the ID of the upstream, WorkMS the prompt work in milliseconds
+	// of its time.
+	Upstream string
+	WorkMS   float64
+}
+
 // Listen opens the socket; nothing is sent before Run.
 func Listen(o Options) (*Talk, error) {
 	address, err := net.ResolveUDPAddr("udp4", o.Address)
@@ -73,7 +90,10 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for datagrams on %s", o.Address)
 	}
-	return &Talk{Book: NewBook(), o: o, conn: conn, listed: map[string]netip.AddrPort{}, again: make(chan struct{}, 1)}, nil
+	return &Talk{
+		Book: NewBook(), o: o, conn: conn, listed: map[string]netip.AddrPort{},
+		begun: make(chan Begun, mostQueued), again: make(chan struct{}, 1),
+	}, nil
 }
 
 // entry is the value of a row of the table.
@@ -152,7 +172,20 @@
 	return true
 }
 
-// Send tells the news to all listed gateways until ctx ends.
+// Tell has the peers know of a request before the next round: others would
+// send theirs to the same upstream until then. It never blocks.
+func (t *Talk) Tell(b Begun) {
+	if b.WorkMS < leastTold {
+		return
+	}
+	select {
+	case t.begun <- b:
+	default: // the next round tells it
+	}
+}
+
+// Send tells the news to all listed gateways until ctx ends, and what has begun
+// between two rounds at once.
 func (t *Talk) Send(ctx context.Context) error {
 	for number := uint32(1); ctx.Err() == nil; number++ {
 		to := t.addresses()
@@ -161,11 +194,33 @@
 			n.Gateway, n.Incarnation, n.Number = t.o.Name, t.o.Incarnation, number
 			t.send(n, to)
 		}
-		sleep(ctx, max(leastPause, time.Duration(len(to))*time.Second/perSecond))
+		t.between(ctx, number, to, max(leastPause, time.Duration(len(to))*time.Second/perSecond))
 	}
 	return nil
 }
 
+// between tells what begins until the next round.
+func (t *Talk) between(ctx context.Context, number uint32, to []netip.AddrPort, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case first := <-t.begun:
+			n := &gossipv1.News{Gateway: t.o.Name, Incarnation: t.o.Incarnation, Number: number, Addition: true}
+			n.Upstreams, n.UnreadMs = []uint32{Hash(first.Upstream)}, []uint32{uint32(first.WorkMS)}
+			for range len(t.begun) {
+				b := <-t.begun // nobody else receives
+				n.Upstreams, n.UnreadMs = append(n.Upstreams, Hash(b.Upstream)), append(n.UnreadMs, uint32(b.WorkMS))
+			}
+			t.send(n, to)
+		}
+	}
+}
+
 func (t *Talk) addresses() []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
