Work that peers told of shrinks with its age; prompts of 5 ms are told at once

Change: what peers told shrinks by the mean time since; prompts of 5 ms of work or more are told. 'bench policy news' replays both loads against baselines.

--- a/internal/ctl/bench.go
+++ b/internal/ctl/bench.go
@@ -8,6 +8,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/policybench"
 	"tarragonbay.example/tarragonbay/internal/policybench/host"
+	"tarragonbay.example/tarragonbay/internal/policybench/news"
 	"tarragonbay.example/tarragonbay/internal/policybench/version"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
@@ -21,6 +22,7 @@
 var policyBenches = []policyBench{
 	{"version", version.Run},
 	{"host", host.Run},
+	{"news", news.Run},
 }
 
 func (a *app) benchCommand() *cobra.Command {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -110,35 +110,59 @@
 	}
 }
 
-// Loads sums what all peers have under way, by the hash of the upstream's ID.
+// Loads sums what all peers have under way, by the hash of the upstream's ID, with
+// the prompt work that the upstreams have done since they told of it taken off.
 func (b *Book) Loads(now time.Time) map[uint32]Load {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	out := map[uint32]Load{}
+	sums := map[uint32]sum{}
 	for _, h := range b.peers {
 		n := h.news
 		all := len(n.GetUpstreams())
 		if now.Sub(h.at) > fresh || len(n.GetRunning()) != all || len(n.GetWaiting()) != all || len(n.GetUnreadMs()) != all {
 			continue
 		}
+		age := millis(now.Sub(h.at))
 		for i, id := range n.GetUpstreams() {
-			l := out[id]
-			l.Running += int(n.GetRunning()[i])
-			l.Waiting += int(n.GetWaiting()[i])
-			l.UnreadMS += float64(n.GetUnreadMs()[i])
-			out[id] = l
+			sums[id] = sums[id].and(int(n.GetRunning()[i]), int(n.GetWaiting()[i]), float64(n.GetUnreadMs()[i]), age)
 		}
 		for _, r := range h.begun {
-			l := out[r.upstream]
-			l.Running++
-			l.Waiting++
-			l.UnreadMS += max(0, r.workMS-float64(now.Sub(r.at))/float64(time.Millisecond))
-			out[r.upstream] = l
+			sums[r.upstream] = sums[r.upstream].and(1, 1, r.workMS, millis(now.Sub(r.at)))
 		}
 	}
+	out := make(map[uint32]Load, len(sums))
+	for id, s := range sums {
+		out[id] = s.load()
+	}
 	return out
 }
 
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// sum is what peers have told of one upstream.
+type sum struct {
+	Load
+	// aged is the sum of each prompt work times the age of its telling.
+	aged float64
+}
+
+func (s sum) and(running, waiting int, unreadMS, ageMS float64) sum {
+	s.Running += running
+	s.Waiting += waiting
+	s.UnreadMS += unreadMS
+	s.aged += unreadMS * ageMS
+	return s
+}
+
+// load takes off the work that the upstream has done since the mean time of the
+// tellings: it reads one prompt after the other.
+func (s sum) load() Load {
+	if s.UnreadMS > 0 {
+		s.UnreadMS = max(0, s.UnreadMS-s.aged/s.UnreadMS)
+	}
+	return s.Load
+}
+
 // Reading returns what peers of the gateway with this name tell of the list of
 // upstreams: the latest read, the last change that any of them found, and how
 // many of them read the list before this gateway does.
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -35,9 +35,6 @@
 	// leaveTime bounds the removal of the row at the end, which must fit the
 	// last part of the grace.
 	leaveTime = 200 * time.Millisecond
-	// leastTold is the prompt work in milliseconds from which a request is told
-	// at once: less hardly moves an estimate until the next round.
-	leastTold = 20.0
 	// mostQueued bounds the requests that wait to be told; further ones wait for
 	// the next round.
 	mostQueued = 256
@@ -45,6 +42,15 @@
 	maxDatagram = 8 << 10
 )
 
+// LeastTold is the prompt work in milliseconds from which a request is told at
+// once: less hardly moves an estimate until the next round.
+const LeastTold = 5.0
+
+// Pause is the time between two rounds of news to so many peers.
+func Pause(peers int) time.Duration {
+	return max(leastPause, time.Duration(peers)*time.Second/perSecond)
+}
+
 // Options are what a Talk is made of.
 type Options struct {
 	Name string
@@ -175,7 +181,7 @@
 // Tell has the peers know of a request before the next round: others would
 // send theirs to the same upstream until then. It never blocks.
 func (t *Talk) Tell(b Begun) {
-	if b.WorkMS < leastTold {
+	if b.WorkMS < LeastTold {
 		return
 	}
 	select {
@@ -194,7 +200,7 @@
 			n.Gateway, n.Incarnation, n.Number = t.o.Name, t.o.Incarnation, number
 			t.send(n, to)
 		}
-		t.between(ctx, number, to, max(leastPause, time.Duration(len(to))*time.Second/perSecond))
+		t.between(ctx, number, to, Pause(len(to)))
 	}
 	return nil
 }
