--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -164,6 +164,11 @@
 // work leaves all of them half empty.
 func (s State) Fills() bool { return s.Phase == Pressed }
 
+// ComparesPace reports whether a slow answer speaks against the new version: in a
+// trial its upstreams have as much to do as the old ones. Later they are filled,
+// or have all the work, and their callers wait for one another.
+func (s State) ComparesPace() bool { return s.Phase != Pressed && s.Phase != Moved }
+
 // FirstHalf reports whether sessions of the old version must stay there.
 func (s State) FirstHalf(now time.Duration) bool {
 	return s.Phase == Trial && now-s.Started < time.Duration(trialUntil*float64(s.Within))
