Bound the datagrams of requests told at once

Cause: each prompt sent a datagram to each peer, so a burst would multiply them; what waited for a round was told once more after it. Change: tellings are apart by a thousandth of a second for each peer and carry all that began meanwhile; a round takes what waits.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -273,3 +274,40 @@
 		t.Errorf("%d requests are queued, want %d", n, mostQueued)
 	}
 }
+
+// TestDatagramsAreBounded: however much begins, a gateway sends no more than its
+// share of datagrams, and no upstream's news wait longer than a round.
+func TestDatagramsAreBounded(t *testing.T) {
+	for peers := 1; peers <= 200; peers++ {
+		rounds := float64(peers) / Pause(peers).Seconds()
+		told := float64(peers) / apart(peers).Seconds()
+		if rounds > perSecond+0.5 || told > toldPerSecond+0.5 {
+			t.Errorf("%d peers: %.1f and %.1f datagrams a second", peers, rounds, told)
+		}
+		if apart(peers) > Pause(peers) {
+			t.Errorf("%d peers: tellings are %v apart, rounds %v", peers, apart(peers), Pause(peers))
+		}
+	}
+}
+
+// TestWhatWaitsIsPartOfTheRound: a request that is counted in the news is not
+// told once more.
+func TestWhatWaitsIsPartOfTheRound(t *testing.T) {
+	tk := talk(t, storefake.New(), "a", 1)
+	defer func() { _ = tk.conn.Close() }() // nothing is read from it
+	tk.listed["b"] = netip.MustParseAddrPort("127.0.0.1:9")
+	for range 3 {
+		tk.Tell(Begun{Upstream: "u", WorkMS: 100})
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	tk.o.News = func() *gossipv1.News {
+		if n := len(tk.begun); n != 0 {
+			t.Errorf("%d requests wait beside the round that counts them", n)
+		}
+		stop()
+		return news("", 0, 0, 1)
+	}
+	if err := tk.Send(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -22,8 +22,11 @@
 
 // Pace of the talk.
 const (
-	// perSecond bounds the datagrams one gateway sends in a second.
-	perSecond = 60
+	// perSecond bounds the datagrams of rounds that one gateway sends in a second,
+	// toldPerSecond those of requests that are told at once: what a burst adds
+	// must stay small beside the requests themselves.
+	perSecond     = 60
+	toldPerSecond = 1000
 	// leastPause is the shortest pause between two rounds.
 	leastPause = 200 * time.Millisecond
 	// listEvery is the pause between two reads of the table; a stranger's
@@ -51,6 +54,10 @@
 	return max(leastPause, time.Duration(peers)*time.Second/perSecond)
 }
 
+// apart is the time between two tellings to so many peers; what begins meanwhile is
+// told together.
+func apart(peers int) time.Duration { return time.Duration(peers) * time.Second / toldPerSecond }
+
 // Options are what a Talk is made of.
 type Options struct {
 	Name string
@@ -196,37 +203,50 @@
 	for number := uint32(1); ctx.Err() == nil; number++ {
 		to := t.addresses()
 		if len(to) > 0 {
+			t.queued() // what waits is part of the round
 			n := t.o.News()
 			n.Gateway, n.Incarnation, n.Number = t.o.Name, t.o.Incarnation, number
 			t.send(n, to)
 		}
-		t.between(ctx, number, to, Pause(len(to)))
+		t.between(ctx, number, to)
 	}
 	return nil
 }
 
 // between tells what begins until the next round.
-func (t *Talk) between(ctx context.Context, number uint32, to []netip.AddrPort, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
+func (t *Talk) between(ctx context.Context, number uint32, to []netip.AddrPort) {
+	round := time.NewTimer(Pause(len(to)))
+	defer round.Stop()
+	queue := t.begun // nil while the last telling was too short a time ago
+	var next <-chan time.Time
 	for {
 		select {
-		case <-timer.C:
+		case <-round.C:
 			return
 		case <-ctx.Done():
 			return
-		case first := <-t.begun:
+		case <-next:
+			queue = t.begun
+		case first := <-queue:
 			n := &gossipv1.News{Gateway: t.o.Name, Incarnation: t.o.Incarnation, Number: number, Addition: true}
-			n.Upstreams, n.UnreadMs = []uint32{Hash(first.Upstream)}, []uint32{uint32(first.WorkMS)}
-			for range len(t.begun) {
-				b := <-t.begun // nobody else receives
+			for _, b := range append(t.queued(), first) {
 				n.Upstreams, n.UnreadMs = append(n.Upstreams, Hash(b.Upstream)), append(n.UnreadMs, uint32(b.WorkMS))
 			}
 			t.send(n, to)
+			queue, next = nil, time.After(apart(len(to)))
 		}
 	}
 }
 
+// queued takes what waits to be told.
+func (t *Talk) queued() []Begun {
+	out := make([]Begun, 0, len(t.begun)+1)
+	for range len(t.begun) {
+		out = append(out, <-t.begun) // nobody else receives
+	}
+	return out
+}
+
 func (t *Talk) addresses() []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
