A told prompt that was read waits no longer

What peers told stayed waiting until their next round, so filled upstreams counted as loaded and never as busy, and the pressed phase ended for too little work. Change: a told prompt counts as read once its work is done.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -127,7 +127,11 @@
 			sums[id] = sums[id].and(int(n.GetRunning()[i]), int(n.GetWaiting()[i]), float64(n.GetUnreadMs()[i]), age)
 		}
 		for _, r := range h.begun {
-			sums[r.upstream] = sums[r.upstream].and(1, 1, r.workMS, millis(now.Sub(r.at)))
+			age, waiting := millis(now.Sub(r.at)), 1
+			if age >= r.workMS {
+				waiting = 0
+			}
+			sums[r.upstream] = sums[r.upstream].and(1, waiting, r.workMS, age)
 		}
 	}
 	out := make(map[uint32]Load, len(sums))
