--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -78,7 +78,7 @@
 }
 
 // add takes in requests that were sent since the news; it reports whether they
-// were not among them already.
+// were not among them already. A doubled datagram counts twice until the next news.
 func (h *heard) add(n *gossipv1.News, now time.Time) bool {
 	all := len(n.GetUpstreams())
 	if n.GetIncarnation() != h.news.GetIncarnation() || n.GetNumber() < h.news.GetNumber() ||
@@ -115,7 +115,7 @@
 func (b *Book) Loads(now time.Time) map[uint32]Load {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	sums := map[uint32]sum{}
+	sums := map[uint32]told{}
 	for _, h := range b.peers {
 		n := h.news
 		all := len(n.GetUpstreams())
@@ -143,14 +143,15 @@
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// sum is what peers have told of one upstream.
-type sum struct {
+// told is what all peers have told of one upstream.
+type told struct {
 	Load
 	// aged is the sum of each prompt work times the age of its telling.
 	aged float64
 }
 
-func (s sum) and(running, waiting int, unreadMS, ageMS float64) sum {
+// and adds what one peer has told.
+func (s told) and(running, waiting int, unreadMS, ageMS float64) told {
 	s.Running += running
 	s.Waiting += waiting
 	s.UnreadMS += unreadMS
@@ -160,7 +161,7 @@
 
 // load takes off the work that the upstream has done since the mean time of the
 // tellings: it reads one prompt after the other.
-func (s sum) load() Load {
+func (s told) load() Load {
 	if s.UnreadMS > 0 {
 		s.UnreadMS = max(0, s.UnreadMS-s.aged/s.UnreadMS)
 	}
