Confirm the configuration by the store's clock; derive the hold of feeds from all bounds

Cause: a feed that brought rows was confirmed as of the time the call was made, up to 0.7 of configApplyMs ago, and then held as long again.

--- a/internal/gateway/contact.go
+++ b/internal/gateway/contact.go
@@ -36,24 +36,13 @@
 	return now - time.Duration(at)
 }
 
-// Parts of the time in which a key must be refused after it was taken away.
-const (
-	// unreadyAfter leaves callers time to go to gateways that hear the store.
-	unreadyAfter = 0.6
-	// keysUntil leaves a margin for the request's own way to the upstream.
-	keysUntil = 0.9
-	// doubtAfter is how many waits of the feed without an answer make an
-	// unknown route or key one that a newer configuration may have.
-	doubtAfter = 2
-)
-
 // keysTrusted reports whether requests with keys may be served.
 func (g *Gateway) keysTrusted() bool {
-	return g.contact.age(g.boot()) < time.Duration(keysUntil*float64(g.settings().RevokeWithin))
+	return g.contact.age(g.boot()) < g.bounds().Keys()
 }
 
 // upToDate reports whether what is not in the configuration does not exist.
-func (g *Gateway) upToDate() bool { return g.contact.age(g.boot()) < doubtAfter*g.feedWait() }
+func (g *Gateway) upToDate() bool { return g.contact.age(g.boot()) < g.bounds().Doubt() }
 
 // ready reports whether new callers should come here, and why not.
 func (g *Gateway) ready() (bool, string) {
@@ -64,7 +53,7 @@
 		return false, "no configuration"
 	case g.fleet.Load() == nil:
 		return false, "no list of upstreams"
-	case g.contact.age(g.boot()) > time.Duration(unreadyAfter*float64(g.settings().RevokeWithin)):
+	case g.contact.age(g.boot()) > g.bounds().Unready():
 		return false, "out of touch with the store"
 	}
 	return true, ""
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
+	"tarragonbay.example/tarragonbay/internal/following"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/routetable"
 	"tarragonbay.example/tarragonbay/internal/store"
@@ -14,22 +15,21 @@
 
 // Pace of the feeds.
 const (
-	// waitPart of the time in which a configuration must be in force is how
-	// long the store holds a feed of the operator's table. A change is
-	// delivered at once; the wait bounds how long a connection that fell
-	// silent goes unnoticed.
-	waitPart = 0.7
 	// overdue is how many waits without a confirmation are too long.
 	overdue = 2
 	// awayPause is the pause after a call that failed.
 	awayPause = 150 * time.Millisecond
 )
 
-// feedWait is how long the store holds a feed without changes.
-func (g *Gateway) feedWait() time.Duration {
-	return time.Duration(waitPart * float64(g.settings().ConfigWithin))
+// bounds are the times that hang on how current this gateway is.
+func (g *Gateway) bounds() following.Bounds {
+	s := g.settings()
+	return following.Bounds{ConfigWithin: s.ConfigWithin, RevokeWithin: s.RevokeWithin}
 }
 
+// feedWait is how long the store holds a feed without changes.
+func (g *Gateway) feedWait() time.Duration { return g.bounds().Hold() }
+
 // follower reads one table: a list first, then its feed.
 type follower struct {
 	g     *Gateway
@@ -81,6 +81,7 @@
 // followOperator keeps the configuration and the orders for shifts.
 func (g *Gateway) followOperator(ctx context.Context) error {
 	f := &follower{g: g, table: g.docs.OperatorTable()}
+	clock := following.Clock{}
 	for ctx.Err() == nil {
 		asked, wait := g.boot(), g.feedWait()
 		if g.contact.age(asked) > overdue*wait {
@@ -94,11 +95,11 @@
 		for _, r := range page.Rows {
 			g.takeOperator(r)
 		}
-		if !full && len(page.Rows) == 0 {
-			// The store held the call for the whole wait and nothing came.
-			asked += min(wait, g.boot()-asked)
+		answer := following.Answer{
+			Asked: asked, Got: g.boot(), Held: wait, Changes: full || len(page.Rows) > 0, StoreNow: page.Now,
 		}
-		g.contact.confirm(asked)
+		clock.Note(asked, page.Now)
+		g.contact.confirm(answer.Confirmed(&clock))
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/gateway/follow_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonbay.example/tarragonbay/internal/routetable"
+	"tarragonbay.example/tarragonbay/internal/store"
+	"tarragonbay.example/tarragonbay/internal/store/storefake"
+	"tarragonbay.example/tarragonbay/internal/versionshift"
+)
+
+// operatorRows decodes rows of the operator into configurations whose version is
+// the revision.
+type operatorRows struct{ rowsOfText }
+
+func (operatorRows) OperatorTable() string { return "operator" }
+
+func (operatorRows) Routing(r store.Row) (routetable.Spec, bool, error) {
+	return routetable.Spec{Version: int64(r.Rev)}, true, nil
+}
+
+func (operatorRows) Shift(store.Row) (versionshift.Order, bool, error) {
+	return versionshift.Order{}, false, nil
+}
+
+// TestChangeOfTheConfigurationCostsNoRequest changes the configuration at each
+// part of the feed's hold, which sets the feeds of all gateways going anew at once,
+// with the bounds of the users' deployments and others. It is from
+// khl-galley-large, quiet-1: all gateways refused keyed requests for two seconds.
+func TestChangeOfTheConfigurationCostsNoRequest(t *testing.T) {
+	type bounds struct{ config, revoke time.Duration }
+	all := []bounds{{2 * time.Second, 5 * time.Second}, {3 * time.Second, 5 * time.Second}, {4 * time.Second, 5 * time.Second}}
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 40 {
+		all = append(all, bounds{
+			time.Duration(500+random.IntN(20_000)) * time.Millisecond, time.Duration(1000+random.IntN(20_000)) * time.Millisecond,
+		})
+	}
+	for _, b := range all {
+		for _, late := range []float64{0.02, 0.3, 0.6, 0.9, 0.999} {
+			synctest.Test(t, func(t *testing.T) { changeLate(t, b.config, b.revoke, late) })
+		}
+	}
+}
+
+// changeLate follows a store in which a change comes late in a hold of the feed.
+func changeLate(t *testing.T, config, revoke time.Duration, late float64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	g, fake, start := testGateway(), storefake.New(), time.Now()
+	s := g.settings()
+	s.ConfigWithin, s.RevokeWithin = config, revoke
+	g.set.Store(&s)
+	g.docs, g.store = operatorRows{}, fake
+	// The store's clock is not this process's.
+	g.boot = func() time.Duration { return time.Since(start) + time.Hour }
+	change := func() {
+		if _, err := fake.Commit(ctx, store.Txn{Set: []store.Row{{Key: store.Key{Table: "operator", Name: "config"}}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	change()
+	time.Sleep(time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- g.followOperator(ctx) }()
+	synctest.Wait()
+	time.Sleep(time.Duration(late * float64(g.feedWait())))
+	change()
+	for range 500 {
+		time.Sleep(g.feedWait() / 100)
+		synctest.Wait()
+		g.fleet.Store(&fleetView{})
+		if ok, why := g.ready(); !ok || !g.keysTrusted() || !g.upToDate() {
+			t.Fatalf("config within %v, keys within %v, change at %v of the hold: not ready (%q), %v after the last word",
+				config, revoke, late, why, g.contact.age(g.boot()))
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
