One gateway reads the store's tables for all and tells the others

Change: following.Pace elects the first live gateway that reaches the store; it tells the changed rows, with the store's clock, in datagrams. A gateway that misses one or hears nothing reads for itself. Rounds of news may take 100 datagrams a second instead of 60, and a peer's news stay fresh for four rounds.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,15 +49,17 @@
 // Rev returns the newest revision taken in.
 func (f *Fleet) Rev() uint64 { return f.rev }
 
-// Put takes in a row. It reports whether anything but the revision changed.
+// Put takes in a row. It reports whether anything but the revision changed; an
+// upstream that comes back after its removal has changed.
 func (f *Fleet) Put(u Upstream, rev uint64) bool {
 	old, ok := f.known[u.ID]
 	if ok && rev < old.rev {
 		return false
 	}
+	_, missing := f.missing[u.ID]
 	delete(f.missing, u.ID)
 	f.known[u.ID] = entry{Upstream: u, rev: rev}
-	return !ok || old.Upstream != u
+	return !ok || missing || old.Upstream != u
 }
 
 // Remove takes in the removal of a row at a revision. The upstream is taken as
@@ -122,5 +124,8 @@
 	return out
 }
 
+// Missing reports whether upstreams are waited for whose entries are gone.
+func (f *Fleet) Missing() bool { return len(f.missing) > 0 }
+
 // Len returns how many upstreams are known, leaving ones included.
 func (f *Fleet) Len() int { return len(f.known) }
--- a/internal/following/following.go
+++ b/internal/following/following.go
@@ -48,9 +48,9 @@
 
 func part(d time.Duration, x float64) time.Duration { return time.Duration(x * float64(d)) }
 
-// readTime is how long before it stamps its answer a slow store may have read the
+// ReadTime is how long before it stamps its answer a slow store may have read the
 // rows: sixty times its usual four milliseconds.
-const readTime = 240 * time.Millisecond
+const ReadTime = 240 * time.Millisecond
 
 // Answer is one answer of the store to a call for changes.
 type Answer struct {
@@ -73,7 +73,7 @@
 		at += min(a.Held, a.Got-a.Asked)
 	}
 	if told, ok := c.Reached(a.StoreNow, a.Got); ok {
-		at = max(at, told-readTime)
+		at = max(at, told-ReadTime)
 	}
 	return at
 }
--- /dev/null
+++ b/internal/following/relay.go
@@ -0,0 +1,82 @@
+package following
+
+import "time"
+
+// Pace is how a table is followed by many gateways: one reads it for all and
+// tells the others.
+type Pace struct {
+	// Every is the time between two reads of the gateway that reads for all.
+	Every time.Duration
+	// Held is true when the store holds its call for that time unless a row
+	// changes; otherwise it is answered at once.
+	Held bool
+}
+
+// Parts of Pace.Every.
+const (
+	// firstTakeover is the age of the last read heard of from which a gateway reads
+	// for all itself. Each gateway that comes before it adds takeoverStep, so that
+	// mostly one takes over.
+	firstTakeover = 1.5
+	takeoverStep  = 0.25
+	// mostSteps bounds the steps: the last gateways take over together.
+	mostSteps = 4
+	// againPart is the least time between two calls of a gateway that is behind.
+	againPart = 0.1
+)
+
+// View is what a gateway knows of the reads of a table. Ages of what never was are
+// Never.
+type View struct {
+	// Own is the age of its own last read, Known that of the newest read, own or
+	// told, that it has taken in, and Earlier that of the last read of a gateway
+	// whose name comes before its own.
+	Own, Known, Earlier time.Duration
+	// Before counts the gateways heard of late whose names come before.
+	Before int
+	// Behind is true when a peer has read changes that did not reach this gateway.
+	Behind bool
+}
+
+// Never is the age of what has not happened.
+const Never = time.Duration(1 << 62)
+
+// Move is what a gateway does next.
+type Move struct {
+	// Call asks for a read of its own that the store holds for Hold.
+	Call bool
+	Hold time.Duration
+	// Tell is true when the others should hear of the read.
+	Tell bool
+	// Pause is how long it otherwise waits for news of the readers.
+	Pause time.Duration
+}
+
+// Takeover is the age of the last read from which a gateway reads for all, with so
+// many before it.
+func (p Pace) Takeover(before int) time.Duration {
+	return part(p.Every, firstTakeover+takeoverStep*float64(min(before, mostSteps)))
+}
+
+// Next decides the next read. It answers many gateways that follow one table of a
+// store whose calls are dear: the first gateway of those that are alive and reach
+// the store reads for all, and each reads for itself as soon as it is behind or
+// hears nothing. Lost news cost time or calls, never a change.
+func (p Pace) Next(v View) Move {
+	limit := p.Takeover(v.Before)
+	leads := v.Before == 0 || v.Earlier > limit
+	switch {
+	case v.Behind || (!leads && v.Known > limit):
+		if again := part(p.Every, againPart) - v.Own; again > 0 {
+			return Move{Pause: again}
+		}
+		return Move{Call: true, Tell: !v.Behind}
+	case !leads:
+		return Move{Pause: max(limit-max(v.Known, v.Earlier), time.Millisecond)}
+	case p.Held && v.Known <= p.Every:
+		return Move{Call: true, Hold: p.Every, Tell: true}
+	case p.Held || v.Own >= p.Every:
+		return Move{Call: true, Tell: true}
+	}
+	return Move{Pause: p.Every - v.Own}
+}
--- /dev/null
+++ b/internal/gateway/follower.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonbay.example/tarragonbay/internal/eventlog"
+	"tarragonbay.example/tarragonbay/internal/following"
+	"tarragonbay.example/tarragonbay/internal/peers"
+	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/store"
+)
+
+// follower keeps up with one table of the store: by calls of its own, or by the
+// reads that peers tell of (see following.Pace). One goroutine uses it; peers' reads
+// come in through a channel.
+type follower struct {
+	g     *Gateway
+	table string
+	pace  func() following.Pace
+	rev   uint64
+	// listed is false until a list was taken in, and after lost history.
+	listed bool
+	// failures counts the calls that failed in a row.
+	failures int
+	clock    following.Clock
+	tail     following.Tail
+	// confirmed is as of when all changes are known, on the boot clock; own is the
+	// last own call, earlier the last reading of a gateway that comes before this
+	// one.
+	confirmed, own, earlier time.Duration
+	// behind is true when a peer has read changes that did not reach this gateway.
+	behind bool
+	told   chan toldReading
+}
+
+// toldReading is a reading as it came from a peer.
+type toldReading struct {
+	peers.Reading
+	from string
+	at   time.Duration
+}
+
+// mostTold bounds the readings of peers that wait to be taken in; a gateway that
+// misses some reads for itself.
+const mostTold = 16
+
+// follow returns a follower of a table and has peers' readings of it delivered.
+// All followers are made before the talk begins.
+func (g *Gateway) follow(table string, pace func() following.Pace) *follower {
+	f := &follower{
+		g: g, table: table, pace: pace, confirmed: longAgo, own: longAgo, earlier: longAgo,
+		told: make(chan toldReading, mostTold),
+	}
+	g.followersMu.Lock()
+	defer g.followersMu.Unlock()
+	g.followers[table] = f
+	return f
+}
+
+// hearReading takes in what a peer has read. It never blocks.
+func (g *Gateway) hearReading(from string, r peers.Reading) {
+	g.followersMu.Lock()
+	f := g.followers[r.Table]
+	g.followersMu.Unlock()
+	if f == nil {
+		return
+	}
+	select {
+	case f.told <- toldReading{Reading: r, from: from, at: g.boot()}:
+	default: // the gap in the revisions shows with the next one
+	}
+}
+
+// update is an answer to be taken in.
+type update struct {
+	page store.Page
+	// full is true when the page holds all rows of the table.
+	full   bool
+	answer following.Answer
+	// told is true when the answer came from a peer, tell when peers should hear
+	// of it.
+	told, tell bool
+}
+
+// next returns the next answer, of the store or of a peer's reading. It is not ok
+// when none came within the time.
+func (f *follower) next(ctx context.Context, most time.Duration) (u update, ok bool) {
+	select {
+	case t := <-f.told:
+		return f.take(t)
+	default:
+	}
+	move := f.pace().Next(f.view(f.g.boot()))
+	if move.Call {
+		return f.call(ctx, move)
+	}
+	timer := time.NewTimer(min(move.Pause, most))
+	defer timer.Stop()
+	select {
+	case t := <-f.told:
+		return f.take(t)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return update{}, false
+}
+
+func (f *follower) view(now time.Duration) following.View {
+	age := func(at time.Duration) time.Duration {
+		if at == longAgo {
+			return following.Never
+		}
+		return now - at
+	}
+	v := following.View{Own: age(f.own), Known: age(f.confirmed), Earlier: age(f.earlier), Behind: f.behind}
+	if f.g.talk != nil {
+		v.Before = f.g.talk.Book.Before(f.g.settings().Name, time.Now())
+	}
+	return v
+}
+
+// take takes in a peer's reading, unless changes before it are missing here.
+func (f *follower) take(t toldReading) (u update, ok bool) {
+	if t.from < f.g.settings().Name {
+		f.earlier = max(f.earlier, t.at)
+	}
+	if !f.listed || t.After > f.rev {
+		f.behind = f.behind || (f.listed && t.Page.Rev > f.rev)
+		return update{}, false
+	}
+	u = update{page: store.Page{Rev: t.Page.Rev, Now: t.Page.Now}, told: true}
+	for _, r := range t.Page.Rows {
+		if r.Rev > f.rev {
+			u.page.Rows = append(u.page.Rows, r)
+		}
+	}
+	f.rev = max(f.rev, t.Page.Rev)
+	return u, true
+}
+
+// call makes a call of its own. A list that is older than what was seen is
+// refused.
+func (f *follower) call(ctx context.Context, move following.Move) (u update, ok bool) {
+	u = update{tell: move.Tell, answer: following.Answer{Asked: f.g.boot(), Held: move.Hold}}
+	var err error
+	if f.listed {
+		u.page, err = f.g.store.Feed(ctx, f.table, f.rev, move.Hold)
+		if result.Is(err, result.HistoryGone) {
+			f.listed = false
+			f.g.log.Event(part, "history lost", zap.String("table", f.table), zap.Uint64("after", f.rev))
+		}
+	}
+	if !f.listed {
+		u.full = true
+		u.page, err = f.g.store.List(ctx, f.table, "")
+		if err == nil && u.page.Rev < f.rev {
+			err = result.New(result.TableUnavailable, "the list at %d is older than %d", u.page.Rev, f.rev)
+		}
+	}
+	f.own = f.g.boot()
+	f.note(err)
+	if err != nil {
+		pause(ctx, jitter(min(awayPause<<min(f.failures-1, awayDoublings), awayLongest)))
+		return update{}, false
+	}
+	f.listed, f.behind = true, false
+	f.rev = max(f.rev, u.page.Rev)
+	u.answer.Got, u.answer.StoreNow = f.own, u.page.Now
+	u.answer.Changes = u.full || len(u.page.Rows) > 0
+	f.clock.Note(u.answer.Asked, u.page.Now)
+	return u, true
+}
+
+// awayDoublings bounds how often the pause after a failure doubles.
+const awayDoublings = 2
+
+// settle notes that an answer was taken in and tells peers of it: changed are the
+// rows that matter to them.
+func (f *follower) settle(u update, changed []store.Row) {
+	now := f.g.boot()
+	if u.told {
+		if at, ok := f.clock.Reached(u.page.Now, now); ok {
+			f.confirmed = max(f.confirmed, at-following.ReadTime)
+		}
+	} else {
+		f.confirmed = max(f.confirmed, u.answer.Confirmed(&f.clock))
+	}
+	if u.full {
+		f.tail.Reset(f.rev)
+	} else {
+		f.tail.Add(changed, now)
+	}
+	if u.tell && f.g.talk != nil {
+		after, rows := f.tail.Rows()
+		f.g.talk.TellReading(peers.Reading{
+			Table: f.table, After: after, Page: store.Page{Rows: rows, Rev: f.rev, Now: u.page.Now},
+		})
+	}
+}
+
+// note logs when the store is lost and regained.
+func (f *follower) note(err error) {
+	switch {
+	case err != nil:
+		f.failures++
+		if f.failures > 1 {
+			return
+		}
+		f.g.count.storeLost.Inc(1)
+		f.g.log.Event(part, "store lost", zap.String("table", f.table), zap.Uint64("rev", f.rev), eventlog.Error(err))
+	case f.failures > 0:
+		f.failures = 0
+		f.g.log.Event(part, "store regained", zap.String("table", f.table), zap.Uint64("rev", f.rev))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,8 +79,6 @@
 	pool  *h1.Pool
 	table atomic.Pointer[routetable.Table]
 	fleet atomic.Pointer[fleetView]
-	// listRead is the last read of the list of upstreams; nil before the first.
-	listRead atomic.Pointer[listRead]
 	contact  contact
 	loads    *loadBook
 	speeds   *speedBook
@@ -93,6 +91,10 @@
 	stopSince atomic.Int64
 	count     *counters
 
+	// followers take in the readings of peers, by table.
+	followersMu sync.Mutex
+	followers   map[string]*follower
+
 	budgetsMu sync.Mutex
 	budgets   map[string]*retrywindow.Window
 }
@@ -112,7 +114,7 @@
 		shifts:  newShiftBook(o.Settings.ExposeShare),
 		conns:   newConnBook(),
 		count:   newCounters(o.Metrics),
-		budgets: map[string]*retrywindow.Window{},
+		budgets: map[string]*retrywindow.Window{}, followers: map[string]*follower{},
 	}
 	g.set.Store(&o.Settings)
 	g.contact.never()
@@ -170,7 +172,7 @@
 func (g *Gateway) openTalk() (*peers.Talk, error) {
 	return peers.Listen(peers.Options{
 		Name: g.settings().Name, Address: g.settings().PeerListen, Incarnation: uint64(g.start.UnixNano()),
-		Store: g.store, Log: g.log, News: g.news,
+		Store: g.store, Log: g.log, News: g.news, Reading: g.hearReading,
 	})
 }
 
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -15,9 +15,6 @@
 	now := time.Now()
 	n := &gossipv1.News{}
 	n.OldSessions, n.NewSessions = g.shifts.heldSessions(now, maxSessionsTold)
-	if r := g.listRead.Load(); r != nil {
-		n.ListReadMsAgo, n.ListChanged = uint32(now.Sub(r.at)/time.Millisecond)+1, r.changed
-	}
 	g.loads.tell(n)
 	for _, o := range g.shifts.open() {
 		n.Sightings = append(n.Sightings, peers.Sightings(o.Service, o.Rev, g.ownEvidence(o))...)
--- a/internal/gateway/shifts.go
+++ b/internal/gateway/shifts.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
+	"tarragonbay.example/tarragonbay/internal/following"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/store"
 	"tarragonbay.example/tarragonbay/internal/versionshift"
@@ -29,7 +30,7 @@
 
 // followShifts reads the states while any shift is open.
 func (g *Gateway) followShifts(ctx context.Context) error {
-	f := &follower{g: g, table: shiftTable}
+	f := g.follow(shiftTable, func() following.Pace { return following.Pace{Every: g.feedWait() / 2, Held: true} })
 	for ctx.Err() == nil {
 		if len(g.shifts.open()) == 0 {
 			select {
@@ -38,13 +39,12 @@
 			}
 			continue
 		}
-		page, _, err := f.step(ctx, g.feedWait())
-		if err != nil {
-			pause(ctx, jitter(awayPause))
+		u, ok := f.next(ctx, longestWait)
+		if !ok {
 			continue
 		}
 		now := time.Now()
-		for _, r := range page.Rows {
+		for _, r := range u.page.Rows {
 			var st versionshift.State
 			if r.Removed {
 				continue
@@ -55,7 +55,10 @@
 			}
 			g.takeShift(st, r.Rev)
 		}
-		g.shifts.listed(page.Now, now)
+		f.settle(u, u.page.Rows)
+		if !u.told {
+			g.shifts.listed(u.page.Now, now)
+		}
 	}
 	return nil
 }
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -8,6 +8,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/following"
 	"tarragonbay.example/tarragonbay/internal/store"
 )
 
@@ -29,23 +30,20 @@
 // of about a second.
 const awayLong = 1500 * time.Millisecond
 
-// listTick is the pause between two looks at whether the list should be read.
-const listTick = 60 * time.Millisecond
-
-// listRead is what this gateway tells of its reads of the list: when the last
-// one was and the revision of the last change that it found.
-type listRead struct {
-	at      time.Time
-	changed uint64
-}
+// Pace of the list.
+const (
+	// readPart of the time after which a leaving upstream must be left alone is the
+	// time between two reads of the list.
+	readPart = 0.3
+	// listTick is the pause between two looks at upstreams whose grace runs.
+	listTick = 60 * time.Millisecond
+)
 
-// listFollower keeps the list of upstreams. Gateways tell one another of their
-// reads, so that mostly one of them reads for all (see fleet.Reading).
+// listFollower keeps the list of upstreams.
 type listFollower struct {
 	g     *Gateway
-	feed  follower
+	feed  *follower
 	known *fleet.Fleet
-	last  listRead
 	// heard is when the list was last known, by an own read or a peer's; back is
 	// when the store came back from an absence.
 	heard, back time.Time
@@ -53,57 +51,35 @@
 
 // followUpstreams keeps the list until ctx ends.
 func (g *Gateway) followUpstreams(ctx context.Context) error {
-	l := &listFollower{
-		g: g, feed: follower{g: g, table: g.docs.UpstreamTable()}, known: fleet.New(), heard: time.Now(),
+	pace := func() following.Pace {
+		return following.Pace{Every: time.Duration(readPart * float64(g.settings().DrainWithin))}
 	}
+	l := &listFollower{g: g, feed: g.follow(g.docs.UpstreamTable(), pace), known: fleet.New(), heard: time.Now()}
 	for ctx.Err() == nil {
-		now := time.Now()
-		due := l.reading(now)
-		if !l.last.at.IsZero() && now.Before(due.Due(g.settings().DrainWithin)) {
-			l.heard = due.Last()
-			l.expire(now)
-			pause(ctx, jitter(listTick))
-			continue
+		most := longestWait
+		if l.known.Missing() {
+			most = jitter(listTick)
 		}
-		if !l.readList(ctx) {
-			pause(ctx, jitter(awayPause))
+		if u, ok := l.feed.next(ctx, most); ok {
+			l.take(u, time.Now())
 		}
+		l.expire(time.Now())
 	}
 	return nil
 }
 
-// reading is what this gateway and its peers know of the last reads.
-func (l *listFollower) reading(now time.Time) fleet.Reading {
-	r := fleet.Reading{Own: l.last.at, Seen: l.known.Rev()}
-	if l.g.talk != nil {
-		r.Told, r.Changed, r.Before = l.g.talk.Book.Reading(l.g.settings().Name, now)
-	}
-	return r
-}
-
-// readList makes one call to the store; it reports whether that succeeded.
-func (l *listFollower) readList(ctx context.Context) bool {
-	page, full, err := l.feed.step(ctx, 0)
-	now := time.Now()
-	if err != nil {
-		return false
-	}
+// take takes in an answer.
+func (l *listFollower) take(u update, now time.Time) {
 	if now.Sub(l.heard) > awayLong+l.g.settings().DrainWithin/2 {
 		l.back = now
 	}
-	l.heard, l.last.at = now, now
+	l.heard = now
 	goneAt := now
 	if until := l.back.Add(returnGrace); !l.back.IsZero() && until.After(now) {
 		goneAt = until
 	}
-	if changed := l.g.takeUpstreams(l.known, page, full, goneAt); changed > 0 {
-		l.last.changed = changed
-	}
-	last := l.last
-	l.g.listRead.Store(&last)
-	l.expire(now)
+	l.feed.settle(u, l.g.takeUpstreams(l.known, u.page, u.full, goneAt))
 	l.g.publishFleet(l.known, now)
-	return true
 }
 
 // expire drops upstreams whose grace is over.
@@ -117,27 +93,27 @@
 	}
 }
 
-// takeUpstreams takes in rows in their order and returns the revision of the
-// last change, zero when nothing changed. A row that names no usable upstream
-// counts as the removal of the one it stands for.
-func (g *Gateway) takeUpstreams(known *fleet.Fleet, page store.Page, full bool, goneAt time.Time) (changed uint64) {
+// takeUpstreams takes in rows in their order and returns those that change more
+// than an upstream's heartbeat. A row that names no usable upstream counts as the
+// removal of the one it stands for.
+func (g *Gateway) takeUpstreams(known *fleet.Fleet, page store.Page, full bool, goneAt time.Time) (changed []store.Row) {
 	listed := map[string]bool{}
 	for _, r := range page.Rows {
 		if r.Removed {
 			known.Remove(r.Name, r.Rev, goneAt)
-			changed = max(changed, r.Rev)
+			changed = append(changed, r)
 			continue
 		}
 		u, err := g.docs.Upstream(r)
 		if err != nil {
 			known.Remove(r.Name, r.Rev, time.Time{})
-			changed = max(changed, r.Rev)
+			changed = append(changed, r)
 			g.log.Event(part, "upstream entry ignored", zap.String("upstream", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
 			continue
 		}
 		listed[u.ID] = true
 		if known.Put(u, r.Rev) {
-			changed = max(changed, r.Rev)
+			changed = append(changed, r)
 			g.log.Event(part, "upstream changed", zap.String("upstream", u.ID), zap.String("service", u.Service),
 				zap.String("version", u.Version), zap.String("domain", u.Domain), zap.String("address", u.Address),
 				zap.Bool("leaving", u.Leaving), zap.Uint64("rev", r.Rev))
@@ -145,7 +121,6 @@
 	}
 	if full {
 		known.RemoveOthers(listed, goneAt)
-		changed = max(changed, page.Rev)
 	}
 	known.Advance(page.Rev)
 	return changed
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,9 +14,15 @@
 	"tarragonbay.example/tarragonbay/internal/versionshift"
 )
 
-// fresh is how old a peer's news may be: four of the longest pauses between
-// two datagrams.
-const fresh = 2500 * time.Millisecond
+// How old a peer's news may be: a number of the pauses between two rounds, which
+// grow with the peers, and leastFresh at least.
+const (
+	leastFresh  = 2500 * time.Millisecond
+	freshRounds = 4
+)
+
+// fresh is how old a peer's news may be. The caller holds the lock.
+func (b *Book) fresh() time.Duration { return max(leastFresh, freshRounds*Pause(len(b.peers))) }
 
 // Hash names an upstream or a session in datagrams.
 func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
@@ -68,7 +74,7 @@
 	if n.GetAddition() {
 		return old != nil && old.add(n, now)
 	}
-	if old != nil && now.Sub(old.at) <= fresh && (n.GetIncarnation() < old.news.GetIncarnation() ||
+	if old != nil && now.Sub(old.at) <= b.fresh() && (n.GetIncarnation() < old.news.GetIncarnation() ||
 		(n.GetIncarnation() == old.news.GetIncarnation() && n.GetNumber() <= old.news.GetNumber())) {
 		return false
 	}
@@ -119,7 +125,7 @@
 	for _, h := range b.peers {
 		n := h.news
 		all := len(n.GetUpstreams())
-		if now.Sub(h.at) > fresh || len(n.GetRunning()) != all || len(n.GetWaiting()) != all || len(n.GetUnreadMs()) != all {
+		if now.Sub(h.at) > b.fresh() || len(n.GetRunning()) != all || len(n.GetWaiting()) != all || len(n.GetUnreadMs()) != all {
 			continue
 		}
 		age := millis(now.Sub(h.at))
@@ -168,26 +174,18 @@
 	return s.Load
 }
 
-// Reading returns what peers of the gateway with this name tell of the list of
-// upstreams: the latest read, the last change that any of them found, and how
-// many of them read the list before this gateway does.
-func (b *Book) Reading(name string, now time.Time) (last time.Time, changed uint64, before int) {
+// Before returns how many peers have been heard of late whose names come before
+// the one given.
+func (b *Book) Before(name string, now time.Time) int {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
+	n := 0
 	for peer, h := range b.peers {
-		ago := h.news.GetListReadMsAgo()
-		if now.Sub(h.at) > fresh || ago == 0 {
-			continue
-		}
-		if at := h.at.Add(-time.Duration(ago-1) * time.Millisecond); at.After(last) {
-			last = at
-		}
-		changed = max(changed, h.news.GetListChanged())
-		if peer < name {
-			before++
+		if peer < name && now.Sub(h.at) <= b.fresh() {
+			n++
 		}
 	}
-	return last, changed, before
+	return n
 }
 
 // Evidence sums what peers have seen of the shift that an order asks for.
@@ -196,7 +194,7 @@
 	defer b.mu.RUnlock()
 	sum := versionshift.Seen{}
 	for _, h := range b.peers {
-		if now.Sub(h.at) > fresh {
+		if now.Sub(h.at) > b.fresh() {
 			continue
 		}
 		for _, s := range h.news.GetSightings() {
@@ -263,7 +261,7 @@
 	defer b.mu.RUnlock()
 	n := 0
 	for _, h := range b.peers {
-		if now.Sub(h.at) <= fresh {
+		if now.Sub(h.at) <= b.fresh() {
 			n++
 		}
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -56,7 +57,7 @@
 	if e := b.Evidence("s", 8, t0); len(e) != 0 {
 		t.Errorf("evidence of another order: %+v", e)
 	}
-	later := t0.Add(fresh + time.Millisecond)
+	later := t0.Add(leastFresh + time.Millisecond)
 	if len(b.Loads(later)) != 0 || b.Heard(later) != 0 || len(b.Evidence("s", 9, later)) != 0 {
 		t.Error("a silent peer still counts")
 	}
@@ -66,7 +67,7 @@
 func TestRestartAfterTheClockWentBack(t *testing.T) {
 	b := NewBook()
 	b.Take(news("a", 9, 100, 7), t0)
-	later := t0.Add(fresh + time.Millisecond)
+	later := t0.Add(leastFresh + time.Millisecond)
 	if !b.Take(news("a", 8, 1, 2), later) || b.Loads(later)[Hash("u")].Running != 2 {
 		t.Error("a restarted peer is not heard")
 	}
@@ -163,21 +164,32 @@
 	}
 }
 
-// TestReadingOfPeers: silent peers and those that have not read the list do not
-// spare anybody a read.
-func TestReadingOfPeers(t *testing.T) {
+// TestSilentPeersDoNotComeBefore: a gateway leaves a read to those that come before
+// it only while they are heard.
+func TestSilentPeersDoNotComeBefore(t *testing.T) {
 	b := NewBook()
-	for name, ago := range map[string]uint32{"a": 501, "c": 201, "d": 0} {
-		n := news(name, 1, 1, 0)
-		n.ListReadMsAgo, n.ListChanged = ago, uint64(ago)
-		b.Take(n, t0)
+	for _, name := range []string{"a", "c", "d"} {
+		b.Take(news(name, 1, 1, 0), t0)
 	}
-	last, changed, before := b.Reading("b", t0.Add(time.Second))
-	if !last.Equal(t0.Add(-200*time.Millisecond)) || changed != 501 || before != 1 {
-		t.Errorf("last %v, changed %d, %d before", last, changed, before)
+	if n := b.Before("c", t0.Add(time.Second)); n != 1 {
+		t.Errorf("%d peers before", n)
 	}
-	if last, _, before := b.Reading("b", t0.Add(fresh+time.Millisecond)); !last.IsZero() || before != 0 {
-		t.Errorf("silent peers count: %v, %d before", last, before)
+	if n := b.Before("c", t0.Add(leastFresh+time.Millisecond)); n != 0 {
+		t.Errorf("%d silent peers before", n)
+	}
+}
+
+// TestNewsOfManyPeersStayFresh: the pause between two rounds grows with the peers,
+// and a lost round or two must not make a peer silent.
+func TestNewsOfManyPeersStayFresh(t *testing.T) {
+	for _, peers := range []int{1, 6, 27, 103, 300} {
+		b := NewBook()
+		for i := range peers {
+			b.Take(news(fmt.Sprint(i), 1, 1, 1), t0)
+		}
+		if n := b.Heard(t0.Add(3 * Pause(peers))); n != peers {
+			t.Errorf("%d of %d peers are heard after two lost rounds", n, peers)
+		}
 	}
 }
 
@@ -191,7 +203,8 @@
 	_ = c.Close() // the talk opens it again
 	tk, err := Listen(Options{
 		Name: name, Address: address, Incarnation: 1, Store: st, Log: eventlog.New(io.Discard),
-		News: func() *gossipv1.News { return news("", 0, 0, running) },
+		News:    func() *gossipv1.News { return news("", 0, 0, running) },
+		Reading: func(string, Reading) {},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -25,7 +25,7 @@
 	// perSecond bounds the datagrams of rounds that one gateway sends in a second,
 	// toldPerSecond those of requests that are told at once: what a burst adds
 	// must stay small beside the requests themselves.
-	perSecond     = 60
+	perSecond     = 100
 	toldPerSecond = 1000
 	// leastPause is the shortest pause between two rounds.
 	leastPause = 200 * time.Millisecond
@@ -69,6 +69,8 @@
 	Log         *eventlog.Log
 	// News returns what this gateway tells; the caller's fields are kept.
 	News func() *gossipv1.News
+	// Reading takes what a listed gateway has read of a table; it must not block.
+	Reading func(from string, r Reading)
 }
 
 // Talk sends and receives news.
@@ -276,7 +278,7 @@
 	defer stop()
 	buf := make([]byte, maxDatagram)
 	for {
-		size, err := t.conn.Read(buf)
+		size, from, err := t.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -289,15 +291,23 @@
 			t.o.Log.Event("peers", "news unreadable", zap.Int("bytes", size), eventlog.Error(err))
 			continue
 		}
-		t.take(&n)
+		t.take(&n, from)
 	}
 }
 
-func (t *Talk) take(n *gossipv1.News) {
+// take takes in a datagram. Readings of the store are taken from the listed address
+// of their gateway alone.
+func (t *Talk) take(n *gossipv1.News, from netip.AddrPort) {
 	t.mu.Lock()
-	_, known := t.listed[n.GetGateway()]
+	listed, known := t.listed[n.GetGateway()]
 	t.mu.Unlock()
-	if known {
+	switch {
+	case known && n.GetReading() != nil:
+		if listed == from {
+			t.o.Reading(n.GetGateway(), reading(n.GetReading()))
+		}
+		return
+	case known:
 		t.Book.Take(n, time.Now())
 		return
 	}
