Share the slack of the retry budget among the gateways there are

Cause: it was divided by 32, so 103 gateways could together spend 3.2 times the slack, while 5 left most of it unused. Change: the divisor is the most gateways listed within a window; half of the slack is left to those that join or start again. Until the table was read there is none.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,14 +76,14 @@
 	boot  func() time.Duration
 	start time.Time
 
-	pool  *h1.Pool
-	table atomic.Pointer[routetable.Table]
-	fleet atomic.Pointer[fleetView]
-	contact  contact
-	loads    *loadBook
-	speeds   *speedBook
-	shifts   *shiftBook
-	conns    *connBook
+	pool    *h1.Pool
+	table   atomic.Pointer[routetable.Table]
+	fleet   atomic.Pointer[fleetView]
+	contact contact
+	loads   *loadBook
+	speeds  *speedBook
+	shifts  *shiftBook
+	conns   *connBook
 	// talk is nil when no address for datagrams is set.
 	talk     *peers.Talk
 	stopping atomic.Bool
@@ -97,6 +97,7 @@
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retrywindow.Window
+	sharers   retrywindow.Sharers
 }
 
 // dialTime bounds the opening of a connection to an upstream: a lost opening
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -188,7 +188,8 @@
 func (g *Gateway) mayRepeat(q *request) bool {
 	g.budgetsMu.Lock()
 	defer g.budgetsMu.Unlock()
-	ok := g.budget(q.service).Extra(time.Since(g.start))
+	now := time.Since(g.start)
+	ok := g.budget(q.service).Extra(now, g.repeatBound(now))
 	if !ok {
 		g.count.budgetSpent.Inc(1)
 		g.log.Event(part, "repeat denied", q.fields(zap.String("service", q.service))...)
@@ -206,20 +207,18 @@
 func (g *Gateway) budget(service string) *retrywindow.Window {
 	w := g.budgets[service]
 	if w == nil {
-		w = retrywindow.New(retrywindow.Settings{
-			Ratio: ratioPart * g.settings().RepeatRatio, Slack: g.settings().RepeatSlack / slackShares, Window: g.settings().RepeatWindow,
-		})
+		w = retrywindow.New(g.settings().RepeatWindow)
 		g.budgets[service] = w
 	}
 	return w
 }
 
-// Parts of the budget that all gateways share.
-const (
-	// ratioPart leaves room for requests that are counted here a moment before
-	// or after the window in which they are judged.
-	ratioPart = 0.7
-	// slackShares divides the fixed slack by more gateways than an
-	// installation of the users' kind runs.
-	slackShares = 32
-)
+// repeatBound is this gateway's part of the budget that all gateways share. The
+// caller holds the lock of the budgets.
+func (g *Gateway) repeatBound(now time.Duration) retrywindow.Bound {
+	sharers := 1 // a gateway without an address for news is the only one
+	if g.talk != nil {
+		sharers = g.sharers.Most(g.talk.Gateways(), now, g.settings().RepeatWindow)
+	}
+	return retrywindow.Part(retrywindow.Bound{Ratio: g.settings().RepeatRatio, Slack: g.settings().RepeatSlack}, sharers)
+}
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -84,7 +84,9 @@
 
 	mu     sync.Mutex
 	listed map[string]netip.AddrPort
-	again  chan struct{}
+	// read is true once the table was read.
+	read  bool
+	again chan struct{}
 }
 
 // Begun is a request that this gateway has just sent.
@@ -182,7 +184,7 @@
 	if len(listed) != len(t.listed) {
 		t.o.Log.Event("peers", "gateways listed", zap.Int("count", len(listed)), zap.Uint64("rev", page.Rev))
 	}
-	t.listed = listed
+	t.listed, t.read = listed, true
 	t.Book.Forget(names)
 	return true
 }
@@ -259,6 +261,17 @@
 	return out
 }
 
+// Gateways returns how many gateways there are with this one, zero while the table
+// has not been read.
+func (t *Talk) Gateways() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.read {
+		return 0
+	}
+	return len(t.listed) + 1
+}
+
 func (t *Talk) send(n *gossipv1.News, to []netip.AddrPort) {
 	b, err := proto.Marshal(n)
 	if err != nil || len(b) > maxDatagram {
--- a/internal/retrywindow/retrywindow.go
+++ b/internal/retrywindow/retrywindow.go
@@ -6,14 +6,12 @@
 
 import "time"
 
-// Settings bound one gateway's part of the budget.
-type Settings struct {
+// Bound is one gateway's part of the budget.
+type Bound struct {
 	// Ratio of extra sends to requests.
 	Ratio float64
 	// Slack is allowed in each window besides.
 	Slack float64
-	// Window is the span that is bounded.
-	Window time.Duration
 }
 
 // buckets divides the window; the oldest part is dropped as a whole.
@@ -27,15 +25,15 @@
 
 // Window counts one service at one gateway. It is not safe for concurrent use.
 type Window struct {
-	settings Settings
-	ring     [buckets + 1]count
+	span time.Duration
+	ring [buckets + 1]count
 }
 
-// New returns an empty window.
-func New(s Settings) *Window { return &Window{settings: s} }
+// New returns an empty window over a span.
+func New(span time.Duration) *Window { return &Window{span: span} }
 
 func (w *Window) bucket(now time.Duration) *count {
-	at := int64(now / (w.settings.Window / buckets))
+	at := int64(now / (w.span / buckets))
 	c := &w.ring[at%int64(len(w.ring))]
 	if c.at != at {
 		*c = count{at: at}
@@ -46,8 +44,8 @@
 // Request counts a caller's request.
 func (w *Window) Request(now time.Duration) { w.bucket(now).requests++ }
 
-// Extra asks to send a request once more; it counts it when allowed.
-func (w *Window) Extra(now time.Duration) bool {
+// Extra asks to send a request once more; it counts it when the bound allows it.
+func (w *Window) Extra(now time.Duration, b Bound) bool {
 	c := w.bucket(now)
 	requests, extra := 0, 0
 	for i := range w.ring {
@@ -56,7 +54,7 @@
 			extra += o.extra
 		}
 	}
-	if float64(extra+1) > w.settings.Ratio*float64(requests)+w.settings.Slack {
+	if float64(extra+1) > b.Ratio*float64(requests)+b.Slack {
 		return false
 	}
 	c.extra++
--- a/internal/retrywindow/retrywindow_test.go
+++ b/internal/retrywindow/retrywindow_test.go
@@ -12,7 +12,7 @@
 	const span = 10 * time.Second
 	for seed := range uint64(20) {
 		r := rand.New(rand.NewPCG(seed, 2))
-		w := New(Settings{Ratio: 0.63, Slack: 2, Window: span})
+		w, bound := New(span), Bound{Ratio: 0.63, Slack: 2}
 		var requests, extras []time.Duration
 		now := time.Hour
 		for now < time.Hour+2*time.Minute {
@@ -21,7 +21,7 @@
 				w.Request(now)
 				requests = append(requests, now)
 			}
-			for w.Extra(now) {
+			for w.Extra(now, bound) {
 				extras = append(extras, now)
 			}
 		}
@@ -46,15 +46,15 @@
 }
 
 func TestSlackAlone(t *testing.T) {
-	w := New(Settings{Ratio: 0.5, Slack: 3, Window: time.Second})
+	w, bound := New(time.Second), Bound{Ratio: 0.5, Slack: 3}
 	n := 0
-	for w.Extra(time.Minute) {
+	for w.Extra(time.Minute, bound) {
 		n++
 	}
 	if n != 3 {
 		t.Errorf("%d extra sends without requests, want 3", n)
 	}
-	if !w.Extra(time.Minute + 2*time.Second) {
+	if !w.Extra(time.Minute+2*time.Second, bound) {
 		t.Error("the slack does not come back")
 	}
 }
