Learn how slow each upstream has been of late, from first events and overdue ones

Cause: the estimate knew what an engine has to do but not that it does it several times slower, and news of peers take told work as done with time. Change: placement.Pace, against what is usual over all upstreams, fading in seconds; it multiplies the estimate, which also decides whether a small answer is dropped.

--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -32,6 +32,28 @@
 	return here, there
 }
 
+// countingUpstream takes one connection; the channel gets zero when it ends before
+// anything was sent.
+func countingUpstream(t *testing.T) (address string, got chan int) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	got = make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		n, _ := conn.Read(make([]byte, 1)) // the end of the connection when nothing was sent
+		got <- n
+		_ = conn.Close()
+	}()
+	return ln.Addr().String(), got
+}
+
 // TestNothingIsSentForACallerThatLeft: the caller's close has arrived, but the
 // server has not come round to notice it. It is from khl-galley-large, scale-1: a
 // gateway with a seventh of a core sent nine requests on up to a second late.
@@ -52,21 +74,7 @@
 		{"has no time left", func(net.Conn) error { return nil }, -time.Millisecond, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			upstream, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer upstream.Close()
-			got := make(chan int, 1)
-			go func() {
-				conn, err := upstream.Accept()
-				if err != nil {
-					return
-				}
-				n, _ := conn.Read(make([]byte, 1)) // the end of the connection when nothing was sent
-				got <- n
-				_ = conn.Close()
-			}()
+			address, got := countingUpstream(t)
 			here, there := pair(t)
 			if err := c.leave(there); err != nil {
 				t.Fatal(err)
@@ -80,7 +88,7 @@
 			q := &request{in: in, limit: time.Now().Add(c.limit), route: plainRoute}
 			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 			defer cancel()
-			_, _, v, err := g.open(ctx, q, picked{up: fleet.Upstream{ID: "u", Address: upstream.Addr().String()}}, "")
+			_, _, v, err := g.open(ctx, q, picked{up: fleet.Upstream{ID: "u", Address: address}}, "")
 			if nobody := errors.Is(err, errNobodyWaits); nobody != c.nobody || (v == notSent) != c.nobody {
 				t.Errorf("verdict %v, %v", v, err)
 			}
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -212,7 +212,7 @@
 		failed: a.status >= http.StatusInternalServerError,
 		level:  versionshift.LevelOf(p.choice.Running, p.choice.Active, p.choice.Slots),
 	}
-	o.timed(time.Since(began), p.choice.Expected)
+	o.timed(time.Since(began), p.choice.Usual)
 	g.observe(q.call.ID, o)
 }
 
--- a/internal/gateway/judgement.go
+++ b/internal/gateway/judgement.go
@@ -13,8 +13,10 @@
 	request string
 	seen    observed
 	began   time.Time
-	// expected is the time to the first event that was estimated.
-	expected time.Duration
+	// expected is the time to the first event that was estimated, usual what it
+	// would be if the upstream were as fast as others: a version is not excused by
+	// how slow its upstreams are known to be.
+	expected, usual time.Duration
 	// work is the part of it that the prompt itself takes.
 	work    time.Duration
 	first   time.Time
@@ -32,7 +34,7 @@
 
 func newJudgement(g *Gateway, q *request, p picked, began time.Time) *judgement {
 	return &judgement{
-		g: g, request: q.call.ID, began: began, expected: p.choice.Expected, work: p.choice.Work(),
+		g: g, request: q.call.ID, began: began, expected: p.choice.Expected, usual: p.choice.Usual, work: p.choice.Work(),
 		seen: observed{
 			service: q.service, version: p.up.Version, upstream: p.up.ID,
 			key:   paceKey{route: q.route.Name, model: p.choice.Model},
@@ -46,7 +48,7 @@
 	j.events++
 	if j.events == 1 {
 		j.first = now
-		j.seen.timed(now.Sub(j.began), j.expected)
+		j.seen.timed(now.Sub(j.began), j.usual)
 		j.g.speeds.learn(j.seen.service, j.seen.key.model, j.work, j.expected, now.Sub(j.began))
 	} else if j.events >= leastEvents {
 		j.seen.gap = float64(now.Sub(j.first)) / float64(time.Millisecond) / float64(j.events-1)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -14,13 +14,19 @@
 type loadBook struct {
 	mu  sync.Mutex
 	ups map[string]*tally
+	// usual is what first events usually take against the estimate.
+	usual map[paceGroup]*placement.Usual
 }
 
+// paceGroup names requests whose times are compared; plain services have no model.
+type paceGroup struct{ service, model string }
+
 type tally struct {
 	running int
-	// waiting counts those that have had no event yet.
-	waiting  int
+	// waiting are those that have had no event yet.
+	waiting  map[*send]bool
 	unreadMS float64
+	pace     placement.Pace
 	doubt    float64
 	doubtAt  time.Time
 }
@@ -34,12 +40,14 @@
 	easeStep  = 0.15
 )
 
-func newLoadBook() *loadBook { return &loadBook{ups: map[string]*tally{}} }
+func newLoadBook() *loadBook {
+	return &loadBook{ups: map[string]*tally{}, usual: map[paceGroup]*placement.Usual{}}
+}
 
 func (b *loadBook) of(id string) *tally {
 	t := b.ups[id]
 	if t == nil {
-		t = &tally{}
+		t = &tally{waiting: map[*send]bool{}}
 		b.ups[id] = t
 	}
 	return t
@@ -53,8 +61,9 @@
 	for i, u := range ups {
 		out[i] = placement.Load{ID: u.ID, Domain: u.Domain, Slots: u.Slots}
 		if t := b.ups[u.ID]; t != nil {
-			out[i].Running, out[i].Waiting = t.running, t.waiting
+			out[i].Running, out[i].Waiting = t.running, len(t.waiting)
 			out[i].UnreadMS, out[i].Doubt = max(0, t.unreadMS), t.faded(now)
+			out[i].Slow = t.slow(now)
 		}
 	}
 	return out
@@ -67,29 +76,56 @@
 	return t.doubt * math.Exp2(-float64(now.Sub(t.doubtAt))/float64(doubtHalf))
 }
 
+// slow is how many times longer the upstream takes than expected, by its answers and
+// by those that are overdue.
+func (t *tally) slow(now time.Time) float64 {
+	factor := t.pace.Factor(now.Sub(processStart))
+	for s := range t.waiting {
+		factor = max(factor, placement.Overdue(s.usual, now.Sub(s.began)))
+	}
+	return factor
+}
+
 // send is one request under way at one upstream.
 type send struct {
 	book   *loadBook
 	id     string
+	group  paceGroup
 	workMS float64
+	// usual is how long the first event should take, from began.
+	usual  time.Duration
+	began  time.Time
 	unread bool
 }
 
 // begin counts a request that is about to be sent.
-func (b *loadBook) begin(id string, workMS float64) *send {
+func (b *loadBook) begin(group paceGroup, id string, c placement.Choice) *send {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.of(id)
+	s := &send{book: b, id: id, group: group, workMS: c.WorkMS, usual: c.Usual, began: time.Now(), unread: true}
 	t.running++
-	t.waiting++
-	t.unreadMS += workMS
-	return &send{book: b, id: id, workMS: workMS, unread: true}
+	t.waiting[s] = true
+	t.unreadMS += c.WorkMS
+	return s
 }
 
-// read notes that the prompt has been read: the first event has come.
+// read notes that the prompt has been read: the first event has come, or a plain
+// answer is whole.
 func (s *send) read() {
-	s.book.mu.Lock()
-	defer s.book.mu.Unlock()
+	b, now := s.book, time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !s.unread {
+		return
+	}
+	u := b.usual[s.group]
+	if u == nil {
+		u = &placement.Usual{}
+		b.usual[s.group] = u
+	}
+	over := u.Learn(s.usual, now.Sub(s.began))
+	b.of(s.id).pace.Learn(over, now.Sub(processStart))
 	s.readLocked()
 }
 
@@ -98,7 +134,7 @@
 		s.unread = false
 		t := s.book.of(s.id)
 		t.unreadMS -= s.workMS
-		t.waiting--
+		delete(t.waiting, s)
 	}
 }
 
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -30,7 +30,7 @@
 		if t.running > 0 {
 			n.Upstreams = append(n.Upstreams, peers.Hash(id))
 			n.Running = append(n.Running, uint32(t.running))
-			n.Waiting = append(n.Waiting, uint32(t.waiting))
+			n.Waiting = append(n.Waiting, uint32(len(t.waiting)))
 			n.UnreadMs = append(n.UnreadMs, uint32(max(0, t.unreadMS)))
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,7 +96,7 @@
 func (r *relay) try(p picked) (*answer, verdict, error) {
 	g, q := r.g, r.q
 	began := time.Now()
-	s := g.loads.begin(p.up.ID, p.choice.WorkMS)
+	s := g.loads.begin(paceGroup{q.service, p.choice.Model}, p.up.ID, p.choice)
 	if g.talk != nil {
 		g.talk.Tell(peers.Begun{Upstream: p.up.ID, WorkMS: p.choice.WorkMS})
 	}
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -118,9 +118,12 @@
 	}
 	ctx, cancel := context.WithDeadline(q.in.Context(), limit)
 	defer cancel()
-	s := g.loads.begin(p.up.ID, 0)
+	s := g.loads.begin(paceGroup{service: q.service}, p.up.ID, p.choice)
 	a, v, err := g.exchange(ctx, q, p)
 	failed := q.blames(v, err) || (a != nil && a.status >= http.StatusInternalServerError)
+	if v == answered {
+		s.read()
+	}
 	s.end(weight(v, failed), time.Now())
 	g.judge(q, p, a, v, now)
 	if v != answered || failed {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,6 +23,9 @@
 	UnreadMS float64
 	// Doubt is the upstream's recent rate of failures, from 0 to 1.
 	Doubt float64
+	// Slow is how many times longer work has taken there of late than expected (see
+	// Pace); below one it counts as one.
+	Slow float64
 	// Passed is true when the upstream is not to be filled (see Job.Fill).
 	Passed bool
 }
@@ -61,8 +64,9 @@
 	Index int
 	// Model is the name of the model, empty for plain requests.
 	Model string
-	// Expected is the estimated time to the first event.
-	Expected time.Duration
+	// Expected is the estimated time to the first event, Usual what it would be if
+	// the upstream were as fast as others.
+	Expected, Usual time.Duration
 	// WorkMS is the prompt work that the request adds.
 	WorkMS float64
 	// Running, Active and Slots are those of the chosen load, Doubt its failures.
@@ -173,12 +177,13 @@
 		tokens -= keptShare * float64(j.Shared)
 	}
 	work := tokens * m.MSPerToken
-	delay := work + l.UnreadMS + runningMS*float64(l.Running)
+	usual := work + l.UnreadMS + runningMS*float64(l.Running)
 	if over := l.Running - l.Slots; l.Slots > 0 && over >= 0 {
-		delay += queueMS * float64(over+1)
+		usual += queueMS * float64(over+1)
 	}
+	delay := usual * max(1, l.Slow)
 	c = Choice{
-		Model: m.Name, WorkMS: work, Expected: ms(delay),
+		Model: m.Name, WorkMS: work, Expected: ms(delay), Usual: ms(usual),
 		Running: l.Running, Active: l.Running - l.Waiting, Slots: l.Slots, Doubt: l.Doubt,
 	}
 	return c, delay + j.bias(l)
@@ -237,11 +242,12 @@
 	best, full := Choice{Index: -1}, Choice{Index: -1}
 	least := 0.0
 	for i, l := range loads {
-		delay := workMS
+		usual := workMS
 		if l.Slots > 0 && l.Running >= l.Slots {
-			delay += workMS * float64(l.Running-l.Slots+1) / float64(l.Slots)
+			usual += workMS * float64(l.Running-l.Slots+1) / float64(l.Slots)
 		}
-		c := Choice{Index: i, Expected: ms(delay), Running: l.Running, Active: l.Running, Slots: l.Slots, Doubt: l.Doubt}
+		delay := usual * max(1, l.Slow)
+		c := Choice{Index: i, Expected: ms(delay), Usual: ms(usual), Running: l.Running, Active: l.Running, Slots: l.Slots, Doubt: l.Doubt}
 		if j.fills(l, c) && (full.Index < 0 || l.Running > full.Running) {
 			full = c
 		}
--- a/internal/retrywindow/shares_test.go
+++ b/internal/retrywindow/shares_test.go
@@ -10,61 +10,80 @@
 type sharer struct {
 	window  *Window
 	sharers Sharers
-	left    bool
+	// joined is true when it was not there from the start: it lists all at once.
+	joined, left bool
 }
 
-// TestAllGatewaysTogetherKeepTheBound plays storms over any number of gateways, some
-// of which start again, join or leave, and counts the extra sends of all in each
-// window. A gateway learns of those that join a second late.
+// storm is a fleet in which every request is sent again as often as allowed.
+type storm struct {
+	fleet []*sharer
+	// known is how many gateways those from the start list.
+	known            int
+	requests, extras []time.Duration
+}
+
+const stormSpan = 10 * time.Second
+
+func newSharers(n int, joined bool) []*sharer {
+	out := make([]*sharer, n)
+	for i := range out {
+		out[i] = &sharer{window: New(stormSpan), joined: joined}
+	}
+	return out
+}
+
+// change has gateways join, start again and leave; those from the start learn of
+// the ones that join a second late.
+func (s *storm) change(now time.Duration) {
+	third := len(s.fleet) / 3
+	switch now {
+	case 80 * time.Second:
+		s.fleet = append(s.fleet, newSharers(len(s.fleet)*3/4, true)...)
+	case 81 * time.Second:
+		s.known = len(s.fleet)
+	case 95 * time.Second:
+		copy(s.fleet, newSharers(third, false))
+	case 110 * time.Second:
+		for _, g := range s.fleet[:third] {
+			g.left = true
+		}
+		s.known -= third
+	}
+}
+
+func (s *storm) step(now time.Duration, all Bound, r *rand.Rand) {
+	for _, g := range s.fleet {
+		if g.left {
+			continue
+		}
+		listed := s.known
+		if g.joined {
+			listed = len(s.fleet)
+		}
+		if r.Float64() < 0.05 {
+			g.window.Request(now)
+			s.requests = append(s.requests, now)
+		}
+		bound := Part(all, g.sharers.Most(listed, now, stormSpan))
+		for g.window.Extra(now, bound) {
+			s.extras = append(s.extras, now)
+		}
+	}
+}
+
+// TestAllGatewaysTogetherKeepTheBound plays storms over any number of gateways and
+// counts the extra sends of all in each window.
 func TestAllGatewaysTogetherKeepTheBound(t *testing.T) {
-	const span = 10 * time.Second
 	all := Bound{Ratio: 0.9, Slack: 58}
 	for _, gateways := range []int{1, 6, 27, 103, 300} {
 		for seed := range uint64(3) {
 			r := rand.New(rand.NewPCG(seed, uint64(gateways)))
-			fleet := make([]*sharer, gateways)
-			for i := range fleet {
-				fleet[i] = &sharer{window: New(span)}
-			}
-			known := gateways
-			var extras, requests []time.Duration
+			s := &storm{fleet: newSharers(gateways, false), known: gateways}
 			for now := time.Minute; now < 2*time.Minute; now += 50 * time.Millisecond {
-				switch {
-				case now == 80*time.Second: // three quarters as many again join
-					for range gateways * 3 / 4 {
-						fleet = append(fleet, &sharer{window: New(span)})
-					}
-				case now == 81*time.Second:
-					known = len(fleet)
-				case now == 95*time.Second: // a third are killed and start again
-					for i := range len(fleet) / 3 {
-						fleet[i] = &sharer{window: New(span)}
-					}
-				case now == 110*time.Second: // a third leave
-					for i := range len(fleet) / 3 {
-						fleet[i].left = true
-					}
-					known -= len(fleet) / 3
-				}
-				for i, s := range fleet {
-					if s.left {
-						continue
-					}
-					listed := known
-					if i >= gateways {
-						listed = len(fleet) // those that join list all
-					}
-					if r.Float64() < 0.05 {
-						s.window.Request(now)
-						requests = append(requests, now)
-					}
-					bound := Part(all, s.sharers.Most(listed, now, span))
-					for s.window.Extra(now, bound) {
-						extras = append(extras, now)
-					}
-				}
+				s.change(now)
+				s.step(now, all, r)
 			}
-			check(t, gateways, seed, all, span, requests, extras)
+			check(t, gateways, seed, all, stormSpan, s.requests, s.extras)
 		}
 	}
 }
