Judge busy answers of a new version by all its upstreams, with more of the exposure

The trial had spent half of the exposure on answers of calm upstreams, so no more could be sent. Change: the trial takes 0.6 instead of 0.9 of the allowed share; 24 good busy answers instead of 16; after failures they must outweigh them or come from the others, and a shift that cannot show that ends.

--- a/internal/versionshift/evidence.go
+++ b/internal/versionshift/evidence.go
@@ -135,6 +135,9 @@
 	faultyPart = 0.2
 	// minBad is the least number of bad answers for a withdrawal.
 	minBad = 4
+	// busyBad is how many bad answers of busy upstreams need good ones that outweigh
+	// them: a good version shows that many among thirty answers in one shift of 300.
+	busyBad = 3
 	// failingAt is how many bad answers of one upstream say enough of it.
 	failingAt = 4
 )
@@ -220,6 +223,25 @@
 // Sum is the evidence of all classes.
 func (s Seen) Sum() Evidence { return s.from(Calm) }
 
+// heldBusy reports whether enough good answers of busy upstreams have been seen. It
+// answers a version whose first busy upstream fails and looks like a faulty one, while
+// the next has only a few answers, all good by chance.
+func (s Seen) heldBusy() bool {
+	busy := s.from(Busy)
+	if t, _ := busy.all(); busy.odds(t) <= clearedAt {
+		return busy.Judged >= minBusy
+	}
+	return busy.others().Good >= minBusy
+}
+
+// failsBusy reports whether more busy upstreams' answers were bad than chance explains,
+// and too few good ones of others have been seen since.
+func (s Seen) failsBusy() bool {
+	busy := s.from(Busy)
+	t, _ := busy.all()
+	return t.Bad >= busyBad && busy.odds(t) > 0 && !s.heldBusy()
+}
+
 // Failing reports whether an upstream of the new version has given so many bad
 // answers that more of them would say nothing new.
 func (s Seen) Failing(id uint32) bool {
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -60,9 +60,9 @@
 // Shares and times of a shift.
 const (
 	// trialPart is the part of the allowed exposure that a trial's share of the
-	// work is. The trial ends after trialUntil of the time, which leaves the other
-	// half of the exposure to the pressed phase.
-	trialPart = 0.9
+	// work is. The trial ends after trialUntil of the time, which leaves 0.7 of the
+	// exposure to the pressed phase: busy upstreams are what takes most answers to judge.
+	trialPart = 0.6
 	// trialUntil is the part of the time until which sessions stay on the old
 	// version; the users set it. trialLate ends a trial that has too few answers.
 	trialUntil = 0.5
@@ -99,9 +99,9 @@
 	// everywhere, while the operator may order a good one again.
 	holdUntil = 0.8
 	// minBusy is how many good answers of busy upstreams let it leave the
-	// pressed phase before pressedLate: with them, a version that fails three
-	// in ten when busy shows a failure with 996 in 1,000.
-	minBusy = 16
+	// pressed phase before pressedLate. Once one of those has failed, they must
+	// outweigh the failures or come from the others.
+	minBusy = 24
 )
 
 // Start returns the state of a new shift.
@@ -200,8 +200,12 @@
 			return s
 		case doubt.grave:
 			return s.to(Withdrawn, now, "doubts not settled in time")
-		case part >= pressedUntil && seen.from(Busy).Judged >= minBusy:
+		case part >= pressedUntil && seen.heldBusy():
 			return s.to(Moved, now, "held on busy upstreams")
+		case seen.failsBusy() && part < holdUntil:
+			return s
+		case seen.failsBusy():
+			return s.to(Withdrawn, now, "failures of busy upstreams not settled in time")
 		case part >= pressedLate && now-s.Since >= time.Second:
 			return s.to(Moved, now, "too little work to fill upstreams")
 		}
