--- a/internal/following/relay.go
+++ b/internal/following/relay.go
@@ -21,6 +21,9 @@
 	takeoverStep  = 0.25
 	// mostSteps bounds the steps: the last gateways take over together.
 	mostSteps = 4
+	// failingEvery is the time between two calls of a gateway that does not reach the
+	// store while others read for it.
+	failingEvery = 4.0
 	// againPart is the least time between two calls of a gateway that is behind.
 	againPart = 0.1
 )
@@ -36,6 +39,8 @@
 	Before int
 	// Behind is true when a peer has read changes that did not reach this gateway.
 	Behind bool
+	// Failing is true while its own calls fail.
+	Failing bool
 }
 
 // Never is the age of what has not happened.
@@ -64,8 +69,14 @@
 // hears nothing. Lost news cost time or calls, never a change.
 func (p Pace) Next(v View) Move {
 	limit := p.Takeover(v.Before)
-	leads := v.Before == 0 || v.Earlier > limit
+	leads := !v.Failing && (v.Before == 0 || v.Earlier > limit)
 	switch {
+	case v.Failing && v.Known <= limit && !v.Behind:
+		// Others read for it; now and then it looks whether it reaches the store again.
+		if again := part(p.Every, failingEvery) - v.Own; again > 0 {
+			return Move{Pause: min(again, limit-v.Known+time.Millisecond)}
+		}
+		return Move{Call: true}
 	case v.Behind || (!leads && v.Known > limit):
 		if again := part(p.Every, againPart) - v.Own; again > 0 {
 			return Move{Pause: again}
--- a/internal/following/relay_test.go
+++ b/internal/following/relay_test.go
@@ -24,7 +24,7 @@
 	dead, cut           bool // cut off from the store
 	own, known, earlier time.Duration
 	rev                 uint64
-	behind              bool
+	behind, failing     bool
 	tail                Tail
 	// held is when the call under way ends, zero when there is none.
 	held time.Duration
@@ -49,11 +49,11 @@
 func (g *readers) step() {
 	for i := range g.known {
 		r := &g.known[i]
-		if r.dead || r.cut {
+		if r.dead {
 			r.held = 0
 			continue
 		}
-		if r.held > 0 {
+		if r.held > 0 && !r.cut {
 			if r.rev < g.rev || g.now >= r.held {
 				g.answer(i, r.tell)
 			}
@@ -69,12 +69,16 @@
 			before = 0 // it hears of nobody
 		}
 		m := g.pace.Next(View{
-			Own: g.now - r.own, Known: g.now - r.known, Earlier: g.now - r.earlier, Before: before, Behind: r.behind,
+			Own: g.now - r.own, Known: g.now - r.known, Earlier: g.now - r.earlier, Before: before, Behind: r.behind, Failing: r.failing,
 		})
 		if !m.Call {
 			continue
 		}
 		g.calls++
+		if r.failing = r.cut; r.cut {
+			r.held, r.own = 0, g.now
+			continue
+		}
 		if m.Hold > 0 && r.rev == g.rev {
 			r.held, r.tell = g.now+m.Hold, m.Tell
 			continue
@@ -140,6 +144,7 @@
 			{"alone", 1, 0, 0, 0, 0}, {"six", 6, 0, 0, 0, 6}, {"many", 27, 0, 0, 0, 6}, {"hundreds", 300, 0, 0, 0, 6},
 			{"half of the news are lost", 6, 0.5, 0, 0, 0}, {"no news", 6, 1, 0, 0, 0},
 			{"the first ones die", 6, 0, 2, 0, 0}, {"the first ones lose the store", 6, 0, 0, 2, 0},
+			{"a third of many lose the store", 27, 0, 0, 9, 12},
 		} {
 			for seed := range uint64(10) {
 				g := newReaders(c.gateways, c.lost, seed, pace)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -115,7 +115,7 @@
 		}
 		return now - at
 	}
-	v := following.View{Own: age(f.own), Known: age(f.confirmed), Earlier: age(f.earlier), Behind: f.behind}
+	v := following.View{Own: age(f.own), Known: age(f.confirmed), Earlier: age(f.earlier), Behind: f.behind, Failing: f.failures > 0}
 	if f.g.talk != nil {
 		v.Before = f.g.talk.Book.Before(f.g.settings().Name, time.Now())
 	}
