Generations prefer engines of their own domain; prompts are told there first

Change: a preference of 15 ms for generations; among more than 32 gateways those in the engine's domain hear of a prompt at once, the others with the next round. Test: TestManyGatewaysHearOfTheirDomainAtOnce.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,7 +172,7 @@
 // openTalk opens the socket for news of peers.
 func (g *Gateway) openTalk() (*peers.Talk, error) {
 	return peers.Listen(peers.Options{
-		Name: g.settings().Name, Address: g.settings().PeerListen, Incarnation: uint64(g.start.UnixNano()),
+		Name: g.settings().Name, Domain: g.settings().Domain, Address: g.settings().PeerListen, Incarnation: uint64(g.start.UnixNano()),
 		Store: g.store, Log: g.log, News: g.news, Reading: g.hearReading,
 	})
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,7 +98,7 @@
 	began := time.Now()
 	s := g.loads.begin(paceGroup{q.service, p.choice.Model}, p.up.ID, p.choice)
 	if g.talk != nil {
-		g.talk.Tell(peers.Begun{Upstream: p.up.ID, WorkMS: p.choice.WorkMS})
+		g.talk.Tell(peers.Begun{Upstream: p.up.ID, Domain: p.up.Domain, WorkMS: p.choice.WorkMS})
 	}
 	ctx, cancel := context.WithDeadline(q.in.Context(), q.limit)
 	defer cancel()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -315,12 +315,30 @@
 	}
 }
 
+// TestManyGatewaysHearOfTheirDomainAtOnce: what begins is told to all of a few
+// gateways, and to those beside the upstream among many, so that the datagrams of one
+// request do not grow with the domains.
+func TestManyGatewaysHearOfTheirDomainAtOnce(t *testing.T) {
+	for _, c := range []struct{ gateways, want int }{{6, 6}, {mostToldAll, mostToldAll}, {103, 21}, {300, 60}} {
+		tk := talk(t, storefake.New(), "a", 1)
+		tk.read = true
+		for i := range c.gateways - 1 {
+			tk.listed[fmt.Sprint(i)] = listed{address: netip.MustParseAddrPort("127.0.0.1:9"), domain: fmt.Sprint(i % 5)}
+		}
+		sent := tk.sendBegun(1, []Begun{{Upstream: "u", Domain: "1", WorkMS: 100}})
+		if sent > c.want || sent < c.want-1 {
+			t.Errorf("%d gateways: %d datagrams", c.gateways, sent)
+		}
+		_ = tk.conn.Close() // nothing is read from it
+	}
+}
+
 // TestWhatWaitsIsPartOfTheRound: a request that is counted in the news is not
 // told once more.
 func TestWhatWaitsIsPartOfTheRound(t *testing.T) {
 	tk := talk(t, storefake.New(), "a", 1)
 	defer func() { _ = tk.conn.Close() }() // nothing is read from it
-	tk.listed["b"] = netip.MustParseAddrPort("127.0.0.1:9")
+	tk.listed["b"] = listed{address: netip.MustParseAddrPort("127.0.0.1:9")}
 	for range 3 {
 		tk.Tell(Begun{Upstream: "u", WorkMS: 100})
 	}
--- a/internal/peers/readings_test.go
+++ b/internal/peers/readings_test.go
@@ -90,7 +90,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		sender.listed["b"] = receiver.LocalAddr().(*net.UDPAddr).AddrPort()
+		sender.listed["b"] = listed{address: receiver.LocalAddr().(*net.UDPAddr).AddrPort()}
 		sender.TellReading(Reading{Table: "operator", After: 7, Page: store.Page{Rev: 9, Rows: []store.Row{
 			{Key: store.Key{Table: "operator", Name: "config"}, Rev: 9, Value: c.value},
 		}}})
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -34,7 +34,7 @@
 	// at most.
 	listEvery      = 15 * time.Second
 	listsPerSecond = 3
-	listSoon  = 500 * time.Millisecond
+	listSoon       = 500 * time.Millisecond
 	// retryPause is the pause after a call that failed.
 	retryPause = 500 * time.Millisecond
 	// leaveTime bounds the removal of the row at the end, which must fit the
@@ -60,9 +60,16 @@
 // told together.
 func apart(peers int) time.Duration { return time.Duration(peers) * time.Second / toldPerSecond }
 
+// mostToldAll is how many gateways hear of each request at once. Among more, those in
+// the upstream's failure domain do, which prefer it; the others hear of it with the
+// next round.
+const mostToldAll = 32
+
 // Options are what a Talk is made of.
 type Options struct {
 	Name string
+	// Domain is the failure domain.
+	Domain string
 	// Address is IP:port for datagrams, the same as in the table.
 	Address string
 	// Incarnation rises with each start of the process.
@@ -85,7 +92,7 @@
 	begun chan Begun
 
 	mu     sync.Mutex
-	listed map[string]netip.AddrPort
+	listed map[string]listed
 	// read is true once the table was read.
 	read  bool
 	again chan struct{}
@@ -93,10 +100,16 @@
 
 // Begun is a request that this gateway has just sent.
 type Begun struct {
-	// Upstream is the ID of the upstream, WorkMS the prompt work in milliseconds
-	// of its time.
-	Upstream string
-	WorkMS   float64
+	// Upstream is the ID of the upstream, Domain its failure domain and WorkMS the
+	// prompt work in milliseconds of its time.
+	Upstream, Domain string
+	WorkMS           float64
+}
+
+// listed is a gateway in the table.
+type listed struct {
+	address netip.AddrPort
+	domain  string
 }
 
 // Listen opens the socket; nothing is sent before Run.
@@ -110,7 +123,7 @@
 		return nil, errors.Annotatef(err, "listen for datagrams on %s", o.Address)
 	}
 	return &Talk{
-		Book: NewBook(), o: o, conn: conn, listed: map[string]netip.AddrPort{},
+		Book: NewBook(), o: o, conn: conn, listed: map[string]listed{},
 		begun: make(chan Begun, mostQueued), again: make(chan struct{}, 1),
 	}, nil
 }
@@ -118,6 +131,7 @@
 // entry is the value of a row of the table.
 type entry struct {
 	Address string `json:"address"`
+	Domain  string `json:"domain"`
 }
 
 func (t *Talk) key() store.Key { return store.Key{Table: table, Name: t.o.Name} }
@@ -125,7 +139,7 @@
 // Enter keeps this gateway in the table and the table in mind until ctx ends,
 // then leaves it.
 func (t *Talk) Enter(ctx context.Context) error {
-	value, err := json.Marshal(entry{Address: t.o.Address})
+	value, err := json.Marshal(entry{Address: t.o.Address, Domain: t.o.Domain})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -175,7 +189,7 @@
 	if err != nil {
 		return false // the follower of the configuration reports the loss
 	}
-	listed := map[string]netip.AddrPort{}
+	all := map[string]listed{}
 	names := map[string]bool{}
 	for _, r := range page.Rows {
 		var e entry
@@ -183,15 +197,15 @@
 			continue // a row of another writer, or our own
 		}
 		if a, err := netip.ParseAddrPort(e.Address); err == nil {
-			listed[r.Name], names[r.Name] = a, true
+			all[r.Name], names[r.Name] = listed{address: a, domain: e.Domain}, true
 		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(listed) != len(t.listed) {
-		t.o.Log.Event("peers", "gateways listed", zap.Int("count", len(listed)), zap.Uint64("rev", page.Rev))
+	if len(all) != len(t.listed) {
+		t.o.Log.Event("peers", "gateways listed", zap.Int("count", len(all)), zap.Uint64("rev", page.Rev))
 	}
-	t.listed, t.read = listed, true
+	t.listed, t.read = all, true
 	t.Book.Forget(names)
 	return true
 }
@@ -239,14 +253,37 @@
 		case <-next:
 			queue = t.begun
 		case first := <-queue:
-			n := &gossipv1.News{Gateway: t.o.Name, Incarnation: t.o.Incarnation, Number: number, Addition: true}
-			for _, b := range append(t.queued(), first) {
-				n.Upstreams, n.UnreadMs = append(n.Upstreams, Hash(b.Upstream)), append(n.UnreadMs, uint32(b.WorkMS))
-			}
-			t.send(n, to)
-			queue, next = nil, time.After(apart(len(to)))
+			sent := t.sendBegun(number, append(t.queued(), first))
+			queue, next = nil, time.After(apart(sent))
+		}
+	}
+}
+
+// sendBegun tells of requests; it returns how many datagrams that took.
+func (t *Talk) sendBegun(number uint32, all []Begun) (sent int) {
+	for domain, some := range t.byHearers(all) {
+		n := &gossipv1.News{Gateway: t.o.Name, Incarnation: t.o.Incarnation, Number: number, Addition: true}
+		for _, b := range some {
+			n.Upstreams, n.UnreadMs = append(n.Upstreams, Hash(b.Upstream)), append(n.UnreadMs, uint32(b.WorkMS))
 		}
+		to := t.addressesIn(domain)
+		t.send(n, to)
+		sent += len(to)
 	}
+	return sent
+}
+
+// byHearers groups requests by the failure domain whose gateways hear of them; the
+// empty one stands for all.
+func (t *Talk) byHearers(all []Begun) map[string][]Begun {
+	if t.Gateways() <= mostToldAll {
+		return map[string][]Begun{"": all}
+	}
+	out := map[string][]Begun{}
+	for _, b := range all {
+		out[b.Domain] = append(out[b.Domain], b)
+	}
+	return out
 }
 
 // queued takes what waits to be told.
@@ -258,12 +295,19 @@
 	return out
 }
 
-func (t *Talk) addresses() []netip.AddrPort {
+// addresses returns those of all listed gateways.
+func (t *Talk) addresses() []netip.AddrPort { return t.addressesIn("") }
+
+// addressesIn returns those of the gateways in a failure domain; the empty one stands
+// for all.
+func (t *Talk) addressesIn(domain string) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]netip.AddrPort, 0, len(t.listed))
-	for _, a := range t.listed {
-		out = append(out, a)
+	for _, p := range t.listed {
+		if domain == "" || p.domain == domain {
+			out = append(out, p.address)
+		}
 	}
 	return out
 }
@@ -319,11 +363,11 @@
 // of their gateway alone.
 func (t *Talk) take(n *gossipv1.News, from netip.AddrPort) {
 	t.mu.Lock()
-	listed, known := t.listed[n.GetGateway()]
+	peer, known := t.listed[n.GetGateway()]
 	t.mu.Unlock()
 	switch {
 	case known && n.GetReading() != nil:
-		t.takeReading(n, listed == from)
+		t.takeReading(n, peer.address == from)
 		return
 	case known:
 		t.Book.Take(n, time.Now())
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,8 +91,12 @@
 	runningMS = 4.0
 	// doubtMS is the delay that a certain failure counts as.
 	doubtMS = 3000.0
-	// farMS is the preference for the own failure domain.
+	// farMS is the preference of plain requests for the own failure domain: the way
+	// there and back.
 	farMS = 2.0
+	// farPromptMS is that of generations. Their bodies are large, and news of work in
+	// the own domain come first.
+	farPromptMS = 15.0
 	// onTime is the part of the target that an estimate may use, for what it
 	// does not see: other gateways' work and the path.
 	onTime = 0.6
@@ -186,14 +190,14 @@
 		Model: m.Name, WorkMS: work, Expected: ms(delay), Usual: ms(usual),
 		Running: l.Running, Active: l.Running - l.Waiting, Slots: l.Slots, Doubt: l.Doubt,
 	}
-	return c, delay + j.bias(l)
+	return c, delay + j.bias(l, farPromptMS)
 }
 
 // bias is what speaks against an upstream besides its delay, in milliseconds.
-func (j Job) bias(l Load) float64 {
+func (j Job) bias(l Load, far float64) float64 {
 	bias := doubtMS * l.Doubt
 	if l.Domain != j.Domain {
-		bias += farMS
+		bias += far
 	}
 	return bias
 }
@@ -251,7 +255,7 @@
 		if j.fills(l, c) && (full.Index < 0 || l.Running > full.Running) {
 			full = c
 		}
-		if cost := delay + j.bias(l) + evenMS*float64(l.Running); best.Index < 0 || cost < least {
+		if cost := delay + j.bias(l, farMS) + evenMS*float64(l.Running); best.Index < 0 || cost < least {
 			best, least = c, cost
 		}
 	}
