Press a bounded number of upstreams; try on quickly when upstreams refuse connections

Change: the pressed phase fills eight upstreams with twice an even load, any of them with room where news lag; a trial's upstreams get about an even load; up to twelve quick refusals are tried on.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -25,11 +25,11 @@
 // attempts tries upstreams until one answers well or no other may be tried.
 func (g *Gateway) attempts(q *request, try attempt) outcome {
 	var o outcome
-	unsent := 0
+	unsent := unsentTries{}
 	granted := false // the repeat was drawn from the budget already
 	for {
 		p, err := g.pick(q, time.Now())
-		if err == nil && q.sent == 0 && unsent == 0 {
+		if err == nil && q.sent == 0 && unsent.none() {
 			g.countRequest(q)
 		} else if err == nil && q.sent > 0 && !granted && !g.mayRepeat(q) {
 			err = result.New(result.RetriesSpent, "the budget for repeats is spent").WithRetryAfter(jitter(shortRetry))
@@ -40,6 +40,7 @@
 			}
 			return o
 		}
+		began := time.Now()
 		a, v, why := try(p)
 		if v == answered && good(q, a) {
 			return outcome{answer: a, from: p}
@@ -53,9 +54,9 @@
 		}
 		o.failure = q.failed(v, p.up.ID, why)
 		if v == notSent {
-			unsent++
+			unsent.note(time.Since(began))
 		}
-		if q.gone() || unsent >= maxUnsent || !q.mayGoOn(v, time.Now()) {
+		if q.gone() || unsent.enough() || !q.mayGoOn(v, time.Now()) {
 			return o
 		}
 	}
@@ -65,3 +66,32 @@
 func good(q *request, a *answer) bool {
 	return a == nil || a.status < http.StatusInternalServerError || !q.route.Repeats()
 }
+
+// unsentTries counts the upstreams that could not be connected to. The zero value
+// counts none.
+type unsentTries struct{ quick, slow int }
+
+// Limits on upstreams that could not be connected to.
+const (
+	// maxSlow bounds those that did not answer in time, each of which costs the caller
+	// dialTime.
+	maxSlow = 3
+	// maxQuick bounds those that refused at once: with half of a service's upstreams
+	// crashed, twelve refuse in a row once in 4,000 requests.
+	maxQuick = 12
+	// quickDial is the longest time of a refusal at once.
+	quickDial = dialTime / 4
+)
+
+func (u *unsentTries) note(took time.Duration) {
+	if took <= quickDial {
+		u.quick++
+	} else {
+		u.slow++
+	}
+}
+
+func (u *unsentTries) none() bool { return u.quick+u.slow == 0 }
+
+// enough reports whether no other upstream is tried.
+func (u *unsentTries) enough() bool { return u.slow >= maxSlow || u.quick >= maxQuick }
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -81,6 +81,7 @@
 	rand.Shuffle(len(ups), func(i, j int) { ups[i], ups[j] = ups[j], ups[i] })
 	loads := g.loads.snapshot(ups, now)
 	g.addPeers(loads, now)
+	job.FillAny = job.Fill && g.talk != nil && g.talk.Gateways() > peers.MostToldAll
 	if job.Fill {
 		passFailing(loads, g.shifts.evidence(q.service, now).Add(told.seen))
 	}
--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -154,14 +154,14 @@
 			from = append(from, u)
 		}
 	}
-	takesNew := b.takesNew(s, q, now, told)
+	takesNew := b.takesNew(s, q, len(to), now, told)
 	switch {
 	case s.known && s.state.Phase == versionshift.Withdrawn:
 		return from, false
 	case takesNew && len(to) > 0 && q.again:
 		return to, false
 	case takesNew && len(to) > 0:
-		return b.few(s, to), s.state.Fills()
+		return b.few(s, to, q.short), q.short && s.state.Fills()
 	case len(from) > 0:
 		return from, false
 	}
@@ -169,9 +169,9 @@
 }
 
 // takesNew reports whether the new version's share takes a request.
-func (b *shiftBook) takesNew(s *serviceShift, q seeker, now time.Time, told peersNews) bool {
+func (b *shiftBook) takesNew(s *serviceShift, q seeker, upstreams int, now time.Time, told peersNews) bool {
 	at := b.storeNow(now)
-	inShare := s.current() && s.state.Takes(q.point, q.short, b.exposure)
+	inShare := s.current() && s.state.Takes(q.point, q.short, b.exposure, upstreams)
 	if p, ok := b.sessions[q.session]; ok && q.session != "" && p.service == q.service {
 		inShare = b.pin(s, p, inShare, now)
 		if p.version == s.order.To {
@@ -196,9 +196,13 @@
 
 // few returns the upstreams of the new version that take its share of the work,
 // in the same order at every gateway.
-func (b *shiftBook) few(s *serviceShift, to []fleet.Upstream) []fleet.Upstream {
+func (b *shiftBook) few(s *serviceShift, to []fleet.Upstream, short bool) []fleet.Upstream {
+	n := s.state.Upstreams(b.exposure, len(to))
+	if short {
+		n = min(n, s.state.Pressed(len(to)))
+	}
 	slices.SortFunc(to, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return to[:s.state.Upstreams(b.exposure, len(to))]
+	return to[:n]
 }
 
 func (s *serviceShift) established(ups []fleet.Upstream, now time.Time) []fleet.Upstream {
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -47,8 +47,6 @@
 
 // Limits on tries.
 const (
-	// maxUnsent bounds the upstreams that could not be connected to.
-	maxUnsent = 3
 	// firstTry is the part of the time left that a request which may be
 	// repeated waits at one upstream before it goes to the next.
 	firstTry = 0.45
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -60,10 +60,10 @@
 // told together.
 func apart(peers int) time.Duration { return time.Duration(peers) * time.Second / toldPerSecond }
 
-// mostToldAll is how many gateways hear of each request at once. Among more, those in
+// MostToldAll is how many gateways hear of each request at once. Among more, those in
 // the upstream's failure domain do, which prefer it; the others hear of it with the
 // next round.
-const mostToldAll = 32
+const MostToldAll = 32
 
 // Options are what a Talk is made of.
 type Options struct {
@@ -276,7 +276,7 @@
 // byHearers groups requests by the failure domain whose gateways hear of them; the
 // empty one stands for all.
 func (t *Talk) byHearers(all []Begun) map[string][]Begun {
-	if t.Gateways() <= mostToldAll {
+	if t.Gateways() <= MostToldAll {
 		return map[string][]Begun{"": all}
 	}
 	out := map[string][]Begun{}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,8 +53,9 @@
 	// Domain is the gateway's own failure domain.
 	Domain string
 	// Fill asks for the fullest of the loads that has room instead of the
-	// emptiest one.
-	Fill bool
+	// emptiest one, FillAny for any that has room: where news of the other gateways
+	// lag, all would meet at the fullest one.
+	Fill, FillAny bool
 }
 
 // Choice is where a request goes.
@@ -144,7 +145,7 @@
 	for i, l := range loads {
 		c, cost := engineDelay(j, m, l, kept[i])
 		c.Index = i
-		if j.fills(l, c) && (full.Index < 0 || l.Running > full.Running) {
+		if j.fills(l, c) && (full.Index < 0 || (!j.FillAny && l.Running > full.Running)) {
 			full = c
 		}
 		if best.Index < 0 || cost < least {
@@ -252,7 +253,7 @@
 		}
 		delay := usual * max(1, l.Slow)
 		c := Choice{Index: i, Expected: ms(delay), Usual: ms(usual), Running: l.Running, Active: l.Running, Slots: l.Slots, Doubt: l.Doubt}
-		if j.fills(l, c) && (full.Index < 0 || l.Running > full.Running) {
+		if j.fills(l, c) && (full.Index < 0 || (!j.FillAny && l.Running > full.Running)) {
 			full = c
 		}
 		if cost := delay + j.bias(l, farMS) + evenMS*float64(l.Running); best.Index < 0 || cost < least {
--- a/internal/versionshift/busy_test.go
+++ b/internal/versionshift/busy_test.go
@@ -45,7 +45,7 @@
 		for range int(p.rate*step + p.rand.Float64()) {
 			p.all++
 			sent := Evidence{Sent: p.all, SentNew: p.exposed}
-			if p.rand.Float64() >= s.Share(exposure) || s.Spent(sent, exposure, time.Duration(at*float64(time.Second))) {
+			if p.rand.Float64() >= s.Share(exposure, p.engines) || s.Spent(sent, exposure, time.Duration(at*float64(time.Second))) {
 				p.answers = append(p.answers, busyAnswer{at: at, class: "r", engine: -1})
 				continue
 			}
@@ -108,7 +108,7 @@
 
 // send places one request on the new version.
 func (p *busyPlay) send(s State, seen Seen, at, exposure float64) busyAnswer {
-	loads := make([]placement.Load, s.Upstreams(exposure, p.engines))
+	loads := make([]placement.Load, min(s.Upstreams(exposure, p.engines), s.Pressed(p.engines)))
 	for i := range loads {
 		loads[i] = placement.Load{Slots: p.slots, Running: len(p.ends[i]), Passed: seen.Failing(uint32(i))}
 	}
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -6,7 +6,6 @@
 package versionshift
 
 import (
-	"math"
 	"time"
 )
 
@@ -67,12 +66,15 @@
 	// version; the users set it. trialLate ends a trial that has too few answers.
 	trialUntil = 0.5
 	trialLate  = 0.6
-	// pressedShare fills upstreams within a second or two; Spent bounds what it
-	// exposes.
+	// pressedShare is the greatest share of the short prompts in the pressed phase: it
+	// fills upstreams within a second or two; Spent bounds what it exposes.
 	pressedShare = 0.75
-	// longShare is the part of the long prompts in the pressed phase, above that
-	// of the trial so that sessions keep their version.
-	longShare = 0.3
+	// longTimes is how many times the trial's share of the long prompts the pressed
+	// phase takes.
+	longTimes = 3.0
+	// growth is the least growth of the share from the trial to the pressed phase, so
+	// that sessions keep their version.
+	growth = 1.25
 	// pressedUntil is the earliest time at which a version that was seen busy
 	// gets all work, pressedLate when one gets it that was not, for want of
 	// traffic.
@@ -81,10 +83,15 @@
 	// doneBy is when the old version is ended even if requests still run on
 	// it; the rest is slack for the write of the result.
 	doneBy = 0.9
-	// trialSpread is the part of the upstreams that the trial's share of the work
-	// would need which get it, leastUpstreams the least number: a verdict takes two.
-	trialSpread    = 0.67
+	// leastUpstreams is the least number of upstreams that get a trial's work: a
+	// verdict takes two.
 	leastUpstreams = 2
+	// pressedUpstreams is how many upstreams the pressed phase fills, and pressedLoad
+	// how many times their even part of the work it gives them: enough to fill some of
+	// them while all are half empty, and no more with many upstreams, whose callers
+	// would wait for nothing.
+	pressedUpstreams = 8
+	pressedLoad      = 2.0
 	// spentPart of the allowed exposure leaves the rest, and the fixed slack, to
 	// sessions that go on and to sends that news do not tell of yet.
 	spentPart = 0.9
@@ -112,14 +119,17 @@
 	}
 }
 
-// Share returns the part of new work that goes to the new version. The
-// exposure is the part of all requests that a bad version may get.
-func (s State) Share(exposure float64) float64 {
+// Share returns the part of new work that goes to the new version, of which there are
+// so many upstreams. The exposure is the part of all requests that a bad version may
+// get.
+func (s State) Share(exposure float64, upstreams int) float64 {
+	trial := trialPart * exposure
 	switch s.Phase {
 	case Trial:
-		return trialPart * exposure
+		return trial
 	case Pressed:
-		return pressedShare
+		fill := pressedLoad * pressedUpstreams / float64(max(upstreams, 1))
+		return max(min(pressedShare, fill), min(1, growth*trial))
 	case Moved, Done:
 		return 1
 	}
@@ -129,21 +139,29 @@
 // Takes reports whether the new version's share takes a request whose session
 // has the given place among all, in [0, 1). Long prompts do not fill upstreams;
 // some of them are taken all the same, since the version may be bad for them.
-func (s State) Takes(point float64, short bool, exposure float64) bool {
+func (s State) Takes(point float64, short bool, exposure float64, upstreams int) bool {
 	if s.Phase == Pressed && !short {
-		return point < longShare
+		return point < min(1, longTimes*trialPart*exposure)
 	}
-	return point < s.Share(exposure)
+	return point < s.Share(exposure, upstreams)
 }
 
-// Upstreams returns how many of the new version's upstreams take the work of a
-// trial: fewer than its share would need, so that each gets enough answers for
-// a verdict.
+// Upstreams returns how many of the new version's upstreams take its work: in a trial
+// no more than its share needs, so that each gets enough answers for a verdict, and
+// about as much to do as the old ones, against which its pace is held.
 func (s State) Upstreams(exposure float64, all int) int {
 	if s.Phase != Trial {
 		return all
 	}
-	return min(all, max(leastUpstreams, int(math.Ceil(trialSpread*s.Share(exposure)*float64(all)))))
+	return min(all, max(leastUpstreams, int(s.Share(exposure, all)*float64(all))))
+}
+
+// Pressed returns how many of the new version's upstreams short prompts fill.
+func (s State) Pressed(all int) int {
+	if s.Phase != Pressed {
+		return all
+	}
+	return min(all, pressedUpstreams)
 }
 
 // Spent reports whether the new version has had the work that a bad one may
--- a/internal/versionshift/versionshift_test.go
+++ b/internal/versionshift/versionshift_test.go
@@ -147,7 +147,7 @@
 	e := Evidence{New: map[uint32]Tally{}}
 	for range n {
 		p.all++
-		isNew := p.rand.Float64() < s.Share(p.exposure)
+		isNew := p.rand.Float64() < s.Share(p.exposure, playUpstreams)
 		rate := p.oldBad
 		if isNew {
 			p.exposed++
@@ -206,7 +206,7 @@
 			if rank[next.Phase] < rank[s.Phase] || (s.Ended() && next.Phase != s.Phase) {
 				t.Fatalf("%s became %s", s.Phase, next.Phase)
 			}
-			if sh := next.Share(0.15); sh < 0 || sh > 1 {
+			if sh := next.Share(0.15, 18); sh < 0 || sh > 1 {
 				t.Fatalf("share %f", sh)
 			}
 			s = next
@@ -221,7 +221,7 @@
 		phase     Phase
 		all, want int
 	}{
-		{Trial, 18, 2}, {Trial, 49, 3}, {Trial, 3, 2}, {Trial, 1, 1},
+		{Trial, 18, 2}, {Trial, 49, 4}, {Trial, 160, 14}, {Trial, 3, 2}, {Trial, 1, 1},
 		{Pressed, 18, 18}, {Moved, 18, 18}, {Done, 18, 18},
 	} {
 		s := State{Phase: c.phase}
@@ -229,7 +229,7 @@
 		if n != c.want {
 			t.Errorf("%s: %d of %d upstreams, want %d", c.phase, n, c.all, c.want)
 		}
-		if load := s.Share(0.15) / float64(n); c.phase == Trial && n > leastUpstreams && load < 1/float64(c.all) {
+		if load := s.Share(0.15, c.all) / float64(n); c.phase == Trial && n > leastUpstreams && load < 1/float64(c.all) {
 			t.Errorf("%s: an upstream of %d gets %.3f of the work", c.phase, c.all, load)
 		}
 	}
@@ -238,24 +238,45 @@
 // TestShareOnlyGrows: a session that the new version has taken must not go back
 // for the next phase's smaller share.
 func TestShareOnlyGrows(t *testing.T) {
-	for _, short := range []bool{true, false} {
-		taken := 0.0
-		for _, phase := range []Phase{Trial, Pressed, Moved, Done} {
-			s, n := State{Phase: phase}, 0
-			for point := 0.0; point < 1; point += 0.001 {
-				if s.Takes(point, short, 0.15) {
-					n++
+	for _, upstreams := range []int{1, 3, 18, 160, 1000} {
+		for _, short := range []bool{true, false} {
+			taken := 0.0
+			for _, phase := range []Phase{Trial, Pressed, Moved, Done} {
+				share := taken1000(State{Phase: phase}, short, upstreams)
+				if share <= taken && phase != Done {
+					t.Errorf("%s, short %t, %d upstreams: share %.3f after %.3f", phase, short, upstreams, share, taken)
 				}
-			}
-			if share := float64(n) / 1000; share <= taken && phase != Done {
-				t.Errorf("%s, short %t: share %.3f after %.3f", phase, short, share, taken)
-			} else {
 				taken = share
 			}
 		}
 	}
 }
 
+// taken1000 is the part of a thousand sessions that the new version takes.
+func taken1000(s State, short bool, upstreams int) float64 {
+	n := 0
+	for i := range 1000 {
+		if s.Takes(float64(i)/1000, short, 0.15, upstreams) {
+			n++
+		}
+	}
+	return float64(n) / 1000
+}
+
+// TestPressedWorkDoesNotGrowWithTheService is from khl-galley-large, quiet-1: three
+// quarters of the short prompts were pressed onto the new version for three seconds,
+// where busy answers of a few upstreams were all that was missing.
+func TestPressedWorkDoesNotGrowWithTheService(t *testing.T) {
+	s := State{Phase: Pressed}
+	for _, all := range []int{3, 12, 18, 49, 160, 320} {
+		few := s.Pressed(all)
+		load := s.Share(0.0975, all) * float64(all) / float64(few) // times an even one
+		if few > pressedUpstreams || (all > 2*pressedUpstreams && load > 1.5*pressedLoad) || load < min(pressedLoad, pressedShare) {
+			t.Errorf("%d upstreams: %d are pressed with %.1f times an even load", all, few, load)
+		}
+	}
+}
+
 // TestVersionThatIsBadForOneRoute is from lemnotrat, one-class-bad-and-storms:
 // the failures of one route are lost in the good answers of the others.
 func TestVersionThatIsBadForOneRoute(t *testing.T) {
