Estimate first events by how late they are of late over all upstreams

Change: placement.Usual scales the expected time (not the choice among upstreams). Test: TestRushThatTheEstimateMissesKeepsSmallAnswers.

--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -86,6 +86,16 @@
 	return factor
 }
 
+// late is how many times longer than expected a group's answers take of late.
+func (b *loadBook) late(group paceGroup) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.usual[group]; u != nil {
+		return u.Late()
+	}
+	return 1
+}
+
 // send is one request under way at one upstream.
 type send struct {
 	book   *loadBook
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -124,7 +124,9 @@
 // was dropped, then the largest, or the smallest where that would be late.
 func (g *Gateway) models(q *request) []placement.Model {
 	if !q.cascades() {
-		return []placement.Model{{MSPerToken: readMS * g.speeds.factor(q.service, q.call.Model)}}
+		return []placement.Model{{
+			MSPerToken: readMS * g.speeds.factor(q.service, q.call.Model), Late: g.loads.late(paceGroup{service: q.service}),
+		}}
 	}
 	small, large := g.model(q, 0), g.model(q, len(q.route.Models)-1)
 	if q.escalated {
@@ -143,7 +145,10 @@
 func (g *Gateway) model(q *request, i int) placement.Model {
 	name := q.route.Models[i]
 	steps := len(q.route.Models) - 1 - i
-	return placement.Model{Name: name, MSPerToken: readMS / float64(int(1)<<steps) * g.speeds.factor(q.service, name)}
+	return placement.Model{
+		Name: name, MSPerToken: readMS / float64(int(1)<<steps) * g.speeds.factor(q.service, name),
+		Late: g.loads.late(paceGroup{q.service, name}),
+	}
 }
 
 // readMS is the time of a large model for one prompt token, in milliseconds.
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -47,6 +47,11 @@
 	return over
 }
 
+// Late is how many times longer than expected answers take of late over all upstreams.
+// It answers a rush of which each gateway sees a part: what the others have sent within
+// the last second is missing in the estimate, at all upstreams alike.
+func (u Usual) Late() float64 { return math.Exp(max(0, u.log)) }
+
 // Learn takes in what an answer says of the upstream.
 func (p *Pace) Learn(over float64, now time.Duration) {
 	p.log = (1-paceWeight)*p.faded(now) + paceWeight*over
--- a/internal/placement/pace_test.go
+++ b/internal/placement/pace_test.go
@@ -134,6 +134,37 @@
 	}
 }
 
+// TestRushThatTheEstimateMissesKeepsSmallAnswers is from khl-galley-large, scale-1: in a
+// burst first events took four times what was expected, since each of a hundred
+// gateways saw a part of it, and all went on to drop doubtful small answers.
+func TestRushThatTheEstimateMissesKeepsSmallAnswers(t *testing.T) {
+	var u Usual
+	escalates := func() bool {
+		large := Model{Name: "large", MSPerToken: 0.04, Late: u.Late()}
+		j := Job{Tokens: 2400, Models: []Model{large}, Target: 1500 * time.Millisecond, Left: 5 * time.Second}
+		loads := engines(3)
+		for i := range loads {
+			loads[i].Running, loads[i].UnreadMS = 4, 30
+		}
+		return Escalate(Opinion{Confidence: 54, Larger: Engine(j, loads), Target: j.Target, Left: j.Left})
+	}
+	if !escalates() {
+		t.Error("a doubtful answer is kept in quiet hours")
+	}
+	for range 30 {
+		u.Learn(100*time.Millisecond, 600*time.Millisecond)
+	}
+	if escalates() {
+		t.Errorf("it is dropped while answers take %.1f times what was expected", u.Late())
+	}
+	for range 60 {
+		u.Learn(100*time.Millisecond, 100*time.Millisecond)
+	}
+	if !escalates() {
+		t.Error("it is kept after the rush")
+	}
+}
+
 // TestBurstEmptiesNoEngine: a burst makes all engines late; none may be taken for slow
 // and left alone for it.
 func TestBurstEmptiesNoEngine(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,9 @@
 	Name string
 	// MSPerToken is the time to read one prompt token.
 	MSPerToken float64
+	// Late is how many times longer than estimated first events take of late over all
+	// upstreams (see Usual); below one it counts as one.
+	Late float64
 }
 
 // Job is a request to be placed.
@@ -188,7 +191,7 @@
 	}
 	delay := usual * max(1, l.Slow)
 	c = Choice{
-		Model: m.Name, WorkMS: work, Expected: ms(delay), Usual: ms(usual),
+		Model: m.Name, WorkMS: work, Expected: ms(delay * max(1, m.Late)), Usual: ms(usual),
 		Running: l.Running, Active: l.Running - l.Waiting, Slots: l.Slots, Doubt: l.Doubt,
 	}
 	return c, delay + j.bias(l, farPromptMS)
