Place near while news of work elsewhere lag

Change: among more than 32 gateways an engine elsewhere must be 100 ms better. Test: TestIdleUpstreamFarAwayIsNoTarget.

--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -42,6 +42,7 @@
 	job := placement.Job{
 		Affinity: q.affinity, Shared: q.shared, Tokens: q.tokens, Models: models,
 		Target: q.route.Target, Left: q.left(now), Domain: g.settings().Domain,
+		Lagging: g.talk != nil && g.talk.Lags(),
 	}
 	ups, loads := g.candidates(q, &job, view.byService[q.service], now)
 	if len(ups) == 0 {
@@ -81,7 +82,7 @@
 	rand.Shuffle(len(ups), func(i, j int) { ups[i], ups[j] = ups[j], ups[i] })
 	loads := g.loads.snapshot(ups, now)
 	g.addPeers(loads, now)
-	job.FillAny = job.Fill && g.talk != nil && g.talk.Gateways() > peers.MostToldAll
+	job.FillAny = job.Fill && job.Lagging
 	if job.Fill {
 		passFailing(loads, g.shifts.evidence(q.service, now).Add(told.seen))
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -319,7 +319,7 @@
 // gateways, and to those beside the upstream among many, so that the datagrams of one
 // request do not grow with the domains.
 func TestManyGatewaysHearOfTheirDomainAtOnce(t *testing.T) {
-	for _, c := range []struct{ gateways, want int }{{6, 6}, {MostToldAll, MostToldAll}, {103, 21}, {300, 60}} {
+	for _, c := range []struct{ gateways, want int }{{6, 6}, {mostToldAll, mostToldAll}, {103, 21}, {300, 60}} {
 		tk := talk(t, storefake.New(), "a", 1)
 		tk.read = true
 		for i := range c.gateways - 1 {
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -60,10 +60,10 @@
 // told together.
 func apart(peers int) time.Duration { return time.Duration(peers) * time.Second / toldPerSecond }
 
-// MostToldAll is how many gateways hear of each request at once. Among more, those in
+// mostToldAll is how many gateways hear of each request at once. Among more, those in
 // the upstream's failure domain do, which prefer it; the others hear of it with the
 // next round.
-const MostToldAll = 32
+const mostToldAll = 32
 
 // Options are what a Talk is made of.
 type Options struct {
@@ -276,7 +276,7 @@
 // byHearers groups requests by the failure domain whose gateways hear of them; the
 // empty one stands for all.
 func (t *Talk) byHearers(all []Begun) map[string][]Begun {
-	if t.Gateways() <= MostToldAll {
+	if !t.Lags() {
 		return map[string][]Begun{"": all}
 	}
 	out := map[string][]Begun{}
@@ -312,6 +312,10 @@
 	return out
 }
 
+// Lags reports whether requests are told at once in their failure domain alone, so that
+// news of work elsewhere come with the rounds.
+func (t *Talk) Lags() bool { return t.Gateways() > mostToldAll }
+
 // Gateways returns how many gateways there are with this one, zero while the table
 // has not been read.
 func (t *Talk) Gateways() int {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,8 +53,10 @@
 	// the caller gives up.
 	Target time.Duration
 	Left   time.Duration
-	// Domain is the gateway's own failure domain.
-	Domain string
+	// Domain is the gateway's own failure domain. Lagging is true when news of work in
+	// the others come late.
+	Domain  string
+	Lagging bool
 	// Fill asks for the fullest of the loads that has room instead of the
 	// emptiest one, FillAny for any that has room: where news of the other gateways
 	// lag, all would meet at the fullest one.
@@ -98,9 +100,12 @@
 	// farMS is the preference of plain requests for the own failure domain: the way
 	// there and back.
 	farMS = 2.0
-	// farPromptMS is that of generations. Their bodies are large, and news of work in
-	// the own domain come first.
+	// farPromptMS is that of generations, whose bodies are large.
 	farPromptMS = 15.0
+	// laggingMS is that of generations while news of work elsewhere lag: what others
+	// have sent there within a second or so is missing in the estimate, and all would
+	// meet at the same idle upstream.
+	laggingMS = 100.0
 	// onTime is the part of the target that an estimate may use, for what it
 	// does not see: other gateways' work and the path.
 	onTime = 0.6
@@ -194,7 +199,11 @@
 		Model: m.Name, WorkMS: work, Expected: ms(delay * max(1, m.Late)), Usual: ms(usual),
 		Running: l.Running, Active: l.Running - l.Waiting, Slots: l.Slots, Doubt: l.Doubt,
 	}
-	return c, delay + j.bias(l, farPromptMS)
+	far := farPromptMS
+	if j.Lagging {
+		far = laggingMS
+	}
+	return c, delay + j.bias(l, far)
 }
 
 // bias is what speaks against an upstream besides its delay, in milliseconds.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -203,3 +203,22 @@
 		t.Errorf("factor %.2f, want about 1", f)
 	}
 }
+
+// TestIdleUpstreamFarAwayIsNoTarget is from khl-galley-large, scale-1: engines that came
+// back after a crash looked idle to a hundred gateways at once, which learn of one
+// another's work elsewhere a second late; their requests waited over two seconds there.
+func TestIdleUpstreamFarAwayIsNoTarget(t *testing.T) {
+	loads := []Load{{ID: "near", Domain: "0", Slots: 24, Running: 10, UnreadMS: 20}, {ID: "far", Domain: "1", Slots: 24}}
+	j := Job{Tokens: 800, Models: both[:1], Target: 1500 * time.Millisecond, Left: 5 * time.Second, Domain: "0"}
+	if c := Engine(j, loads); c.Index != 1 {
+		t.Errorf("news are fresh, and the idle engine is passed by: %+v", c)
+	}
+	j.Lagging = true
+	if c := Engine(j, loads); c.Index != 0 {
+		t.Errorf("news lag, and all go to the idle engine: %+v", c)
+	}
+	loads[0].UnreadMS = 400 // such as after the loss of most near engines
+	if c := Engine(j, loads); c.Index != 1 {
+		t.Errorf("a rush at home stays there: %+v", c)
+	}
+}
