--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -33,6 +33,8 @@
 	confirmed, own, earlier time.Duration
 	// behind is true when a peer has read changes that did not reach this gateway.
 	behind bool
+	// forAll is true while this gateway reads for all.
+	forAll bool
 	told   chan toldReading
 }
 
@@ -126,9 +128,14 @@
 func (f *follower) take(t toldReading) (u update, ok bool) {
 	if t.from < f.g.settings().Name {
 		f.earlier = max(f.earlier, t.at)
+		f.readsForAll(false, zap.String("reader", t.from))
 	}
 	if !f.listed || t.After > f.rev {
-		f.behind = f.behind || (f.listed && t.Page.Rev > f.rev)
+		if f.listed && t.Page.Rev > f.rev && !f.behind {
+			f.behind = true
+			f.g.log.Event(part, "changes missed", zap.String("table", f.table), zap.String("reader", t.from),
+				zap.Uint64("rev", f.rev), zap.Uint64("after", t.After), zap.Uint64("toldRev", t.Page.Rev))
+		}
 		return update{}, false
 	}
 	u = update{page: store.Page{Rev: t.Page.Rev, Now: t.Page.Now}, told: true}
@@ -137,10 +144,23 @@
 			u.page.Rows = append(u.page.Rows, r)
 		}
 	}
+	if len(u.page.Rows) > 0 {
+		f.g.log.Event(part, "changes told", zap.String("table", f.table), zap.String("reader", t.from),
+			zap.Int("rows", len(u.page.Rows)), zap.Uint64("after", f.rev), zap.Uint64("rev", t.Page.Rev), zap.Duration("storeNowMs", t.Page.Now))
+	}
 	f.rev = max(f.rev, t.Page.Rev)
 	return u, true
 }
 
+// readsForAll notes whether this gateway reads the table for all.
+func (f *follower) readsForAll(now bool, why ...zap.Field) {
+	if now == f.forAll {
+		return
+	}
+	f.forAll = now
+	f.g.log.Event(part, "reader of a table", append(why, zap.String("table", f.table), zap.Bool("this", now), zap.Uint64("rev", f.rev))...)
+}
+
 // call makes a call of its own. A list that is older than what was seen is
 // refused.
 func (f *follower) call(ctx context.Context, move following.Move) (u update, ok bool) {
@@ -163,9 +183,13 @@
 	f.own = f.g.boot()
 	f.note(err)
 	if err != nil {
+		f.readsForAll(false)
 		pause(ctx, jitter(min(awayPause<<min(f.failures-1, awayDoublings), awayLongest)))
 		return update{}, false
 	}
+	if move.Tell {
+		f.readsForAll(true)
+	}
 	f.listed, f.behind = true, false
 	f.rev = max(f.rev, u.page.Rev)
 	u.answer.Got, u.answer.StoreNow = f.own, u.page.Now
