A gateway that reaches the store through peers alone sends callers to others

Change: each gateway calls the store itself now and then, four calls a second over all, and turns unready when that has failed for 0.6 of revokeMs; it serves what comes.

--- a/internal/following/relay.go
+++ b/internal/following/relay.go
@@ -10,6 +10,19 @@
 	// Held is true when the store holds its call for that time unless a row
 	// changes; otherwise it is answered at once.
 	Held bool
+	// Own is the time after which each of the others calls all the same, to know
+	// whether it reaches the store; zero for never.
+	Own time.Duration
+}
+
+// ownPerSecond bounds the calls that all gateways together make to know whether they
+// reach the store.
+const ownPerSecond = 4
+
+// OwnEvery is the time between two such calls of one of so many gateways. Up to six
+// gateways learn of a loss before they must turn unready.
+func (b Bounds) OwnEvery(gateways int) time.Duration {
+	return max(part(b.RevokeWithin, UnreadyPart/2), time.Duration(gateways)*time.Second/ownPerSecond)
 }
 
 // Parts of Pace.Every.
@@ -82,6 +95,8 @@
 			return Move{Pause: again}
 		}
 		return Move{Call: true, Tell: !v.Behind}
+	case !leads && p.Own > 0 && v.Own >= p.Own:
+		return Move{Call: true}
 	case !leads:
 		return Move{Pause: max(limit-max(v.Known, v.Earlier), time.Millisecond)}
 	case p.Held && v.Known <= p.Every:
--- a/internal/following/relay_test.go
+++ b/internal/following/relay_test.go
@@ -184,6 +184,29 @@
 	return float64(g.calls-first) / seconds
 }
 
+// TestOwnCallsDoNotGrowWithGateways: each gateway calls now and then to know whether it
+// reaches the store, all together at a bounded pace.
+func TestOwnCallsDoNotGrowWithGateways(t *testing.T) {
+	b := Bounds{ConfigWithin: 2 * time.Second, RevokeWithin: 5 * time.Second}
+	for gateways := 1; gateways <= 1000; gateways++ {
+		own := b.OwnEvery(gateways)
+		if all := float64(gateways) / own.Seconds(); all > ownPerSecond+0.01 {
+			t.Errorf("%d gateways make %.1f calls a second", gateways, all)
+		}
+		if gateways <= 6 && 2*own > b.Unready() {
+			t.Errorf("%d gateways learn of a loss after %v", gateways, own)
+		}
+	}
+	p, v := Pace{Every: time.Second, Held: true, Own: 3 * time.Second}, View{Own: 2 * time.Second, Before: 2}
+	if m := p.Next(v); m.Call {
+		t.Errorf("called early: %+v", m)
+	}
+	v.Own = 3 * time.Second
+	if m := p.Next(v); !m.Call || m.Hold != 0 || m.Tell {
+		t.Errorf("not called: %+v", m)
+	}
+}
+
 // TestStoreThatLagsIsNotReadAllTheTime: a peer has found a change that the store
 // does not show to this gateway yet.
 func TestStoreThatLagsIsNotReadAllTheTime(t *testing.T) {
--- a/internal/gateway/contact.go
+++ b/internal/gateway/contact.go
@@ -10,6 +10,24 @@
 // from the store for some time must not act on what it knows of them.
 type contact struct {
 	at atomic.Int64
+	// ownAt is when an own call last succeeded, failing is true while they fail: a
+	// gateway that knows the configuration from its peers alone serves what comes, but
+	// callers had better go to one that reaches the store.
+	ownAt   atomic.Int64
+	failing atomic.Bool
+}
+
+// called notes how an own call ended.
+func (c *contact) called(now time.Duration, ok bool) {
+	c.failing.Store(!ok)
+	if ok {
+		c.ownAt.Store(int64(now))
+	}
+}
+
+// lost reports whether own calls have failed for longer than a time.
+func (c *contact) lost(now, most time.Duration) bool {
+	return c.failing.Load() && now-time.Duration(c.ownAt.Load()) > most
 }
 
 // longAgo stands for a confirmation that never came.
@@ -55,6 +73,8 @@
 		return false, "no list of upstreams"
 	case g.contact.age(g.boot()) > g.bounds().Unready():
 		return false, "out of touch with the store"
+	case g.contact.lost(g.boot(), g.bounds().Unready()):
+		return false, "reaches the store through peers alone"
 	}
 	return true, ""
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -32,9 +32,19 @@
 // feedWait is how long the store holds a feed without changes.
 func (g *Gateway) feedWait() time.Duration { return g.bounds().Hold() }
 
+// operatorPace is how the operator's table is followed.
+func (g *Gateway) operatorPace() following.Pace {
+	p := following.Pace{Every: g.feedWait() / 2, Held: true}
+	if g.talk != nil {
+		p.Own = g.bounds().OwnEvery(g.talk.Gateways())
+	}
+	return p
+}
+
 // followOperator keeps the configuration and the orders for shifts.
 func (g *Gateway) followOperator(ctx context.Context) error {
-	f := g.follow(g.docs.OperatorTable(), func() following.Pace { return following.Pace{Every: g.feedWait() / 2, Held: true} })
+	f := g.follow(g.docs.OperatorTable(), g.operatorPace)
+	f.called = g.contact.called
 	for ctx.Err() == nil {
 		u, ok := f.next(ctx, longestWait)
 		if !ok {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -33,6 +33,8 @@
 	confirmed, own, earlier time.Duration
 	// behind is true when a peer has read changes that did not reach this gateway.
 	behind bool
+	// called hears how each own call ended, if it is set.
+	called func(now time.Duration, ok bool)
 	// forAll is true while this gateway reads for all.
 	forAll bool
 	told   chan toldReading
@@ -182,6 +184,9 @@
 	}
 	f.own = f.g.boot()
 	f.note(err)
+	if f.called != nil {
+		f.called(f.own, err == nil)
+	}
 	if err != nil {
 		f.readsForAll(false)
 		pause(ctx, jitter(min(awayPause<<min(f.failures-1, awayDoublings), awayLongest)))
