Decode the limit that an upstream names, and log who sends to it

The adapter decodes the header into exchange.Limit (nonsense neither sets nor ends a limit); sharedrate keeps the latest word of each boot; each change of it and each send to a limited upstream is a line. No decision changes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -73,6 +73,8 @@
 	// RestFor is how long the upstream, which turned the request away, wants nothing
 	// more from this host; zero when it did not say.
 	RestFor time.Duration
+	// Limit is what the upstream says of the rate that it takes.
+	Limit Limit
 	// Confidence is the model's own opinion of its answer, 0 to 100, or -1.
 	Confidence int
 	// KeepFor is how long the upstream keeps the connection idle; zero when
@@ -80,6 +82,16 @@
 	KeepFor time.Duration
 }
 
+// Limit is what an answer says of the requests a second that its upstream takes from all
+// hosts together. The zero value says that there is no limit.
+type Limit struct {
+	// PerSecond is the rate; zero when none is named.
+	PerSecond float64
+	// Unreadable is true when something is named that is no rate: it neither sets nor ends
+	// a limit.
+	Unreadable bool
+}
+
 // Protocol encodes and decodes the headers of requests and answers. It is
 // implemented by the adapter to the platform and decides nothing.
 type Protocol interface {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 	contact contact
 	// notices is what upstreams have said of themselves in their answers.
 	notices fleet.Notices
+	limits  limits
 	loads   *loadBook
 	speeds  *speedBook
 	shifts  *shiftBook
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -11,13 +11,18 @@
 )
 
 // heed takes in what an upstream says of itself in the head of its answer to the
-// request. That it leaves is believed only of an answer that is the request's own beyond
-// doubt: an upstream in trouble may send anything.
-func (g *Gateway) heed(q *request, p picked, head exchange.Answer, now time.Time) {
+// request, which was sent at a time on the boot clock. That it leaves or limits its rate is
+// believed only of an answer that is the request's own beyond doubt: an upstream in trouble
+// may send anything.
+func (g *Gateway) heed(q *request, p picked, head exchange.Answer, sent time.Duration, now time.Time) {
 	fields := func(more ...zap.Field) []zap.Field {
 		return q.fields(append(more, zap.String("upstream", p.up.ID), zap.Int64("born", p.up.Born))...)
 	}
-	if head.Leaving && head.ID == q.call.ID && (head.Sealed || head.NotRun) && g.notices.Leave(p.up, true) {
+	own := head.ID == q.call.ID && (head.Sealed || head.NotRun)
+	if own && !head.Misdirected {
+		g.heedLimit(q, p, head.Limit, sent)
+	}
+	if own && head.Leaving && g.notices.Leave(p.up, true) {
 		g.log.Event(part, "upstream says it leaves", fields()...)
 	}
 	if head.RestFor > 0 {
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -218,6 +218,8 @@
 		to.Organisation = q.org.Name
 	}
 	q.sent++
+	g.noteLimited(q, p)
+	sent := g.boot()
 	g.shifts.ran(q.call.Session, q.service, p.up.Version, now)
 	e, err := h1.Start(ctx, conn, &h1.Request{
 		Method: q.in.Method, URI: q.in.RequestURI, Host: q.in.Host,
@@ -230,7 +232,7 @@
 		q.ran = true
 		return nil, head, unknown, err
 	}
-	g.heed(q, p, head, time.Now())
+	g.heed(q, p, head, sent, time.Now())
 	if !head.NotRun {
 		q.ran = true
 		return e, head, answered, nil
