--- a/internal/gateway/shiftbook.go
+++ b/internal/gateway/shiftbook.go
@@ -152,12 +152,6 @@
 	busy atLimits
 }
 
-// elsewhere reports whether a request that belongs to no session should go to the old
-// version because of the limits of the new one's upstreams.
-func (q seeker) elsewhere(to, from []fleet.Upstream) bool {
-	return q.session == "" && len(from) > 0 && q.busy.all(to)
-}
-
 // allowed returns the upstreams whose version may take the request; fill tells
 // that the fullest of them should be filled.
 func (b *shiftBook) allowed(q seeker, ups []fleet.Upstream, now time.Time, told peersNews) (take []fleet.Upstream, fill bool) {
@@ -178,32 +172,37 @@
 			from = append(from, u)
 		}
 	}
-	takesNew := b.takesNew(s, q, len(to), now, told)
+	takesNew, stays := b.takesNew(s, q, len(to), now, told)
 	switch {
 	case s.known && s.state.Phase == versionshift.Withdrawn, s.isCondemned() && !s.state.Ended() && len(from) > 0:
 		return from, false
-	case takesNew && len(to) > 0 && q.again && !q.elsewhere(to, from):
+	case takesNew && len(to) > 0 && q.again:
 		return to, false
 	case takesNew && len(to) > 0:
 		some := b.few(s, to, q.short)
-		if q.elsewhere(some, from) {
+		if !q.busy.all(some) {
+			return some, q.short && s.state.Fills()
+		}
+		// Their limits keep them from taking their share, which is no reason to refuse.
+		if len(from) > 0 && !stays {
 			return from, false
 		}
-		return some, q.short && s.state.Fills()
+		return to, false
 	case len(from) > 0:
 		return from, false
 	}
 	return to, false
 }
 
-// takesNew reports whether the new version's share takes a request.
-func (b *shiftBook) takesNew(s *serviceShift, q seeker, upstreams int, now time.Time, told peersNews) bool {
+// takesNew reports whether the new version's share takes a request, and whether that has
+// to stay there because its session has run there before.
+func (b *shiftBook) takesNew(s *serviceShift, q seeker, upstreams int, now time.Time, told peersNews) (takes, stays bool) {
 	at := b.storeNow(now)
 	inShare := s.current() && s.state.Takes(q.point, q.short, b.exposure, upstreams)
 	if p, ok := b.sessions[q.session]; ok && q.session != "" && p.service == q.service {
 		inShare = b.pin(s, p, inShare, now)
 		if p.version == s.order.To {
-			return inShare
+			return inShare, inShare
 		}
 	}
 	onOld, onNew := false, false
@@ -212,14 +211,15 @@
 	}
 	switch {
 	case onNew && s.current():
-		return s.state.Phase != versionshift.Withdrawn
+		ok := s.state.Phase != versionshift.Withdrawn
+		return ok, ok
 	case !inShare:
-		return false
+		return false, false
 	case q.session != "" && s.state.FirstHalf(at) && (onOld || at-s.state.Started <= tellTime):
-		return false
+		return false, false
 	}
 	sent := versionshift.Evidence{Sent: s.seen.sent, SentNew: s.seen.sentNew}.Add(told.seen[""])
-	return !s.state.Spent(sent, b.exposure, at)
+	return !s.state.Spent(sent, b.exposure, at), false
 }
 
 // few returns the upstreams of the new version that take its share of the work,
--- a/internal/sharedrate/demand.go
+++ b/internal/sharedrate/demand.go
@@ -55,7 +55,9 @@
 }
 
 // worthIt reports whether a request should use one of so many grants of which the first
-// lasts for a time: fewer requests that are worth more are expected by then.
+// lasts for a time, rather than leave it to one that is worth more. With m requests to
+// come at random for each grant, waiting yields one of rank m/(m+2) on average.
 func (d *demand) worthIt(worth float64, grants int, lasts, now time.Duration) bool {
-	return d.better(worth)*d.perSecond(now)*lasts.Seconds() < float64(grants)
+	toCome := d.perSecond(now) * lasts.Seconds() / float64(grants)
+	return d.better(worth) < 2/(toCome+2)
 }
--- /dev/null
+++ b/internal/sharedrate/keeper_test.go
@@ -0,0 +1,183 @@
+package sharedrate
+
+import (
+	"testing"
+	"time"
+)
+
+// TestScarceRateGoesToWhatIsWorthMost: callers are worth 0 to 9 alike, and one in 25 can be
+// sent to the limited upstream. A slot sees eight of them in its life, of whom the best
+// choice without knowing who comes is worth 7.5, a random one 4.5.
+func TestScarceRateGoesToWhatIsWorthMost(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(play{gateways: 6, limits: []func(time.Duration) float64{constant(1.9)}}, seed)
+		s.run()
+		if mean := s.worths / float64(s.sent); mean < 7 {
+			t.Errorf("seed %d: requests worth %.1f on average got the rate, want 7", seed, mean)
+		}
+	}
+}
+
+// only returns a keeper of the only gateway, that knows the clock and a limit since a
+// minute.
+func only(rate float64) *Keeper {
+	k := &Keeper{}
+	k.NoteClock(time.Minute, time.Hour)
+	k.Hear(1, Word{PerSecond: rate, At: time.Minute})
+	k.Members("g", map[string][]Member{"s": nil}, time.Minute)
+	return k
+}
+
+func TestGrantIsUsedOnceAndLapses(t *testing.T) {
+	k := only(1)
+	now := time.Minute
+	open := func() bool { return !k.Closed("s", []Boot{1}, Certain, now)[1] }
+	if open() {
+		t.Error("a grant with the word of the limit")
+	}
+	now += time.Second
+	if !open() {
+		t.Fatal("no grant after a second")
+	}
+	g, ok := k.Take(1)
+	if !ok || !g.Limited() || open() {
+		t.Error("the grant is used twice")
+	}
+	if _, ok := k.Take(1); ok {
+		t.Error("a grant that is not there")
+	}
+	k.GiveBack(g)
+	if !open() {
+		t.Error("the grant of a request that was not sent is lost")
+	}
+	now += time.Minute
+	n := 0
+	for open() {
+		if _, ok := k.Take(1); !ok {
+			break
+		}
+		n++
+	}
+	if n > 2 {
+		t.Errorf("%d requests after a minute without any, want the life of a slot at most", n)
+	}
+	if g, ok := k.Take(2); !ok || g.Limited() {
+		t.Error("an upstream without a limit needs a grant")
+	}
+}
+
+func TestNoShareWhileTheOthersOrTheClockAreNotKnown(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		clock, members bool
+	}{{"neither", false, false}, {"clock", true, false}, {"members", false, true}} {
+		k := &Keeper{}
+		k.Hear(1, Word{PerSecond: 50, At: time.Minute})
+		if c.clock {
+			k.NoteClock(time.Minute, time.Hour)
+		}
+		if c.members {
+			k.Members("g", map[string][]Member{"s": nil}, time.Minute)
+		}
+		for i := range 100 {
+			now := time.Minute + time.Duration(i)*50*time.Millisecond
+			if !k.Closed("s", []Boot{1}, Certain, now)[1] {
+				t.Fatalf("%s: a grant", c.name)
+			}
+		}
+		if _, ok := k.Wait("s", []Boot{1}, time.Second, time.Minute); ok != c.members {
+			t.Errorf("%s: a time to come back %t", c.name, ok)
+		}
+	}
+}
+
+// TestCallersComeBackOneAfterTheOther: each is told a time after those before it, unless
+// it would have left by then.
+func TestCallersComeBackOneAfterTheOther(t *testing.T) {
+	k, now := only(2), time.Minute
+	wait := func(honours time.Duration) time.Duration {
+		w, ok := k.Wait("s", []Boot{1}, honours, now)
+		if !ok {
+			t.Fatal("no time to come back")
+		}
+		return w
+	}
+	for i := 1; i <= 4; i++ {
+		if got, want := wait(10*time.Second), time.Duration(i)*500*time.Millisecond; got != want {
+			t.Errorf("caller %d is told %v, want %v", i, got, want)
+		}
+	}
+	for range 3 {
+		if got := wait(time.Second); got != 2500*time.Millisecond {
+			t.Errorf("an impatient caller is told %v", got)
+		}
+	}
+	now += 10 * time.Second
+	if got := wait(10 * time.Second); got != 500*time.Millisecond {
+		t.Errorf("after all have come back, a caller is told %v", got)
+	}
+}
+
+// TestClock: the reading that was furthest ahead counts, and another clock replaces the
+// first.
+func TestClock(t *testing.T) {
+	var c Clock
+	if _, ok := c.Now(time.Second); ok {
+		t.Error("known from the start")
+	}
+	c.Note(10*time.Second, 100*time.Second)
+	c.Note(11*time.Second, 100900*time.Millisecond) // a late reading
+	c.Note(11*time.Second, 0)                       // an answer that does not tell
+	if got, _ := c.Now(12 * time.Second); got < 101990*time.Millisecond || got > 102*time.Second {
+		t.Errorf("the clock shows %v, want 102 s", got)
+	}
+	c.Note(13*time.Second, 50*time.Second)
+	if got, _ := c.Now(13 * time.Second); got != 50*time.Second {
+		t.Errorf("the new clock shows %v, want 50 s", got)
+	}
+	c.Note(14*time.Second, 52*time.Second)
+	if got, _ := c.Now(14 * time.Second); got != 52*time.Second {
+		t.Errorf("after a reading that is further ahead the clock shows %v, want 52 s", got)
+	}
+}
+
+func TestLevelsChangeSeldom(t *testing.T) {
+	l := Level(0).next(8)
+	for _, rate := range []float64{6.5, 9.5, 8, 7} {
+		if l.next(rate) != l {
+			t.Errorf("level %d of 8 requests a second changes at %v", l, rate)
+		}
+	}
+	if up, down := l.next(16), l.next(4); up <= l || down >= l {
+		t.Errorf("levels %d, %d and %d", down, l, up)
+	}
+	if top := Level(0).next(1e12); top != maxLevel {
+		t.Errorf("level %d", top)
+	}
+}
+
+// TestSilentMembersAreReplacedInPart: parts of a fleet that do not hear one another use at
+// most 1.3 times the rate together; a large part uses all of it.
+func TestSilentMembersAreReplacedInPart(t *testing.T) {
+	const all = 20
+	part := func(heard int) float64 {
+		var others []Member
+		for i := 1; i < all; i++ {
+			others = append(others, Member{Name: string(rune('a' + i)), Heard: i < heard, Told: true})
+		}
+		g := newGroup(Member{Name: "a"}, others)
+		return g.share() * float64(heard)
+	}
+	if got := part(16); got < 0.99 {
+		t.Errorf("16 of 20 use %.2f of the rate", got)
+	}
+	for _, split := range [][]int{{19, 1}, {16, 4}, {10, 10}, {8, 6, 6}, {5, 5, 5, 5}, {4, 4, 4, 4, 4}} {
+		sum := 0.0
+		for _, heard := range split {
+			sum += part(heard)
+		}
+		if sum > 1+partedMost+1e-9 || sum < 0.99 {
+			t.Errorf("parts of %v use %.2f of the rate together", split, sum)
+		}
+	}
+}
