--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -75,19 +75,21 @@
 
 // dump is the state of the process, for operators.
 type dump struct {
-	Name       string         `json:"name"`
-	Ready      bool           `json:"ready"`
-	Why        string         `json:"why,omitempty"`
-	Version    int64          `json:"configuration"`
-	Confirmed  time.Duration  `json:"confirmedNanosAgo"`
-	Upstreams  map[string]int `json:"upstreams"`
-	Running    int            `json:"running"`
-	Goroutines int            `json:"goroutines"`
+	Name      string         `json:"name"`
+	Ready     bool           `json:"ready"`
+	Why       string         `json:"why,omitempty"`
+	Version   int64          `json:"configuration"`
+	Confirmed time.Duration  `json:"confirmedNanosAgo"`
+	Upstreams map[string]int `json:"upstreams"`
+	// Limits are the requests a second that upstreams have named for all gateways.
+	Limits     map[string]float64 `json:"limits,omitempty"`
+	Running    int                `json:"running"`
+	Goroutines int                `json:"goroutines"`
 }
 
 func (g *Gateway) serveDump(w http.ResponseWriter, _ *http.Request) {
 	d := dump{Name: g.settings().Name, Confirmed: g.contact.age(g.boot()), Upstreams: map[string]int{},
-		Running: g.conns.running(), Goroutines: runtime.NumGoroutine()}
+		Limits: map[string]float64{}, Running: g.conns.running(), Goroutines: runtime.NumGoroutine()}
 	d.Ready, d.Why = g.ready()
 	if t := g.table.Load(); t != nil {
 		d.Version = t.Version()
@@ -95,6 +97,7 @@
 	if v := g.fleet.Load(); v != nil {
 		for s, ups := range v.byService {
 			d.Upstreams[s] = len(ups)
+			g.limits.dump(ups, g.boot(), d.Limits)
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -108,6 +108,17 @@
 	l.keeper.Forget(live)
 }
 
+// dump adds the limits of upstreams by their IDs.
+func (l *limits) dump(ups []fleet.Upstream, now time.Duration, to map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, u := range ups {
+		if limit, _, ok := l.keeper.Limit(bootOf(u), now); ok {
+			to[u.ID] = limit
+		}
+	}
+}
+
 // atLimits holds the boots that may not be sent a request now, because of their limits.
 type atLimits map[sharedrate.Boot]bool
 
