--- a/internal/sharedrate/keeper_test.go
+++ b/internal/sharedrate/keeper_test.go
@@ -181,3 +181,28 @@
 		}
 	}
 }
+
+// BenchmarkRequest is a request at one of a hundred gateways while all of 160 upstreams
+// name a limit.
+func BenchmarkRequest(b *testing.B) {
+	k := &Keeper{}
+	k.NoteClock(time.Minute, time.Hour)
+	var boots []Boot
+	for i := range 160 {
+		boots = append(boots, Boot(i+1))
+		k.Hear(Boot(i+1), Word{PerSecond: 1.7, At: time.Minute})
+	}
+	var others []Member
+	for i := range 99 {
+		others = append(others, Member{Name: string(rune('a' + i)), Heard: true, Told: true})
+	}
+	now := time.Minute
+	for b.Loop() {
+		now += 140 * time.Millisecond // 720 requests a second over all
+		if k.Stale(now) {
+			k.Members("g", map[string][]Member{"s": others}, now)
+		}
+		k.Request("s", 1, now)
+		k.Closed("s", boots, 1, now)
+	}
+}
