All gateways together keep the connections that an upstream accepts

Change: of the connections that a service's upstreams accept, half may be idle, and each gateway keeps its part of that; the oldest ones are closed. Requests that run are bounded by the upstream's slots.

--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -92,7 +92,7 @@
 			if nobody := errors.Is(err, errNobodyWaits); nobody != c.nobody || (v == notSent) != c.nobody {
 				t.Errorf("verdict %v, %v", v, err)
 			}
-			g.pool.Prune(time.Now(), func(string) bool { return false })
+			g.pool.Prune(time.Now(), func(string) int { return 0 })
 			if n := <-got; (n == 0) != c.nobody {
 				t.Errorf("%d bytes were sent", n)
 			}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -9,6 +9,7 @@
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/fleet"
 	"tarragonbay.example/tarragonbay/internal/following"
+	"tarragonbay.example/tarragonbay/internal/h1"
 	"tarragonbay.example/tarragonbay/internal/store"
 )
 
@@ -171,15 +172,16 @@
 		if view == nil {
 			continue
 		}
-		live, kept := map[string]bool{}, map[string]bool{}
+		live, kept := map[string]bool{}, map[string]int{}
 		var listed []fleet.Upstream
-		for _, ups := range view.byService {
+		for service, ups := range view.byService {
 			listed = append(listed, ups...)
+			most := g.idleMost(service)
 			for _, u := range ups {
-				live[u.ID], kept[poolKey(u)] = true, true
+				live[u.ID], kept[poolKey(u)] = true, most
 			}
 		}
-		g.pool.Prune(now, func(id string) bool { return kept[id] })
+		g.pool.Prune(now, func(id string) int { return kept[id] })
 		g.loads.forget(live)
 		g.notices.Forget(listed, now)
 		g.limits.forget(listed)
@@ -190,5 +192,20 @@
 	return nil
 }
 
+// idlePart of the connections that an upstream accepts may be open and idle at all
+// gateways together. The rest is for requests that run, of which it takes as many as it has
+// slots and a few more.
+const idlePart = 0.5
+
+// idleMost is how many connections this gateway keeps to an idle upstream of a service:
+// its part of what the upstream accepts from all of them.
+func (g *Gateway) idleMost(service string) int {
+	t := g.table.Load()
+	if t == nil || t.Service(service) == nil || t.Service(service).MaxConns <= 0 {
+		return h1.Unbounded
+	}
+	return max(1, int(idlePart*float64(t.Service(service).MaxConns))/g.gateways())
+}
+
 // poolKey names the connections to one boot of an upstream.
 func poolKey(u fleet.Upstream) string { return u.ID + "@" + u.Address }
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -149,7 +149,7 @@
 			if got, err := get(p, serve(t, s), "a"); err == nil {
 				t.Errorf("%q looks whole", got)
 			}
-			if p.Prune(time.Now(), func(string) bool { return true }) != 0 {
+			if p.Prune(time.Now(), func(string) int { return Unbounded }) != 0 {
 				t.Error("the connection was kept")
 			}
 		})
@@ -162,7 +162,7 @@
 	if got, err := get(p, address, "a"); got != "whole" || err != nil {
 		t.Fatalf("%q, %v", got, err)
 	}
-	if p.Prune(time.Now(), func(string) bool { return true }) != 0 {
+	if p.Prune(time.Now(), func(string) int { return Unbounded }) != 0 {
 		t.Error("the connection was kept")
 	}
 }
@@ -212,7 +212,7 @@
 	}
 	e.Finish(p, "u", time.Minute, now)
 	close(hold)
-	if p.Prune(now, func(string) bool { return true }) != 0 {
+	if p.Prune(now, func(string) int { return Unbounded }) != 0 {
 		t.Error("the connection was kept while the body was on its way")
 	}
 }
@@ -237,10 +237,10 @@
 	if _, err := get(p, address, "a"); err != nil {
 		t.Fatal(err)
 	}
-	if n := p.Prune(time.Now(), func(string) bool { return true }); n != 1 {
+	if n := p.Prune(time.Now(), func(string) int { return Unbounded }); n != 1 {
 		t.Fatalf("%d connections kept", n)
 	}
-	if n := p.Prune(time.Now().Add(10*time.Second), func(string) bool { return true }); n != 0 {
+	if n := p.Prune(time.Now().Add(10*time.Second), func(string) int { return Unbounded }); n != 0 {
 		t.Errorf("%d expired connections kept", n)
 	}
 }
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -98,16 +99,20 @@
 	p.mu.Unlock()
 }
 
-// Prune closes the connections that have expired and all of upstreams that are
-// not kept. It returns how many stay open.
-func (p *Pool) Prune(now time.Time, keep func(upstream string) bool) int {
+// Unbounded keeps all idle connections of an upstream (see Prune).
+const Unbounded = math.MaxInt
+
+// Prune closes the connections that have expired and, of each upstream, the oldest ones
+// beyond the number that is to be kept. It returns how many stay open.
+func (p *Pool) Prune(now time.Time, most func(upstream string) int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left := 0
 	for upstream, conns := range p.idle {
 		live := conns[:0]
-		for _, c := range conns {
-			if keep(upstream) && now.Before(c.expires) {
+		surplus := len(conns) - most(upstream)
+		for i, c := range conns {
+			if i >= surplus && now.Before(c.expires) {
 				live = append(live, c)
 				continue
 			}
