Large answers grow in pieces, and their memory is measured in a process of its own

Cause, two of them. The check measured the heap of the test's process: 185 MiB of other tests lay there, in front of which the collector waits until as much again is garbage. And each large answer was copied as it grew, four or five times its share in garbage. Change: the check runs the gateway in a process of its own and reads its heap from its metrics (heap_bytes, new), with the same bound; nothing else can hide or cause growth, so it is stricter.

--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"runtime"
+	runtimemetrics "runtime/metrics"
 	"sync"
 	"time"
 
@@ -67,12 +68,21 @@
 	g.count.registry.Gauge(part, "log_lines_over_budget").Update(limited)
 	g.count.registry.Gauge(part, "log_lines_queue_full").Update(full)
 	g.count.registry.Gauge(part, "log_lines_sampled_out").Update(sampled)
+	g.count.registry.Gauge(part, "heap_bytes").Update(heapInUse())
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if err := g.count.registry.WriteText(w); err != nil {
 		g.count.callersGone.Inc(1) // whoever asked has left
 	}
 }
 
+// heapInUse returns the bytes of the heap that hold objects, dead ones too until they are
+// collected.
+func heapInUse() int64 {
+	of := []runtimemetrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/heap/unused:bytes"}}
+	runtimemetrics.Read(of)
+	return int64(of[0].Value.Uint64() + of[1].Value.Uint64())
+}
+
 // dump is the state of the process, for operators.
 type dump struct {
 	Name      string         `json:"name"`
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -20,7 +20,7 @@
 type answer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   h1.Body
 	// full is true when the upstream asks to be left alone for some time: it is no
 	// evidence against its version, and the upstream has not failed.
 	full bool
@@ -188,7 +188,7 @@
 }
 
 // whole is an upstream's whole answer.
-func (g *Gateway) whole(resp *http.Response, head exchange.Answer, body []byte) *answer {
+func (g *Gateway) whole(resp *http.Response, head exchange.Answer, body h1.Body) *answer {
 	return &answer{status: resp.StatusCode, header: g.proto.Back(resp.Header), body: body, full: head.RestFor > 0}
 }
 
@@ -256,13 +256,13 @@
 	h := w.Header()
 	setHeaders(h, a.header)
 	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		h.Set("Content-Length", strconv.Itoa(a.body.Len()))
 	}
 	if g.stopping.Load() {
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(a.status)
-	if _, err := w.Write(a.body); err != nil {
+	if _, err := a.body.WriteTo(w); err != nil {
 		g.count.callersGone.Inc(1)
 		g.log.Event(part, "caller gone", q.fields(eventlog.Error(err))...)
 		return
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -86,7 +86,7 @@
 		return "", err
 	}
 	e.Finish(p, "u", 10*time.Second, now)
-	return string(b), nil
+	return b.String(), nil
 }
 
 func TestLateAnswerIsSkipped(t *testing.T) {
@@ -207,7 +207,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if b, err := e.ReadAll(100, nil); string(b) != "early" || err != nil {
+	if b, err := e.ReadAll(100, nil); b.String() != "early" || err != nil {
 		t.Fatalf("%q, %v", b, err)
 	}
 	e.Finish(p, "u", time.Minute, now)
@@ -308,9 +308,34 @@
 		}
 		e := &Exchange{resp: resp}
 		body, err := e.ReadAll(1<<16, nil)
-		if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength &&
+		if err == nil && resp.ContentLength >= 0 && int64(body.Len()) != resp.ContentLength &&
 			resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
-			t.Errorf("%d bytes of %d look whole", len(body), resp.ContentLength)
+			t.Errorf("%d bytes of %d look whole", body.Len(), resp.ContentLength)
 		}
 	})
 }
+
+// TestLargeAnswersComeWhole: answers of several pieces, with and without a length, are
+// what was sent, and ask room for what they take beyond a small one.
+func TestLargeAnswersComeWhole(t *testing.T) {
+	for _, size := range []int{0, 1, firstPiece, firstPiece + 1, smallAnswer, smallAnswer + 1, 3*mostPiece + 7} {
+		text := strings.Repeat("0123456789abcdef", size/16+1)[:size]
+		for name, head := range map[string]string{
+			"with a length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size), "without": "HTTP/1.1 200 OK\r\n\r\n",
+		} {
+			resp, err := newConn(nil, strings.NewReader(head+text)).readHead("GET")
+			if err != nil {
+				t.Fatal(err)
+			}
+			asked := 0
+			body, err := (&Exchange{resp: resp}).ReadAll(1<<20, func(bytes int64) bool { asked += int(bytes); return true })
+			var got strings.Builder
+			if n, werr := body.WriteTo(&got); err != nil || werr != nil || int(n) != size || got.String() != text {
+				t.Errorf("%d bytes %s: %d came, %v, %v", size, name, n, err, werr)
+			}
+			if asked < size-smallAnswer || asked > 2*size+mostPiece {
+				t.Errorf("%d bytes %s: room for %d was asked", size, name, asked)
+			}
+		}
+	}
+}
--- a/internal/h1/roundtrip.go
+++ b/internal/h1/roundtrip.go
@@ -154,45 +154,6 @@
 	return e.resp.ContentLength >= 0 || len(e.resp.TransferEncoding) > 0
 }
 
-// smallAnswer is what an answer may take without asking for room, in bytes.
-const smallAnswer = 64 << 10
-
-// ReadAll reads the whole body, at most limit bytes. Before an answer takes more than
-// smallAnswer it asks room for the further bytes; nil has room for all. An error means
-// that the answer is not complete.
-func (e *Exchange) ReadAll(limit int64, room func(bytes int64) bool) ([]byte, error) {
-	if e.resp.ContentLength > limit {
-		return nil, errors.Errorf("an answer of %d bytes is over the limit of %d", e.resp.ContentLength, limit)
-	}
-	size := e.resp.ContentLength + 1 // the end shows in the same read
-	if size <= 0 || size > smallAnswer {
-		size = smallFirst
-	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) {
-			more := cap(body)
-			if len(body)+more > smallAnswer && room != nil && !room(int64(more)) {
-				return nil, errors.Errorf("no room for an answer of over %d bytes", len(body))
-			}
-			body = append(make([]byte, 0, len(body)+more), body...)
-		}
-		n, err := e.resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > limit:
-			return nil, errors.Errorf("an answer is over the limit of %d bytes", limit)
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, errors.Annotate(err, "read an answer")
-		}
-	}
-}
-
-// smallFirst is the first size of the memory for an answer of unknown length.
-const smallFirst = 1 << 10
-
 // Skip reads the body to its end and reports whether it ended within so many bytes
 // and such a time.
 func (e *Exchange) Skip(limit int64, within time.Duration) bool {
