Tell again that the store is back

One gateway did not reach the store half a second after its return, and its callers were sent elsewhere until then. Cause: one reading ends the outage for all, and the gateway that loses that datagram waits for its own pause. Change: the first three gateways that find out for themselves that the store is back tell the others too.

--- a/internal/following/relay.go
+++ b/internal/following/relay.go
@@ -88,6 +88,10 @@
 // store is back: a third of the least rate that the users' stores bear.
 const probesPerSecond = 600
 
+// regainTellers is how many of the gateways that find out that the store is back tell the
+// others as well: the reading that ended the outage may have been lost for some.
+const regainTellers = 3
+
 // ProbeSpread is the time over which so many gateways spread these calls.
 func ProbeSpread(gateways int) time.Duration {
 	return time.Duration(gateways) * time.Second / probesPerSecond
@@ -127,7 +131,7 @@
 	leads := !v.Failing && (v.Before == 0 || v.Earlier > limit)
 	switch {
 	case v.Failing && v.Regained:
-		return Move{Call: true}
+		return Move{Call: true, Tell: v.Before < regainTellers}
 	case v.Failing && v.Known <= limit && !v.Behind:
 		// Others read for it; now and then it looks whether it reaches the store again.
 		if again := part(p.Every, failingEvery) - v.Own; again > 0 {
