--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -29,21 +29,25 @@
 // pick chooses an upstream that the request has not been sent to, and counts
 // that it is tried.
 func (g *Gateway) pick(q *request, now time.Time) (picked, *result.Error) {
-	for {
+	for range mostLooks {
 		p, err := g.look(q, g.models(q), now)
 		if err != nil {
 			return p, err
 		}
-		// Another request may have used the last grant since the look, which does not choose
-		// the upstream again then.
+		// Another request may have used the last grant since the look.
 		if grant, ok := g.limits.take(p.up); ok {
 			p.grant = grant
 			q.tried[p.up.ID] = true
 			return p, nil
 		}
 	}
+	return picked{}, result.New(result.UpstreamBusy, "other requests were faster at the limits of %s", q.service).
+		WithRetryAfter(jitter(shortRetry))
 }
 
+// mostLooks bounds the looks of a request whose grant goes to another one each time.
+const mostLooks = 5
+
 // look chooses an upstream and one of the models without counting it.
 func (g *Gateway) look(q *request, models []placement.Model, now time.Time) (picked, *result.Error) {
 	view := g.fleet.Load()
