--- a/internal/peers/limits.go
+++ b/internal/peers/limits.go
@@ -88,3 +88,13 @@
 	}
 	return out
 }
+
+// pass hands on what a listed gateway has heard from upstreams.
+func (t *Talk) pass(n *gossipv1.News) {
+	if len(n.GetLeaving()) > 0 {
+		t.o.Leaving(n.GetGateway(), n.GetLeaving())
+	}
+	if told := limits(n); len(told) > 0 {
+		t.o.Limits(n.GetGateway(), told)
+	}
+}
--- a/internal/peers/talk.go
+++ b/internal/peers/talk.go
@@ -440,13 +440,3 @@
 	default:
 	}
 }
-
-// pass hands on what a listed gateway has heard from upstreams.
-func (t *Talk) pass(n *gossipv1.News) {
-	if len(n.GetLeaving()) > 0 {
-		t.o.Leaving(n.GetGateway(), n.GetLeaving())
-	}
-	if told := limits(n); len(told) > 0 {
-		t.o.Limits(n.GetGateway(), told)
-	}
-}
