Log what a failed request holds and whether its answer had begun

Lines of failed attempts name the request alone, which differs each time although all of them share a part of their prompts. They now name the prompt's parts, a hash of path, organisation and body that the caller's repeats share, whether the head of the answer had come, and how many events. Lines of streamed and escalated requests name the parts too, so that a part can be seen to be answered.

--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -236,7 +236,7 @@
 	}
 	g.counters.escalated.Inc(1)
 	g.log.Routine(component, "escalated", q.fields(zap.String("from", p.choice.Model), zap.Int("confidence", confidence),
-		zap.String("upstream", p.up.ID), zap.Duration("expectedMs", larger.choice.Expected))...)
+		zap.String("upstream", p.up.ID), zap.Duration("expectedMs", larger.choice.Expected), q.promptField())...)
 	return true
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,8 +5,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/exchange"
@@ -263,3 +265,35 @@
 	f = append(f, zap.Duration("afterMs", time.Since(q.arrived)), zap.Int("sent", q.sent))
 	return append(f, more...)
 }
+
+// maxLoggedParts bounds the prompt parts in one log line.
+const maxLoggedParts = 8
+
+// promptField returns the ids of the prompt's parts, in order.
+func (q *request) promptField() zap.Field {
+	if len(q.call.Prompt) == 0 {
+		return zap.Skip()
+	}
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range q.call.Prompt[:min(len(q.call.Prompt), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return zap.Strings("parts", ids)
+}
+
+// repeatField identifies the request across its repeats by the caller, which have ids of
+// their own.
+func (q *request) repeatField() zap.Field {
+	return zap.String("content", strconv.FormatUint(q.contentHash(), 16))
+}
+
+// contentHash is a hash of the method, path, organisation and body, which repeats by the
+// caller share.
+func (q *request) contentHash() uint64 {
+	h := xxhash.New()
+	for _, s := range []string{q.in.Method, q.in.Host, q.in.RequestURI, q.call.Key, string(q.body)} {
+		_, _ = h.WriteString(s) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,6 +57,10 @@
 	events      int
 	// timeToFirst is the time from the last send to its first event.
 	timeToFirst time.Duration
+	// began is true once the last send has had the head of an answer, and attemptEvents
+	// counts the events that it has had.
+	began         bool
+	attemptEvents int
 	// confidence is the model's own rating of the answer; negative when there is none.
 	confidence int
 	// idleBytes counts the bytes since the last event that showed progress.
@@ -106,13 +110,14 @@
 		zap.String("model", p.choice.Model), zap.Int("events", r.events),
 		zap.Int("confidence", r.confidence), zap.Duration("expectedMs", p.choice.Expected),
 		zap.Duration("firstMs", r.timeToFirst), zap.Int("promptTokens", q.promptTokens), zap.Int("sharedTokens", q.sharedTokens),
-		zap.Int("running", p.choice.Running))...)
+		q.promptField(), zap.Int("running", p.choice.Running))...)
 }
 
 // attempt relays the stream from one upstream. It returns an answer when the upstream
 // itself reported a failure; that answer is passed on if no other attempt succeeds.
 func (r *relay) attempt(p selection) (*answer, attemptResult, error) {
 	g, q := r.g, r.q
+	r.began, r.attemptEvents = false, 0
 	start := time.Now()
 	s := g.loads.startSend(latencyGroup{q.service, p.choice.Model}, p.up.ID, p.choice)
 	if g.gossip != nil {
@@ -131,7 +136,8 @@
 	}
 	if (v != answered && v != discarded) || failed {
 		g.counters.failedAttempts.Inc(1)
-		g.log.Event(component, "try failed", q.fields(append(g.attemptFields(p, v), statusField(a), zap.Int("events", r.events), eventlog.Error(err))...)...)
+		g.log.Event(component, "try failed", q.fields(append(g.attemptFields(p, v), q.promptField(), q.repeatField(), statusField(a), zap.Int("events", r.events),
+			zap.Int("attemptEvents", r.attemptEvents), zap.Bool("began", r.began), eventlog.Error(err))...)...)
 	}
 	return a, v, err
 }
@@ -147,6 +153,7 @@
 	if err != nil || v != answered {
 		return nil, v, err
 	}
+	r.began = true
 	r.confidence = head.Confidence
 	resp := e.Response()
 	if resp.StatusCode != http.StatusOK || !head.Sealed {
@@ -213,6 +220,7 @@
 			silenceTimer.Stop() // the time of a slow caller does not count as silence of the upstream
 		}
 		so.recordEvent(time.Now())
+		r.attemptEvents++
 		if n == 0 {
 			s.promptDone()
 			r.timeToFirst = time.Since(so.start)
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -143,7 +143,7 @@
 	g.observeAnswer(q, p, a, v, now)
 	if v != answered || failed {
 		g.counters.failedAttempts.Inc(1)
-		g.log.Event(component, "try failed", q.fields(append(g.attemptFields(p, v), statusField(a), eventlog.Error(err))...)...)
+		g.log.Event(component, "try failed", q.fields(append(g.attemptFields(p, v), q.promptField(), q.repeatField(), statusField(a), eventlog.Error(err))...)...)
 	}
 	return a, v, err
 }
