Hold requests with a prompt part that crashes upstreams

Callers saw generations fail at one upstream after another: one part of a prompt crashed every engine that answered it, each request was passed on to up to three engines, and sound requests there failed with it. Cause: a broken connection counted as a fault of the upstream alone, and nothing was kept beyond one request.

internal/quarantine collects the attempts that ended without an event at upstreams that crashed, of all gateways, and holds a part once upstreams have crashed under it one after another while no request with it was answered. Gateways tell one another at once (older ones ignore it); holds are rows of a store table, so that they outlast gateways and reach those that hear no peers. Held requests are refused at once with TB3016; attempts that wait at upstreams are ended. A suspected request is not repeated, and no small model's answer is discarded under suspicion, which hid crashes.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"tarragonbay.example/tarragonbay/internal/quarantine"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -30,7 +31,7 @@
 	g.rateLimits.recordRequest(q, g.bootClock())
 	retryGranted := false // the retry was already charged to the budget
 	for {
-		p, err := g.selectUpstream(q, time.Now())
+		p, err := g.selectAllowed(q, out.failure != nil)
 		if err == nil && q.sent == 0 && connects.none() {
 			g.countRequest(q)
 		} else if err == nil && q.sent > 0 && !retryGranted && !g.mayRetry(q) {
@@ -65,6 +66,19 @@
 	}
 }
 
+// selectAllowed chooses an upstream unless the request is held, or has failed and is
+// suspected to crash upstreams.
+func (g *Gateway) selectAllowed(q *request, failed bool) (selection, *result.Error) {
+	suspicion, held := g.judge(q)
+	if held != nil {
+		return selection{}, held
+	}
+	if failed && suspicion == quarantine.Suspect {
+		return selection{}, result.New(result.RequestHeld, "upstreams crash under requests like this one")
+	}
+	return g.selectUpstream(q, time.Now())
+}
+
 // acceptable reports whether an answer is passed to the caller rather than retried.
 func acceptable(q *request, a *answer) bool {
 	return a == nil || a.status < http.StatusInternalServerError || !q.route.Repeats()
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -19,7 +19,7 @@
 
 	requests, answered, refused, callersGone                    metrics.Counter
 	failedAttempts, retryBudgetSpent, abortedStreams, escalated metrics.Counter
-	limitedSends, limitedRefusals                               metrics.Counter
+	limitedSends, limitedRefusals, held                         metrics.Counter
 	configs, storeLost, storeFailures, turnedUnready            metrics.Counter
 	answerTime, firstEvent                                      *telemetry.Timer
 
@@ -39,6 +39,7 @@
 		abortedStreams:   m.Counter(component, "cut_streams"),
 		escalated:        m.Counter(component, "escalated"),
 		limitedSends:     m.Counter(component, "limited_sends"),
+		held:             m.Counter(component, "held"),
 		configs:          m.Counter(component, "configurations"),
 		limitedRefusals:  m.Counter(component, "limited_refusals"),
 		storeLost:        m.Counter(component, "store_lost"),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,7 @@
 	shifts     *shiftTracker
 	// peerEvidenceCache holds the evidence of peers on open shifts.
 	peerEvidenceCache evidenceCache
+	crashes           *crashTracker
 	conns             *connTracker
 	// gossip is nil when no address for gossip messages is set.
 	gossip   *peers.Gossip
@@ -128,6 +129,7 @@
 		speeds:       newSpeedTracker(),
 		values:       newValueTracker(),
 		shifts:       newShiftTracker(o.Settings.ExposeShare),
+		crashes:      newCrashTracker(),
 		conns:        newConnTracker(),
 		counters:     newCounters(o.Metrics),
 		retryBudgets: map[uint32]*retrywindow.Fleet{}, followers: map[string]*tableFollower{},
@@ -158,14 +160,14 @@
 		return err
 	}
 	tasks := []func(context.Context) error{
-		g.followOperator, g.followUpstreams, g.followShifts, g.stepShifts, g.prune, g.followSettings, g.log.Run,
+		g.followOperator, g.followUpstreams, g.followShifts, g.stepShifts, g.followHolds, g.saveHolds, g.prune, g.followSettings, g.log.Run,
 		gctune.New(heapFloor(g.settings())).Run,
 	}
 	if g.settings().PeerListen != "" {
 		if g.gossip, err = g.openGossip(); err != nil {
 			return err
 		}
-		tasks = append(tasks, g.gossip.Register, g.gossip.Send, g.gossip.Receive)
+		tasks = append(tasks, g.gossip.Register, g.gossip.Send, g.gossip.Receive, g.reportCrashes)
 	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(taskCtx) })
@@ -207,7 +209,7 @@
 	return peers.Listen(peers.Options{
 		Name: g.settings().Name, Domain: g.settings().Domain, Address: g.settings().PeerListen, Incarnation: uint64(g.started.UnixNano()),
 		Store: g.store, Log: g.log, Message: g.gossipMessage, TableUpdate: g.receiveRead,
-		Leaving: g.receiveLeaving, Limits: g.receiveLimits, Budgets: g.receiveBudgets,
+		Leaving: g.receiveLeaving, Limits: g.receiveLimits, Budgets: g.receiveBudgets, Crashes: g.receiveCrashes,
 	})
 }
 
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -11,6 +11,7 @@
 	"tarragonbay.example/tarragonbay/internal/fleet"
 	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/placement"
+	"tarragonbay.example/tarragonbay/internal/quarantine"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/routetable"
 	"tarragonbay.example/tarragonbay/internal/sharedrate"
@@ -222,6 +223,10 @@
 	if !q.cascades() || p.choice.Model == q.route.Models[last] || q.sent >= q.route.MaxAttempts {
 		return false
 	}
+	// A discarded answer would hide that its upstream crashes over it.
+	if suspicion, _ := g.judge(q); suspicion != quarantine.Free {
+		return false
+	}
 	// The upstream that gave the answer has not failed and may run the larger model too.
 	delete(q.triedUpstreams, p.up.ID)
 	larger, err := g.findUpstream(q, []placement.Model{g.model(q, last)}, now)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -66,7 +66,7 @@
 		return 0
 	}
 	wait := e.RetryAfter
-	if q.call.Budget > 0 {
+	if q.call.Budget > 0 && e.Code != result.RequestHeld { // a held request is held longer than any caller waits
 		left := q.call.Budget - time.Since(q.arrived)
 		wait = min(wait, time.Duration(maxRetryShare*float64(left)))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/exchange"
+	"tarragonbay.example/tarragonbay/internal/quarantine"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/routetable"
 )
@@ -32,6 +33,10 @@
 	deadline time.Time
 	// sent counts the upstreams to which the request was sent.
 	sent int
+	// sentAt is when the request was last sent.
+	sentAt time.Time
+	// features are what the request shares with others; nil until crashFeatures.
+	features []quarantine.Feature
 	// mayHaveRun is true once an upstream may have started to process the request.
 	mayHaveRun     bool
 	triedUpstreams map[string]bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,6 +61,7 @@
 	// counts the events that it has had.
 	began         bool
 	attemptEvents int
+	waiting       *waitingAttempt
 	// confidence is the model's own rating of the answer; negative when there is none.
 	confidence int
 	// idleBytes counts the bytes since the last event that showed progress.
@@ -125,8 +126,12 @@
 	}
 	ctx, cancel := context.WithDeadline(q.in.Context(), q.deadline)
 	defer cancel()
+	waiting := g.crashes.await(q, cancel)
+	r.waiting = waiting
 	a, v, err := r.run(ctx, p, s, start)
-	failed := q.isUpstreamFault(v, err) || (a != nil && !a.restRequested)
+	held := g.crashes.done(waiting)
+	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: r.began, events: r.attemptEvents})
+	failed := (q.isUpstreamFault(v, err) && !held) || (a != nil && !a.restRequested)
 	s.finish(failureWeight(v, failed), time.Now())
 	switch {
 	case a != nil:
@@ -221,6 +226,12 @@
 		}
 		so.recordEvent(time.Now())
 		r.attemptEvents++
+		switch r.attemptEvents {
+		case 1:
+			g.crashes.done(r.waiting)
+		case minClearingEvents:
+			g.answered(q)
+		}
 		if n == 0 {
 			s.promptDone()
 			r.timeToFirst = time.Since(so.start)
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -132,6 +132,7 @@
 	defer cancel()
 	s := g.loads.startSend(latencyGroup{service: q.service}, p.up.ID, p.choice)
 	a, v, err := g.exchange(ctx, q, p)
+	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err})
 	failed := q.isUpstreamFault(v, err) || (a != nil && a.failed())
 	if v == answered {
 		s.promptDone()
@@ -222,6 +223,7 @@
 		to.Organisation = q.org.Name
 	}
 	q.sent++
+	q.sentAt = now
 	g.recordLimitedSend(q, p)
 	sent := g.bootClock()
 	g.shifts.recordSend(q.call.Session, q.service, p.up.Version, now)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -171,6 +171,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, pruneInterval)
 		now := time.Now()
+		g.pruneCrashes(now)
 		view := g.fleet.Load()
 		if view == nil {
 			continue
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -14,6 +14,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
+	"tarragonbay.example/tarragonbay/internal/quarantine"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
 	"tarragonbay.example/tarragonbay/internal/sharedrate"
 	"tarragonbay.example/tarragonbay/internal/store"
@@ -98,6 +99,9 @@
 	// Leaving is called with the hashes of the boots of upstreams (see HashBoot) that have
 	// announced their departure to a listed gateway; it must not block.
 	Leaving func(from string, boots []uint32)
+	// Crashes is called with what a listed gateway has seen of crashes of upstreams; it must
+	// not block.
+	Crashes func(from string, r quarantine.Report)
 }
 
 // Gossip sends and receives gossip messages.
@@ -363,6 +367,11 @@
 	case known && n.GetReading() != nil:
 		t.receiveReading(n, peer.address == from)
 		return
+	case known && n.GetCrashes() != nil:
+		if peer.address == from {
+			t.opts.Crashes(n.GetGateway(), decodeCrashes(n.GetCrashes(), time.Now()))
+		}
+		return
 	case known:
 		if t.Peers.Record(n, time.Now()) && peer.address == from {
 			t.dispatchNotices(n)
--- /dev/null
+++ b/internal/quarantine/hold.go
@@ -0,0 +1,296 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Hold keeps requests with all of its features from all upstreams.
+type Hold struct {
+	// Name is the feature that the hold is for.
+	Name Feature
+	// Features are the features that most requests with Name had under which upstreams
+	// crashed, and that had no answer since: which of them is to blame is not known. They
+	// include Name.
+	Features []Feature
+	// Since is when the first of its strikes was sent, Until when the hold ends.
+	Since, Until time.Time
+	// Crashes is the number of upstreams that crashed.
+	Crashes int
+}
+
+// covers reports whether a request with the given features is held.
+func (h *Hold) covers(features []Feature) bool {
+	for _, f := range h.Features {
+		if !slices.Contains(features, f) {
+			return false
+		}
+	}
+	return true
+}
+
+// Change is a hold that was placed or changed, or that has ended.
+type Change struct {
+	Hold
+	Released bool
+}
+
+// Verdict says what is to be done with a request.
+type Verdict uint8
+
+const (
+	// Free requests are served.
+	Free Verdict = iota
+	// Suspect requests are not sent again after a failed attempt.
+	Suspect
+	// Held requests are not sent to any upstream.
+	Held
+)
+
+// Judge returns the verdict on a request with the given features and, if it is held, the
+// hold.
+func (t *Tracker) Judge(features []Feature, now time.Time) (Verdict, Hold) {
+	for _, h := range t.holds {
+		if now.Before(h.Until) && h.covers(features) {
+			return Held, *h
+		}
+	}
+	if slices.ContainsFunc(features, func(f Feature) bool { return t.suspects[f] }) {
+		return Suspect, Hold{}
+	}
+	return Free, Hold{}
+}
+
+// evidence is what the strikes say about one feature.
+type evidence struct {
+	strikes []strike
+	// weight is that of consecutive strikes, requests the number of different requests.
+	weight   float64
+	requests int
+}
+
+// evidence returns the strikes of a feature since it last had an answer, without those at
+// upstreams whose crash a hold explains.
+func (t *Tracker) evidence(f Feature) (e evidence) {
+	clearedAt, _ := t.cleared.last(f)
+	requests := map[uint64]bool{}
+	for _, s := range t.strikes {
+		if s.has(f) && s.SentAt.After(clearedAt) && !t.explained(s, f) {
+			e.strikes = append(e.strikes, s)
+			requests[s.Request] = true
+		}
+	}
+	slices.SortFunc(e.strikes, func(a, b strike) int { return a.EndedAt.Compare(b.EndedAt) })
+	e.weight = max(consecutive(e.strikes, 1), consecutive(e.strikes, 0))
+	e.requests = len(requests)
+	return e
+}
+
+// consecutive returns the weight of strikes of at least minWeight each of which was sent
+// after the one before had ended, at different upstreams. Strikes in parallel may have one cause.
+func consecutive(strikes []strike, minWeight float64) (sum float64) {
+	var last time.Time
+	seen := map[Boot]bool{}
+	for _, s := range strikes {
+		if s.weight() < minWeight || seen[s.Boot] || (sum > 0 && s.SentAt.Before(last.Add(-orderSlack))) {
+			continue
+		}
+		seen[s.Boot], last = true, s.EndedAt
+		sum += s.weight()
+	}
+	return sum
+}
+
+// explained reports whether a held request, without the feature f, was at the upstream when
+// it crashed.
+func (t *Tracker) explained(s strike, f Feature) bool {
+	for _, h := range t.holds {
+		if slices.Contains(h.Features, f) {
+			continue
+		}
+		if slices.ContainsFunc(t.strikes, func(o strike) bool { return o.Boot == s.Boot && h.covers(o.Features) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// threshold returns the weight from which a feature is held.
+func (t *Tracker) threshold(f Feature) float64 {
+	if _, known := t.cleared.last(f); known {
+		return knownFeatureStrikes
+	}
+	return newFeatureStrikes
+}
+
+// hold places holds on those of the features that the strikes incriminate, the most
+// incriminated first, since its hold may explain the strikes of the others.
+func (t *Tracker) hold(features []Feature, now time.Time) (changes []Change) {
+	slices.Sort(features)
+	features = slices.Compact(features)
+	for {
+		var worst Feature
+		var found evidence
+		for _, f := range features {
+			e := t.evidence(f)
+			if e.weight < t.threshold(f) || e.requests < minRequests || t.heldAs(f) {
+				continue
+			}
+			if len(e.strikes) > len(found.strikes) {
+				worst, found = f, e
+			}
+		}
+		if len(found.strikes) == 0 {
+			return changes
+		}
+		h := &Hold{Name: worst, Features: t.common(worst, found.strikes), Until: now.Add(HoldTime)}
+		h.Since = slices.MinFunc(found.strikes, func(a, b strike) int { return a.SentAt.Compare(b.SentAt) }).SentAt
+		boots := map[Boot]bool{}
+		for _, s := range found.strikes {
+			boots[s.Boot] = true
+		}
+		h.Crashes = len(boots)
+		t.holds = append(t.holds, h)
+		changes = append(changes, Change{Hold: *h})
+	}
+}
+
+// heldAs reports whether a hold covers the feature already.
+func (t *Tracker) heldAs(f Feature) bool {
+	return slices.ContainsFunc(t.holds, func(h *Hold) bool { return slices.Contains(h.Features, f) })
+}
+
+// common returns f and the features that may be to blame in its place: those that had no
+// answer since and were part of most of its strikes.
+func (t *Tracker) common(f Feature, strikes []strike) []Feature {
+	counts := map[Feature]int{}
+	for _, s := range strikes {
+		for _, c := range s.Features {
+			if clearedAt, _ := t.cleared.last(c); s.SentAt.After(clearedAt) {
+				counts[c]++
+			}
+		}
+	}
+	out := []Feature{f}
+	for c, n := range counts {
+		if c != f && float64(n) >= commonShare*float64(len(strikes)) {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out[1:], cmp.Compare)
+	return out
+}
+
+// commonShare is the share of the strikes of a feature from which another one may be to
+// blame for all of them: some may have another cause.
+const commonShare = 0.6
+
+// widen removes from the holds the features that later crashes show not to be needed for
+// one.
+func (t *Tracker) widen() (changes []Change) {
+	for _, h := range t.holds {
+		kept := slices.DeleteFunc(slices.Clone(h.Features), func(f Feature) bool { return t.strikesOutside(h, f) < wideningStrikes })
+		if len(kept) == 0 || len(kept) == len(h.Features) {
+			continue
+		}
+		changes = append(changes, h.rename(kept)...)
+	}
+	return changes
+}
+
+// wideningStrikes is the number of strikes of requests with only some of the features of a
+// hold from which those alone are held.
+const wideningStrikes = 2
+
+// strikesOutside counts the strikes since the hold of requests with a feature of it, and
+// without others.
+func (t *Tracker) strikesOutside(h *Hold, f Feature) (n int) {
+	clearedAt, _ := t.cleared.last(f)
+	for _, s := range t.strikes {
+		if s.has(f) && !h.covers(s.Features) && s.weight() == 1 && s.SentAt.After(h.Since) && s.SentAt.After(clearedAt) && !t.explained(s, f) {
+			n++
+		}
+	}
+	return n
+}
+
+// rename keeps some of the features of a hold.
+func (h *Hold) rename(kept []Feature) (changes []Change) {
+	old := *h
+	h.Features = kept
+	if !slices.Contains(kept, h.Name) {
+		changes = append(changes, Change{Hold: old, Released: true})
+		h.Name = kept[0]
+	}
+	return append(changes, Change{Hold: *h})
+}
+
+// release removes a feature that had an answer from the holds, which apply to more requests
+// then; a hold for the feature itself passes to another of its features, or ends.
+func (t *Tracker) release(f Feature, sentAt time.Time) (changes []Change) {
+	t.holds = slices.DeleteFunc(t.holds, func(h *Hold) bool {
+		if !slices.Contains(h.Features, f) || !sentAt.After(h.Since) {
+			return false
+		}
+		kept := slices.DeleteFunc(slices.Clone(h.Features), func(o Feature) bool { return o == f })
+		if len(kept) == 0 {
+			changes = append(changes, Change{Hold: *h, Released: true})
+			return true
+		}
+		changes = append(changes, h.rename(kept)...)
+		return false
+	})
+	return changes
+}
+
+// Restore places a hold that was read from the store. It reports whether that changed
+// anything.
+func (t *Tracker) Restore(h Hold) bool {
+	if len(h.Features) == 0 {
+		return false
+	}
+	h.Features = slices.DeleteFunc(slices.Clone(h.Features), func(f Feature) bool {
+		at, ok := t.cleared.last(f)
+		return ok && at.After(h.Since)
+	})
+	if !slices.Contains(h.Features, h.Name) {
+		return false
+	}
+	for _, o := range t.holds {
+		if o.Name == h.Name {
+			if len(h.Features) >= len(o.Features) {
+				return false
+			}
+			*o = h
+			return true
+		}
+	}
+	t.holds = append(t.holds, &h)
+	return true
+}
+
+// Lift ends the hold with the given name, as an operator does by deleting it from the
+// store. Its strikes count no longer.
+func (t *Tracker) Lift(name Feature) (changes []Change) {
+	t.holds = slices.DeleteFunc(t.holds, func(h *Hold) bool {
+		if h.Name != name {
+			return false
+		}
+		changes = append(changes, Change{Hold: *h, Released: true})
+		return true
+	})
+	if len(changes) > 0 {
+		t.strikes = slices.DeleteFunc(t.strikes, func(s strike) bool { return s.has(name) })
+	}
+	return changes
+}
+
+// Holds returns the holds in force.
+func (t *Tracker) Holds() []Hold {
+	out := make([]Hold, 0, len(t.holds))
+	for _, h := range t.holds {
+		out = append(out, *h)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,244 @@
+// Package quarantine decides which requests crash the upstreams that run them, and keeps
+// them from further upstreams. Its input is the attempts that ended without an answer at
+// upstreams that crashed (strikes) and those that had an answer (clearances), of this
+// gateway and of its peers. It has no I/O or clock of its own.
+//
+// When an upstream crashes, all its requests fail together, and a crash has many causes.
+// A feature of a request, such as a part of its prompt, is held responsible only if
+// upstreams crash under it again and again, each time after the last crash, and no request
+// with it has had an answer meanwhile.
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Feature identifies what requests may have in common, as a hash.
+type Feature uint64
+
+// Boot identifies one start of an upstream.
+type Boot uint32
+
+// Attempt is one send of a request to an upstream.
+type Attempt struct {
+	Boot Boot
+	// Request is a hash of the request's content: repeats by the caller share it.
+	Request uint64
+	// Features are those that other requests may share.
+	Features []Feature
+	// SentAt is when the request was sent, EndedAt when its connection broke or was given up.
+	SentAt, EndedAt time.Time
+	// Began is true when the upstream had begun its answer.
+	Began bool
+	// GivenUp is true when the gateway itself ended the attempt. The upstream may
+	// crash shortly afterwards.
+	GivenUp bool
+}
+
+func (a Attempt) has(f Feature) bool { return slices.Contains(a.Features, f) }
+
+// weight is how much the crash of the attempt's upstream says about its features. An
+// upstream that has begun to answer is about to run few other requests for the first time;
+// those that only wait there are many.
+func (a Attempt) weight() float64 {
+	if a.Began && !a.GivenUp {
+		return 1
+	}
+	return waitingWeight
+}
+
+// waitingWeight is the weight of an attempt whose answer had not begun, or was given up,
+// when the upstream crashed.
+const waitingWeight = 0.5
+
+// Thresholds of the sum of weights of consecutive strikes.
+const (
+	// newFeatureStrikes holds a feature that has never had an answer in the clearance
+	// memory.
+	newFeatureStrikes = 3.0
+	// knownFeatureStrikes holds a feature that has had answers before. Most of these are
+	// widely used, and take part in crashes of all causes.
+	knownFeatureStrikes = 5.0
+	// suspectMargin below the threshold, a request with the feature is not sent again after
+	// a failed attempt.
+	suspectMargin = 1.0
+	// minRequests is the number of different requests under which upstreams must have
+	// crashed before a feature is held.
+	minRequests = 2
+)
+
+// Times.
+const (
+	// HoldTime is how long a feature is held after its last strike. Each release risks
+	// further crashes.
+	HoldTime = time.Hour
+	// strikeMemory is how long strikes count.
+	strikeMemory = 10 * time.Minute
+	// crashMatch is the largest difference between the end of an attempt and the
+	// crash of its upstream, as one gateway sees them.
+	crashMatch = time.Second
+	// givenUpMatch is how long after an attempt was given up its upstream may crash because of
+	// it: the time to the first event, after which the crash would have been seen.
+	givenUpMatch = 250 * time.Millisecond
+	// orderSlack is the error of the times that peers report.
+	orderSlack = 20 * time.Millisecond
+)
+
+// Bounds of the state.
+const (
+	maxStrikes = 1024
+	maxPending = 1024
+	maxCrashes = 1024
+	// MaxFeatures bounds the features of one request.
+	MaxFeatures = 32
+)
+
+// Tracker holds the strikes and clearances, and the features that are held. It is not safe
+// for concurrent use.
+type Tracker struct {
+	// pending are attempts that ended without an answer at upstreams that may have crashed.
+	pending []Attempt
+	// crashes holds the boots that have crashed.
+	crashes map[Boot]time.Time
+	strikes []strike
+	cleared clearances
+	holds   []*Hold
+	// suspects are the features that are close to a hold.
+	suspects map[Feature]bool
+}
+
+// strike is an attempt that ended without an answer when its upstream crashed.
+type strike struct {
+	Attempt
+	// own is true when this gateway made the attempt. at is when it became known here.
+	own bool
+	at  time.Time
+}
+
+// NewTracker returns an empty Tracker.
+func NewTracker() *Tracker {
+	return &Tracker{crashes: map[Boot]time.Time{}, suspects: map[Feature]bool{}}
+}
+
+// Unanswered records an attempt that ended without any of its answer. It counts only if
+// its upstream is known to have crashed, now or shortly afterwards.
+func (t *Tracker) Unanswered(a Attempt, now time.Time) (changes []Change) {
+	if at, ok := t.crashes[a.Boot]; ok && a.endedBy(at) {
+		return t.add([]strike{{Attempt: a, own: true, at: now}}, now)
+	}
+	if len(t.pending) >= maxPending {
+		t.pending = slices.Delete(t.pending, 0, 1)
+	}
+	t.pending = append(t.pending, a)
+	return nil
+}
+
+// endedBy reports whether the crash of the upstream at the given time explains the end of
+// the attempt, or may follow from it.
+func (a Attempt) endedBy(crash time.Time) bool {
+	after := crash.Sub(a.EndedAt)
+	if a.GivenUp {
+		return after >= -orderSlack && after <= givenUpMatch
+	}
+	return after.Abs() <= crashMatch
+}
+
+// Crashed records that an upstream crashed at the given time.
+func (t *Tracker) Crashed(b Boot, at, now time.Time) (changes []Change) {
+	if _, ok := t.crashes[b]; ok {
+		return nil
+	}
+	if len(t.crashes) < maxCrashes {
+		t.crashes[b] = at
+	}
+	var found []strike
+	t.pending = slices.DeleteFunc(t.pending, func(a Attempt) bool {
+		if a.Boot != b {
+			return false
+		}
+		if a.endedBy(at) {
+			found = append(found, strike{Attempt: a, own: true, at: now})
+		}
+		return true
+	})
+	return t.add(found, now)
+}
+
+// HasCrashed reports whether an upstream is known to have crashed.
+func (t *Tracker) HasCrashed(b Boot) bool {
+	_, ok := t.crashes[b]
+	return ok
+}
+
+// Struck records strikes of a peer.
+func (t *Tracker) Struck(attempts []Attempt, now time.Time) (changes []Change) {
+	found := make([]strike, 0, len(attempts))
+	for _, a := range attempts {
+		found = append(found, strike{Attempt: a, at: now})
+	}
+	return t.add(found, now)
+}
+
+// add adds strikes that are not known yet and holds the features that they incriminate.
+func (t *Tracker) add(found []strike, now time.Time) (changes []Change) {
+	var touched []Feature
+	for _, s := range found {
+		if len(s.Features) == 0 || now.Sub(s.EndedAt) > strikeMemory || slices.ContainsFunc(t.strikes, s.same) {
+			continue
+		}
+		if len(t.strikes) >= maxStrikes {
+			t.strikes = slices.Delete(t.strikes, 0, 1)
+		}
+		t.strikes = append(t.strikes, s)
+		touched = append(touched, s.Features...)
+	}
+	changes = append(t.widen(), t.hold(touched, now)...)
+	for _, f := range touched {
+		t.suspects[f] = t.evidence(f).weight >= t.threshold(f)-suspectMargin
+	}
+	return changes
+}
+
+func (s strike) same(o strike) bool { return s.Boot == o.Boot && s.Request == o.Request }
+
+// Answered records that an upstream has answered a request that was sent at sentAt, far
+// enough that it would have crashed before.
+func (t *Tracker) Answered(features []Feature, sentAt time.Time) (changes []Change) {
+	return t.clear(features, clearance{at: sentAt, own: true})
+}
+
+func (t *Tracker) clear(features []Feature, c clearance) (changes []Change) {
+	for _, f := range features {
+		if !t.cleared.add(f, c) {
+			continue
+		}
+		changes = append(changes, t.release(f, c.at)...)
+		if t.suspects[f] {
+			t.suspects[f] = t.evidence(f).weight >= t.threshold(f)-suspectMargin
+		}
+	}
+	return changes
+}
+
+// Prune drops what no longer counts.
+func (t *Tracker) Prune(now time.Time) (changes []Change) {
+	t.pending = slices.DeleteFunc(t.pending, func(a Attempt) bool { return now.Sub(a.EndedAt) > 2*crashMatch })
+	t.strikes = slices.DeleteFunc(t.strikes, func(s strike) bool { return now.Sub(s.EndedAt) > strikeMemory })
+	for b, at := range t.crashes {
+		if now.Sub(at) > strikeMemory {
+			delete(t.crashes, b)
+		}
+	}
+	if len(t.strikes) == 0 {
+		clear(t.suspects)
+	}
+	t.holds = slices.DeleteFunc(t.holds, func(h *Hold) bool {
+		if now.Before(h.Until) {
+			return false
+		}
+		changes = append(changes, Change{Hold: *h, Released: true})
+		return true
+	})
+	return changes
+}
--- /dev/null
+++ b/internal/quarantine/simulation_test.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// fleet simulates upstreams under sound and deadly requests, with one tracker that sees all
+// of it, after the delay of gossip.
+type fleet struct {
+	rng     *rand.Rand
+	tracker *Tracker
+	now     time.Time
+	queue   events
+	up      []*upstream
+	boots   Boot
+	request uint64
+	// deadlyCrashes and deadlySends are when deadly requests caused crashes and were sent.
+	deadlyCrashes, deadlySends []time.Time
+}
+
+type upstream struct {
+	boot    Boot
+	down    bool
+	running []*running
+}
+
+type running struct {
+	Attempt
+	deadly bool
+	tries  int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (s *fleet) after(d time.Duration, do func()) { heap.Push(&s.queue, event{s.now.Add(d), do}) }
+
+func newFleet(seed uint64, upstreams int) *fleet {
+	s := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(), now: start}
+	for range upstreams {
+		s.boots++
+		s.up = append(s.up, &upstream{boot: s.boots})
+	}
+	return s
+}
+
+func (s *fleet) run(lasts time.Duration) {
+	for end := start.Add(lasts); len(s.queue) > 0 && s.queue[0].at.Before(end); {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// Times of the simulation.
+const (
+	gossipDelay = 30 * time.Millisecond
+	outage      = 3 * time.Second
+	crashAfter  = 90 * time.Millisecond // from the start of a deadly request
+	firstEvents = 60 * time.Millisecond // from the start of a sound one
+	maxTries    = 3
+	seeds       = 8
+)
+
+// send sends a request to a random upstream, as a gateway does.
+func (s *fleet) send(r *running) {
+	if v, _ := s.tracker.Judge(r.Features, s.now); v == Held || (v == Suspect && r.tries > 0) || r.tries >= maxTries {
+		return
+	}
+	var open []*upstream
+	for _, u := range s.up {
+		if !u.down {
+			open = append(open, u)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	u := open[s.rng.IntN(len(open))]
+	r.tries++
+	if r.deadly {
+		s.deadlySends = append(s.deadlySends, s.now)
+	}
+	r.Boot, r.SentAt, r.Began = u.boot, s.now, false
+	u.running = append(u.running, r)
+	wait := time.Duration(s.rng.ExpFloat64() * float64(200*time.Millisecond))
+	step := func(d time.Duration, do func()) {
+		boot := u.boot
+		s.after(d, func() {
+			if u.boot == boot && !u.down && slices.Contains(u.running, r) {
+				do()
+			}
+		})
+	}
+	step(wait, func() { r.Began = true })
+	if r.deadly {
+		step(wait+crashAfter, func() {
+			s.deadlyCrashes = append(s.deadlyCrashes, s.now)
+			s.crash(u)
+		})
+		return
+	}
+	step(wait+firstEvents, func() {
+		u.running = slices.DeleteFunc(u.running, func(o *running) bool { return o == r })
+		sentAt := r.SentAt
+		s.after(gossipDelay, func() { s.tracker.Answered(r.Features, sentAt) })
+	})
+}
+
+// crash ends an upstream, which comes back under another boot.
+func (s *fleet) crash(u *upstream) {
+	if u.down {
+		return
+	}
+	u.down = true
+	boot, at := u.boot, s.now
+	for _, r := range u.running {
+		a := r.Attempt
+		a.EndedAt = s.now
+		s.after(gossipDelay, func() { s.tracker.Unanswered(a, s.now) })
+		s.after(time.Millisecond, func() { s.send(r) })
+	}
+	s.after(gossipDelay, func() { s.tracker.Crashed(boot, at, s.now) })
+	u.running = nil
+	s.after(outage, func() {
+		s.boots++
+		u.boot, u.down = s.boots, false
+	})
+}
+
+// traffic sends requests with the given rate and parts.
+func (s *fleet) traffic(perSecond float64, deadly bool, parts func() []Feature) {
+	var next func()
+	next = func() {
+		s.request++
+		s.send(&running{Attempt: Attempt{Request: s.request, Features: parts()}, deadly: deadly})
+		s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	s.after(0, next)
+}
+
+// sound parts: one that most prompts hold, and one of many topics, some of which are rare.
+func (s *fleet) sound() []Feature {
+	topic := Feature(1000 + int(s.rng.ExpFloat64()*40))
+	if s.rng.IntN(4) == 0 {
+		return []Feature{topic}
+	}
+	return []Feature{shared, topic}
+}
+
+// lateSends counts the deadly requests that were sent too late for a fleet that may take
+// contact to act on the fifth crash.
+func (s *fleet) lateSends(contact time.Duration) (n int) {
+	if len(s.deadlyCrashes) < 5 {
+		return 0
+	}
+	for _, at := range s.deadlySends {
+		if at.After(s.deadlyCrashes[4].Add(contact)) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestDeadlyPartIsHeldSoon: one request in three hundred to one in four crashes upstreams,
+// while others crash for other causes.
+func TestDeadlyPartIsHeldSoon(t *testing.T) {
+	for _, perSecond := range []float64{0.2, 1, 5, 20} {
+		worst, crashes := 0, 0
+		for seed := range uint64(seeds) {
+			s := newFleet(seed, 18)
+			s.traffic(60, false, s.sound)
+			s.traffic(perSecond, true, func() []Feature { return []Feature{shared, 1001, dead} })
+			s.flap(2 * time.Second)
+			s.run(60 * time.Second)
+			if v, _ := s.tracker.Judge([]Feature{shared, 1001, dead}, s.now); v != Held {
+				t.Errorf("%v a second, seed %d: not held after %d crashes", perSecond, seed, len(s.deadlyCrashes))
+			}
+			for _, h := range s.tracker.Holds() {
+				if !h.covers([]Feature{shared, 1001, dead}) || h.covers([]Feature{shared, 1001}) {
+					t.Errorf("%v a second, seed %d: wrong hold %+v", perSecond, seed, h)
+				}
+			}
+			if n := s.lateSends(3 * time.Second); n > 3 {
+				t.Errorf("%v a second, seed %d: %d requests reached upstreams late", perSecond, seed, n)
+			}
+			worst, crashes = max(worst, len(s.deadlyCrashes)), crashes+len(s.deadlyCrashes)
+		}
+		t.Logf("%v a second: %.1f crashes, %d at most", perSecond, float64(crashes)/seeds, worst)
+	}
+}
+
+// flap crashes one upstream after another for causes of their own.
+func (s *fleet) flap(mean time.Duration) {
+	var next func()
+	next = func() {
+		s.crash(s.up[s.rng.IntN(len(s.up))])
+		s.after(time.Duration(s.rng.ExpFloat64()*float64(mean)), next)
+	}
+	s.after(mean, next)
+}
+
+// TestCrashesOfOtherCausesHoldNothing: upstreams go down one by one, a third of them at
+// once, and all of them.
+func TestCrashesOfOtherCausesHoldNothing(t *testing.T) {
+	for name, cause := range map[string]func(*fleet){
+		"one after another": func(s *fleet) { s.flap(300 * time.Millisecond) },
+		"a domain": func(s *fleet) {
+			for i := range 20 {
+				s.after(time.Duration(i)*3*time.Second, func() {
+					for _, u := range s.up[:6] {
+						s.crash(u)
+					}
+				})
+			}
+		},
+		"a rolling crash": func(s *fleet) {
+			for i := range 200 {
+				s.after(time.Duration(i)*250*time.Millisecond, func() { s.crash(s.up[i%len(s.up)]) })
+			}
+		},
+	} {
+		wrong := 0
+		for seed := range uint64(seeds) {
+			s := newFleet(seed, 18)
+			s.traffic(90, false, s.sound)
+			cause(s)
+			s.run(60 * time.Second)
+			wrong += len(s.tracker.Holds())
+		}
+		if wrong > 0 {
+			t.Errorf("%s: %d holds in %d runs of a minute", name, wrong, seeds)
+		}
+	}
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -46,6 +46,7 @@
 	TooManyInFlight  Code = 3013
 	Quarantined      Code = 3014
 	DomainDrained    Code = 3015
+	RequestHeld      Code = 3016
 
 	UpstreamFailed   Code = 4001
 	AnswerCut        Code = 4002
@@ -146,6 +147,7 @@
 	{TooManyInFlight, "too_many_in_flight", http.StatusTooManyRequests, NotRun, "The organisation has too many requests in flight."},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, NotRun, "The version is quarantined on this host."},
 	{DomainDrained, "domain_drained", http.StatusServiceUnavailable, NotRun, "Every upstream of the service is in a failure domain that the operator has drained."},
+	{RequestHeld, "request_held", http.StatusServiceUnavailable, NotRun, "Requests like this one have crashed upstreams, so it is sent to none."},
 
 	{UpstreamFailed, "upstream_failed", http.StatusBadGateway, Ran, "The upstream failed while it ran the request."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, Ran, "The answer could not be completed."},
