End a stream at the head of another answer in its body

Other operators saw the head of an error in the middle of streams. Here an answer without a length ends with its connection, so a second answer after it is part of its body, and its head was passed on as an event without an id. A block that begins like the head of an answer now breaks the stream off, like an event that is cut.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -69,6 +69,12 @@
 	buffer    []byte
 }
 
+// errStrayHead means that the head of another answer follows an event.
+var errStrayHead = errors.New("the head of another answer is in the stream")
+
+// headStart begins the head of an answer. No field of an event is named like that.
+var headStart = []byte("HTTP/1.")
+
 // errPartialEvent means that maxEventBytes hold no complete event, or that the stream
 // ended inside one.
 var errPartialEvent = errors.New("the stream ended inside an event, or the event is too long")
@@ -269,6 +275,9 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if bytes.HasPrefix(block, headStart) {
+			return nil, false, errStrayHead
+		}
 		id := r.g.proto.EventID(block)
 		if (id != "" && id != r.lastEventID) || (r.lastEventID == "" && hasField(block)) {
 			r.idleBytes = 0
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -345,3 +345,24 @@
 		}
 	}
 }
+
+// TestHeadCutAnywhere: an upstream stops inside the head of its answer and closes.
+func TestHeadCutAnywhere(t *testing.T) {
+	for name, whole := range map[string]string{
+		"length":    response("a", "body"),
+		"chunks":    "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"unframed":  "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+		"no reason": "HTTP/1.1 200\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for n := range len(whole) {
+			e, err := newConn(nil, strings.NewReader(whole[:n])).readHead("POST")
+			if err != nil {
+				continue
+			}
+			exchange := &Exchange{resp: e}
+			if body, err := exchange.ReadAll(100, nil); err == nil {
+				t.Errorf("%s: %d of %d bytes taken for a whole answer: %q", name, n, len(whole), body)
+			}
+		}
+	}
+}
