A stream without a length that ends after its head is not whole

An upstream that crashes between the head and the first event of an answer without a length closes its connection, which is also how such an answer ends. The caller got an empty stream as a whole one, and the attempt counted as an answer to a request that may have caused the crash. A stream that has had no event, here or at an earlier upstream, and ends without a length is broken off now and goes on elsewhere.

TestStreamCutAfterItsHead failed before (status 200, no events, whole) and passes.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -107,6 +107,9 @@
 	// request runs; events counts its events.
 	began  bool
 	events int
+	// framed is true when the answer shows by itself that it is whole; another one may have
+	// ended with its upstream.
+	framed bool
 }
 
 // recordAttemptEnd records what the end of an attempt says of its upstream and of the
@@ -115,7 +118,9 @@
 	now, boot := time.Now(), quarantine.Boot(bootID(p.up))
 	switch {
 	case end.verdict == answered:
-		g.answered(q)
+		if end.framed || end.events >= minClearingEvents {
+			g.answered(q)
+		}
 		return
 	case end.verdict == notSent && errors.Is(end.err, syscall.ECONNREFUSED):
 		g.upstreamRefused(p.up, now)
@@ -146,7 +151,7 @@
 
 // isBroken reports whether the other end closed or reset the connection.
 func isBroken(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errPartialEvent) ||
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errPartialEvent) || errors.Is(err, errNoEvent) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,7 +59,8 @@
 	timeToFirst time.Duration
 	// began is true once the last send has had the head of an answer, and attemptEvents
 	// counts the events that it has had.
-	began         bool
+	// framed is true when the answer shows by itself that it is whole.
+	began, framed bool
 	attemptEvents int
 	waiting       *waitingAttempt
 	// confidence is the model's own rating of the answer; negative when there is none.
@@ -69,6 +70,10 @@
 	buffer    []byte
 }
 
+// errNoEvent means that a stream without a length ended right after its head, as when the
+// upstream crashes there.
+var errNoEvent = errors.New("the stream ended before its first event")
+
 // errStrayHead means that the head of another answer follows an event.
 var errStrayHead = errors.New("the head of another answer is in the stream")
 
@@ -124,7 +129,7 @@
 // itself reported a failure; that answer is passed on if no other attempt succeeds.
 func (r *relay) attempt(p selection) (*answer, attemptResult, error) {
 	g, q := r.g, r.q
-	r.began, r.attemptEvents = false, 0
+	r.began, r.framed, r.attemptEvents = false, false, 0
 	start := time.Now()
 	s := g.loads.startSend(latencyGroup{q.service, p.choice.Model}, p.up.ID, p.choice)
 	if g.gossip != nil {
@@ -136,7 +141,7 @@
 	r.waiting = waiting
 	a, v, err := r.run(ctx, p, s, start)
 	held := g.crashes.done(waiting)
-	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: r.began, events: r.attemptEvents})
+	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: r.began, framed: r.framed, events: r.attemptEvents})
 	failed := (q.isUpstreamFault(v, err) && !held) || (a != nil && !a.restRequested)
 	s.finish(failureWeight(v, failed), time.Now())
 	switch {
@@ -164,7 +169,7 @@
 	if err != nil || v != answered {
 		return nil, v, err
 	}
-	r.began = true
+	r.began, r.framed = true, e.Framed()
 	r.confidence = head.Confidence
 	resp := e.Response()
 	if resp.StatusCode != http.StatusOK || !head.Sealed {
@@ -220,6 +225,9 @@
 	in := bufio.NewReaderSize(e, 2<<10)
 	for n := 0; ; n++ {
 		event, progress, err := r.nextEvent(in)
+		if errors.Is(err, io.EOF) && n == 0 && r.lastEventID == "" && !e.Framed() {
+			return errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			so.complete()
 			return nil
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -131,8 +131,8 @@
 	ctx, cancel := context.WithDeadline(q.in.Context(), limit)
 	defer cancel()
 	s := g.loads.startSend(latencyGroup{service: q.service}, p.up.ID, p.choice)
-	a, v, err := g.exchange(ctx, q, p)
-	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: true})
+	a, framed, v, err := g.exchange(ctx, q, p)
+	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: true, framed: framed})
 	failed := q.isUpstreamFault(v, err) || (a != nil && a.failed())
 	if v == answered {
 		s.promptDone()
@@ -174,22 +174,24 @@
 	return [...]string{"answered", "not sent", "not run", "not there", "unknown", "dropped"}[v]
 }
 
-func (g *Gateway) exchange(ctx context.Context, q *request, p selection) (*answer, attemptResult, error) {
+// exchange sends the request and reads the whole answer; framed is true when the answer shows
+// by itself that it is whole.
+func (g *Gateway) exchange(ctx context.Context, q *request, p selection) (a *answer, framed bool, v attemptResult, err error) {
 	e, head, v, err := g.sendRequest(ctx, q, p, q.call.ResumeAfter)
 	if err != nil || v != answered {
-		return nil, v, err
+		return nil, false, v, err
 	}
 	resp := e.Response()
 	body, err := e.ReadAll(maxAnswerBytes, q.reserveMemory)
 	if err != nil {
 		e.Abort()
-		return nil, outcomeUnknown, err
+		return nil, false, outcomeUnknown, err
 	}
 	e.Finish(g.pool, poolKey(p.up), head.KeepFor, time.Now())
 	if !head.Sealed {
-		return nil, outcomeUnknown, result.New(result.UpstreamFailed, "upstream %s sent no seal", p.up.ID)
+		return nil, false, outcomeUnknown, result.New(result.UpstreamFailed, "upstream %s sent no seal", p.up.ID)
 	}
-	return g.newAnswer(resp, head, body), answered, nil
+	return g.newAnswer(resp, head, body), e.Framed(), answered, nil
 }
 
 // newAnswer returns an upstream's complete answer.
