--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -29,12 +29,11 @@
 	// sent is true once the whole request was written.
 	sent bool
 	// err is set when no complete answer came.
-	err      error
-	sentAt   time.Time
-	endedAt  time.Time
-	header   http.Header
-	kept     bool
-	consumer *consumer
+	err error
+	// startedAt is when the consumer began to send.
+	startedAt time.Time
+	// kept is true when the connection had carried a request before.
+	kept bool
 }
 
 // consumer is one connection to a gateway, which it keeps open.
@@ -62,7 +61,7 @@
 // do sends one request and reads its answer.
 func (c *consumer) do(st *Stage, what string, q call) (a answer) {
 	st.log("send: %s %s, %d bytes", what, q.id, len(q.body))
-	defer func() { a.endedAt = time.Now() }()
+	a.startedAt = time.Now()
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, time.Second)
 		if err != nil {
@@ -82,7 +81,6 @@
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(q.body))
 	_ = c.conn.SetDeadline(time.Now().Add(q.deadline + time.Second))
-	a.sentAt = time.Now()
 	if _, err := c.conn.Write(b.Bytes()); err != nil {
 		a.err = err
 		c.close()
@@ -93,14 +91,14 @@
 		c.close()
 		return a
 	}
-	a.sent, a.sentAt = true, time.Now()
+	a.sent = true
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: q.method})
 	if err != nil {
 		a.err = err
 		c.close()
 		return a
 	}
-	a.status, a.seal, a.header = resp.StatusCode, resp.Header.Get(name("seal")), resp.Header
+	a.status, a.seal = resp.StatusCode, resp.Header.Get(name("seal"))
 	var body strings.Builder
 	_, err = io.Copy(&body, resp.Body)
 	a.body = body.String()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -10,6 +10,7 @@
 // cases are the plays by their names.
 var cases = map[string]func(st *Stage) int{
 	"bodies": playBodies,
+	"drill":  playDrill,
 	"rest":   playRest,
 }
 
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -20,11 +22,9 @@
 	started time.Time
 	changed chan struct{}
 	ln      net.Listener
-	// treat, if set, may take over a call; it returns true if it did.
-	treat func(w http.ResponseWriter, r *http.Request, serve func(http.ResponseWriter)) bool
-	// commitFault, if set, is asked before each transaction.
-	commitFault func(tx storeTx) commitFate
-	calls       int
+	// era counts the returns from a copy; away is true while the store answers nothing.
+	era  int
+	away bool
 }
 
 type rowKey struct{ table, part, key string }
@@ -44,15 +44,6 @@
 	Remove []storeRow `json:"remove"`
 }
 
-// commitFate is what becomes of a transaction.
-type commitFate struct {
-	// lost leaves the call without an answer; after is when it is done all the same.
-	lost  bool
-	after time.Duration
-	// never leaves the transaction undone.
-	never bool
-}
-
 func startStore() (*Store, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -118,18 +109,13 @@
 const storeTime = 4 * time.Millisecond // the sheet's time of one answer
 
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeTime)
 	s.mu.Lock()
-	s.calls++
-	treat := s.treat
+	away := s.away
 	s.mu.Unlock()
-	time.Sleep(storeTime)
-	if treat != nil && treat(w, r, func(w http.ResponseWriter) { s.serve(w, r) }) {
-		return
+	if away {
+		panic(http.ErrAbortHandler)
 	}
-	s.serve(w, r)
-}
-
-func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case name("list"):
 		s.list(w, r)
@@ -144,6 +130,7 @@
 
 func (s *Store) reply(w http.ResponseWriter, status int, rows []storeRow) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(name("era"), strconv.Itoa(s.era))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "morePages": false, "ver": s.ver, "nowMs": s.now()})
 }
@@ -169,6 +156,16 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for last := wait == 0; ; {
 		s.mu.Lock()
+		if s.away {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after > s.ver { // a version that this copy doesn't have
+			w.Header().Set(name("era"), strconv.Itoa(s.era))
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		rows := []storeRow{}
 		for _, c := range s.history {
 			if c.Table == q.Get("table") && c.Ver > after {
@@ -207,19 +204,6 @@
 			}
 		}
 	}
-	s.mu.Lock()
-	fault := s.commitFault
-	s.mu.Unlock()
-	fate := commitFate{}
-	if fault != nil {
-		fate = fault(tx)
-	}
-	if fate.lost {
-		if !fate.never {
-			time.AfterFunc(fate.after, func() { s.apply(tx) })
-		}
-		panic(http.ErrAbortHandler)
-	}
 	ok, current := s.apply(tx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -255,3 +239,34 @@
 	s.wake()
 	return true, nil
 }
+
+// storeCopy is what the store held at one moment.
+type storeCopy struct {
+	rows    map[rowKey]storeRow
+	history []storeRow
+	ver     uint64
+}
+
+func (s *Store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), ver: s.ver}
+}
+
+// leave makes the store answer nothing until it comes back.
+func (s *Store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+}
+
+// comeBack ends a drill: the store has lost what was written after the copy.
+func (s *Store) comeBack(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.ver = maps.Clone(c.rows), slices.Clone(c.history), c.ver
+	s.era++
+	s.away = false
+	s.wake()
+}
