--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -72,6 +72,23 @@
 	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, n/250, n%250+1)
 }
 
+// freeAddress returns IP:port of a loopback IP of its own, free for TCP and UDP.
+func (st *Stage) freeAddress() string {
+	for {
+		ln, err := net.Listen("tcp", st.freeHost()+":0")
+		if err != nil {
+			st.cannot("find a free port: %v", err)
+		}
+		address := ln.Addr().String()
+		udp, err := net.ListenPacket("udp4", address)
+		_ = ln.Close()
+		if err == nil {
+			_ = udp.Close()
+			return address
+		}
+	}
+}
+
 func (st *Stage) addRun(r run) {
 	st.log("run: request %s at %s (%s), %d bytes", r.id, r.replica, r.version, r.bodyBytes)
 	st.mu.Lock()
@@ -87,11 +104,11 @@
 
 // Gateway is one gateway process, which is started again when it ends, as the platform does.
 type Gateway struct {
-	stage    *Stage
-	name, ip string
-	listen   string
-	settings string
-	memoryMB int
+	stage               *Stage
+	name                string
+	listen, readyListen string
+	settings            string
+	memoryMB            int
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -101,10 +118,10 @@
 
 // gatewaySettings are the settings of a gateway on an edge machine of khl-galley, under the
 // names of deploy/gateway.json.tmpl.
-func (st *Stage) gatewaySettings(gatewayName, ip, zone string, memoryMB int) map[string]any {
+func (st *Stage) gatewaySettings(g *Gateway, zone string) map[string]any {
 	return map[string]any{
-		"name": gatewayName, "domain": zone, "listen": ip + ":8227", "readyListen": ip + ":8220", "adminListen": ip + ":9464",
-		"peerListen": ip + ":7340", "store": st.store.address(), "memoryMb": memoryMB, "grace": "8s",
+		"name": g.name, "domain": zone, "listen": g.listen, "readyListen": g.readyListen, "adminListen": "",
+		"peerListen": st.freeAddress(), "store": st.store.address(), "memoryMb": g.memoryMB, "grace": "8s",
 		"revokeWithin": "5000ms", "drainWithin": "2000ms", "configWithin": "2000ms", "repeatRatio": 0.9, "repeatSlack": 58,
 		"repeatWindow": "10s", "exposeShare": 0.15, "fairShares": true, "upstreamSpeeds": true, "engineMemory": false,
 		"crossDomainSecondsPerGB": 5000,
@@ -113,9 +130,8 @@
 
 // startGateway starts a gateway and waits until it is ready.
 func (st *Stage) startGateway(gatewayName, zone string, memoryMB int) *Gateway {
-	ip := st.freeHost()
-	g := &Gateway{stage: st, name: gatewayName, ip: ip, listen: ip + ":8227", memoryMB: memoryMB}
-	b, err := json.MarshalIndent(st.gatewaySettings(gatewayName, ip, zone, memoryMB), "", "  ")
+	g := &Gateway{stage: st, name: gatewayName, listen: st.freeAddress(), readyListen: st.freeAddress(), memoryMB: memoryMB}
+	b, err := json.MarshalIndent(st.gatewaySettings(g, zone), "", "  ")
 	if err != nil {
 		st.cannot("%v", err)
 	}
@@ -186,7 +202,7 @@
 
 // ready asks the question that the platform asks once a second.
 func (g *Gateway) ready() bool {
-	c, err := net.DialTimeout("tcp", g.ip+":8220", time.Second)
+	c, err := net.DialTimeout("tcp", g.readyListen, time.Second)
 	if err != nil {
 		return false
 	}
