--- a/review/stage/bodies.go
+++ b/review/stage/bodies.go
@@ -21,8 +21,9 @@
 	usualUsers = 4
 	hotFactor  = 7.5
 	hotTime    = 11 * time.Second
-	// bookers are consumers of another kind on connections that they keep.
-	bookers = 8
+	// bookers are consumers of another kind on connections that they keep, each with about
+	// three requests a second: together at most the sheet's 20.9.
+	bookers = 6
 )
 
 // playBodies: users of one tenant send drafts with long bodies. The disruption is that the
--- a/review/stage/rest.go
+++ b/review/stage/rest.go
@@ -23,7 +23,8 @@
 	restFor = "4"
 	// exposeShare and exposeSlack are the bounds of the rule.
 	exposeShare, exposeSlack = 0.15, 30
-	lookRate                 = 60
+	// bookRate is the requests a second of the plain service on the sheet, 20.9 and 8.39.
+	bookRate = 29
 )
 
 // playRest: a service is moved to a version that turns bad later. The disruption is that the
@@ -73,7 +74,7 @@
 			for ctx.Err() == nil {
 				q := call{id: newID(), method: "POST", path: bookPath + "x", key: firstKey, deadline: 1500 * time.Millisecond, body: make([]byte, 600)}
 				s.add(st, "galley-book", q, c.do(st, "galley-book", q))
-				time.Sleep(time.Duration(float64(time.Second) * consumers / lookRate * (0.5 + rand.Float64())))
+				time.Sleep(time.Duration(float64(time.Second) * consumers / bookRate * (0.5 + rand.Float64())))
 			}
 		})
 	}
