--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -17,27 +17,41 @@
 func (g *Gateway) mayEscalate(q *request) bool { return g.drawRetry(q, true) }
 
 func (g *Gateway) drawRetry(q *request, optional bool) bool {
-	demand := retrywindow.Demand{
-		All:      retrywindow.Bound{Ratio: g.settings().RepeatRatio, Slack: g.settings().RepeatSlack},
-		Gateways: 1, // a gateway without a gossip address assumes that it is the only one
-		Optional: optional,
-	}
 	now := time.Since(g.started)
 	g.retryBudgetsMu.Lock()
-	if g.gossip != nil {
-		demand.Gateways = g.retryGatewayCount.Max(g.gossip.Gateways(), now, g.settings().RepeatWindow)
-		demand.Round = peers.RoundInterval(demand.Gateways - 1)
+	demand := g.retryDemand(now)
+	demand.Optional = optional
+	budget := g.retryBudget(peers.Hash(q.service))
+	ok := budget.Extra(now, demand)
+	var state retrywindow.State
+	if !ok {
+		state = budget.State(now, demand)
 	}
-	ok := g.retryBudget(peers.Hash(q.service)).Extra(now, demand)
 	g.retryBudgetsMu.Unlock()
 	if !ok {
 		g.counters.retryBudgetSpent.Inc(1)
 		g.log.Event(component, "repeat denied", q.fields(zap.String("service", q.service), zap.Bool("optional", optional),
-			zap.Int("gateways", demand.Gateways))...)
+			zap.Int("gateways", demand.Gateways), zap.Int("requests", state.Requests), zap.Int("extra", state.Extra),
+			zap.Float64("left", state.Left), zap.Float64("share", state.Share), zap.Bool("wholeWindow", state.WholeWindow),
+			zap.Bool("told", state.Peers), zap.Float64("toldLeft", state.Told))...)
 	}
 	return ok
 }
 
+// retryDemand returns what a retry after a failure asks of a budget. The caller holds
+// retryBudgetsMu.
+func (g *Gateway) retryDemand(now time.Duration) retrywindow.Demand {
+	demand := retrywindow.Demand{
+		All:      retrywindow.Bound{Ratio: g.settings().RepeatRatio, Slack: g.settings().RepeatSlack},
+		Gateways: 1, // a gateway without a gossip address assumes that it is the only one
+	}
+	if g.gossip != nil {
+		demand.Gateways = g.retryGatewayCount.Max(g.gossip.Gateways(), now, g.settings().RepeatWindow)
+		demand.Round = peers.RoundInterval(demand.Gateways - 1)
+	}
+	return demand
+}
+
 // countRequest adds the request to its service's retry budget.
 func (g *Gateway) countRequest(q *request) {
 	g.retryBudgetsMu.Lock()
@@ -49,7 +63,7 @@
 func (g *Gateway) retryBudget(service uint32) *retrywindow.Fleet {
 	b := g.retryBudgets[service]
 	if b == nil {
-		b = retrywindow.NewFleet(g.settings().RepeatWindow)
+		b = retrywindow.NewFleet(g.settings().RepeatWindow, 0)
 		g.retryBudgets[service] = b
 	}
 	return b
@@ -59,9 +73,10 @@
 func (g *Gateway) addBudgets(n *gossipv1.News) {
 	now := time.Since(g.started)
 	g.retryBudgetsMu.Lock()
+	demand := g.retryDemand(now)
 	totals := make(map[uint32]retrywindow.Totals, len(g.retryBudgets))
 	for service, b := range g.retryBudgets {
-		totals[service] = b.Totals(now)
+		totals[service] = b.Totals(now, demand)
 	}
 	g.retryBudgetsMu.Unlock()
 	peers.AddBudgets(n, totals)
--- a/internal/peers/budgets.go
+++ b/internal/peers/budgets.go
@@ -8,7 +8,14 @@
 // AddBudgets adds to a gossip message what this gateway has counted for its retry budgets,
 // by the hash of the service.
 func AddBudgets(n *gossipv1.News, totals map[uint32]retrywindow.Totals) {
+	leftKnown := true
+	for _, t := range totals {
+		leftKnown = leftKnown && t.LeftKnown
+	}
 	for service, t := range totals {
+		if leftKnown {
+			n.BudgetLeft = append(n.BudgetLeft, t.Left)
+		}
 		n.BudgetServices = append(n.BudgetServices, service)
 		n.BudgetRequests, n.BudgetExtra = append(n.BudgetRequests, t.Requests), append(n.BudgetExtra, t.Extra)
 		n.BudgetWindowRequests = append(n.BudgetWindowRequests, t.WindowRequests)
@@ -26,10 +33,14 @@
 	}
 	out := make(map[uint32]retrywindow.Totals, all)
 	for i, service := range n.GetBudgetServices() {
-		out[service] = retrywindow.Totals{
+		t := retrywindow.Totals{
 			Requests: n.GetBudgetRequests()[i], Extra: n.GetBudgetExtra()[i],
 			WindowRequests: n.GetBudgetWindowRequests()[i], WindowExtra: n.GetBudgetWindowExtra()[i],
 		}
+		if len(n.GetBudgetLeft()) == all {
+			t.Left, t.LeftKnown = n.GetBudgetLeft()[i], true
+		}
+		out[service] = t
 	}
 	return out
 }
--- /dev/null
+++ b/internal/peers/budgets_test.go
@@ -0,0 +1,27 @@
+package peers
+
+import (
+	"testing"
+
+	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
+	"tarragonbay.example/tarragonbay/internal/retrywindow"
+)
+
+func TestBudgetsAreTold(t *testing.T) {
+	told := retrywindow.Totals{
+		Requests: 70, Extra: 12, WindowRequests: 40, WindowExtra: 9, Left: -3, LeftKnown: true,
+	}
+	n := &gossipv1.News{}
+	AddBudgets(n, map[uint32]retrywindow.Totals{7: told})
+	if got := decodeBudgets(n)[7]; got != told {
+		t.Errorf("decoded %+v, want %+v", got, told)
+	}
+	n.BudgetLeft = nil // as from a process that has not counted for a whole window, or an earlier build
+	if got := decodeBudgets(n)[7]; got.LeftKnown || got.Requests != told.Requests {
+		t.Errorf("without what is left: %+v", got)
+	}
+	n.BudgetExtra = nil
+	if got := decodeBudgets(n); got != nil {
+		t.Errorf("columns of different lengths are decoded as %v", got)
+	}
+}
--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -11,6 +11,10 @@
 type Totals struct {
 	Requests, Extra             uint64
 	WindowRequests, WindowExtra uint64
+	// Left is the number of extra sends that the gateway takes to be left of the bound of all
+	// gateways. LeftKnown is false while the gateway has not counted for a whole window.
+	Left      int64
+	LeftKnown bool
 }
 
 // Fleet limits the extra sends of one service at one gateway by what all gateways have
@@ -20,10 +24,16 @@
 // What is left of the bound is computed from the gateways that are heard. A gateway that is
 // silent keeps to its own requests, and so do the others: it only counts where it has used
 // more than its requests allow. Of what is left, each gateway uses its share of the
-// requests until its peers have heard of it, so all of them together use it once. It is not
-// safe for concurrent use.
+// requests until its peers have heard of it, so all of them together use it once.
+//
+// A process that has just started has lost what its predecessor counted, and what it is told
+// of the others' windows lacks those that have stopped. Until it has counted for a whole
+// window, it uses no more than the peers that have done so take to be left, and without such
+// a peer only its part of the slack. It is not safe for concurrent use.
 type Fleet struct {
-	span  time.Duration
+	span time.Duration
+	// since is when the gateway began to count.
+	since time.Duration
 	own   *Window
 	total Totals
 	peers map[string]*peer
@@ -55,6 +65,9 @@
 	// reservedShare is the share of the bound that optional sends leave for failed requests,
 	// besides one standard deviation.
 	reservedShare = 0.05
+	// sharedMargin is the share of the ratio that is used; the rest is for extra sends of
+	// gateways that ended before their peers heard of them.
+	sharedMargin = 0.98
 	// silentRounds is the number of rounds of gossip after which a gateway counts as silent.
 	silentRounds = 3
 	// maxLag is the longest time in which peers may not know of extra sends. Above it the
@@ -62,13 +75,17 @@
 	maxLag = time.Second
 	// minLag is the least time in which peers may not know of extra sends.
 	minLag = 100 * time.Millisecond
+	// vouchingShare is the share of the gateways that must have counted for a whole window
+	// before one that has not may use its fixed part.
+	vouchingShare = 0.75
 	// sumsTime is how long the sums of the peers are reused.
 	sumsTime = 50 * time.Millisecond
 )
 
-// NewFleet returns an empty count for windows of the given length.
-func NewFleet(span time.Duration) *Fleet {
-	return &Fleet{span: span, own: New(span), peers: map[string]*peer{}}
+// NewFleet returns an empty count for windows of the given length of a gateway that has
+// counted since the given time.
+func NewFleet(span, since time.Duration) *Fleet {
+	return &Fleet{span: span, since: since, own: New(span), peers: map[string]*peer{}}
 }
 
 // Request counts one request of a caller.
@@ -78,19 +95,23 @@
 }
 
 // Totals returns what this gateway tells its peers.
-func (f *Fleet) Totals(now time.Duration) Totals {
+func (f *Fleet) Totals(now time.Duration, d Demand) Totals {
 	requests, extra := f.own.counts(now)
 	t := f.total
 	t.WindowRequests, t.WindowExtra = uint64(requests), uint64(extra)
+	if t.LeftKnown = f.countsWholeWindow(now); t.LeftKnown {
+		left, _ := f.left(now, d)
+		t.Left = int64(math.Floor(left))
+	}
 	return t
 }
 
+// countsWholeWindow reports whether the gateway has counted for a whole window.
+func (f *Fleet) countsWholeWindow(now time.Duration) bool { return now-f.since >= f.span }
+
 // Heard records what a peer has told. Requests that were told late may lie before the
 // window, so they do not count; extra sends do.
 func (f *Fleet) Heard(name string, incarnation uint64, told Totals, now, round time.Duration) {
-	if silentRounds*round > maxLag {
-		return // fixed parts are in force
-	}
 	p := f.peers[name]
 	if p == nil {
 		p = &peer{incarnation: incarnation, total: told, heardAt: now, window: New(f.span)}
@@ -123,6 +144,30 @@
 	Optional bool
 }
 
+// State is what a gateway knows about a budget, for its log.
+type State struct {
+	// Requests and Extra are its own of the present window.
+	Requests, Extra int
+	// Left is what it takes to be left over all gateways, Share its part of that.
+	Left, Share float64
+	// WholeWindow is false while it has not counted for a whole window. Told is then the least
+	// that its peers take to be left; Peers is false if none of them has told.
+	WholeWindow bool
+	Told        float64
+	Peers       bool
+}
+
+// State returns what the decision on an extra send rests on.
+func (f *Fleet) State(now time.Duration, d Demand) State {
+	s := State{WholeWindow: f.countsWholeWindow(now)}
+	s.Requests, s.Extra = f.own.counts(now)
+	s.Left, s.Share = f.left(now, d)
+	if s.Told, s.Peers = f.toldLeft(now, d); !s.Peers {
+		s.Told = 0
+	}
+	return s
+}
+
 // Extra reports whether a request may be sent once more, and counts the send if so.
 func (f *Fleet) Extra(now time.Duration, d Demand) bool {
 	if !f.allows(now, d) {
@@ -139,24 +184,71 @@
 func (f *Fleet) allows(now time.Duration, d Demand) bool {
 	part := GatewayBound(d.All, d.Gateways)
 	whole, extraWhole := f.own.countsWhole(now)
-	lag := max(minLag, silentRounds*d.Round)
-	if lag > maxLag {
-		return float64(extraWhole+1) <= d.usable(part.Ratio*float64(whole)+part.Slack)
-	}
 	if float64(extraWhole+1) <= d.usable(part.Slack) {
 		return true
 	}
+	if d.lag() > maxLag {
+		return f.vouched(now, d) && float64(extraWhole+1) <= d.usable(part.Ratio*float64(whole)+part.Slack)
+	}
+	left, share := f.left(now, d)
+	if !f.countsWholeWindow(now) {
+		// Peers tell what is left for failed requests.
+		told, ok := f.toldLeft(now, d)
+		if !ok {
+			return false
+		}
+		left = min(left, d.usable(told))
+	}
+	_, unheard := f.unheard.countsWhole(now)
+	return float64(unheard+1) <= share*(left+float64(unheard))
+}
+
+// lag returns the time in which peers may not know of extra sends.
+func (d Demand) lag() time.Duration { return max(minLag, silentRounds*d.Round) }
+
+// left returns what is left of the bound over all gateways, and this gateway's share of it.
+func (f *Fleet) left(now time.Duration, d Demand) (left, share float64) {
+	lag := d.lag()
 	requests, extra := f.own.counts(now)
 	f.sumPeers(now, lag, d.All.Ratio)
 	if f.unheard == nil || f.unheard.span != lag {
 		f.unheard = New(lag)
 	}
 	all := float64(requests + f.sums.requests)
+	if all == 0 {
+		return 0, 0
+	}
 	// Extra sends allowed by a chance maximum of the requests still count when those are
 	// back at their mean: one standard deviation is kept back, which matters for few.
-	left := d.usable(d.All.Ratio*(all-math.Sqrt(all))) - float64(extra+f.sums.extra) - f.sums.excess
-	_, unheard := f.unheard.countsWhole(now)
-	return all > 0 && float64(unheard+1) <= float64(requests)/all*(left+float64(unheard))
+	left = d.usable(sharedMargin*d.All.Ratio*(all-math.Sqrt(all))) - float64(extra+f.sums.extra) - f.sums.excess
+	return left, float64(requests) / all
+}
+
+// toldLeft returns the least that peers which are heard take to be left; ok is false if none
+// has told.
+func (f *Fleet) toldLeft(now time.Duration, d Demand) (left float64, ok bool) {
+	left = math.Inf(1)
+	for _, p := range f.peers {
+		if p.total.LeftKnown && now-p.heardAt <= d.lag() {
+			left, ok = min(left, float64(p.total.Left)), true
+		}
+	}
+	return left, ok
+}
+
+// vouched reports whether most of the gateways that keep fixed parts have counted for a whole
+// window, so that the margin of the parts covers what the others have lost.
+func (f *Fleet) vouched(now time.Duration, d Demand) bool {
+	if f.countsWholeWindow(now) {
+		return true
+	}
+	counting := 0
+	for _, p := range f.peers {
+		if p.total.LeftKnown && now-p.heardAt <= d.lag() {
+			counting++
+		}
+	}
+	return float64(counting) >= vouchingShare*float64(d.Gateways)
 }
 
 // usable returns how much of a number of extra sends may be used. Optional ones leave some
--- a/internal/retrywindow/fleet_test.go
+++ b/internal/retrywindow/fleet_test.go
@@ -100,7 +100,11 @@
 		return false
 	}
 	if g.budget == nil {
-		*g = fleetGateway{budget: NewFleet(stormWindow), starts: g.starts + 1, nextRound: at + time.Duration(run.r.Int64N(int64(run.round)))}
+		began := fleetStart + at
+		if g.starts == 0 {
+			began = 0 // the fleet had run before
+		}
+		*g = fleetGateway{budget: NewFleet(stormWindow, began), starts: g.starts + 1, nextRound: at + time.Duration(run.r.Int64N(int64(run.round)))}
 	}
 	return true
 }
@@ -118,7 +122,7 @@
 		}
 		now := fleetStart + at
 		due := now + 5*time.Millisecond + time.Duration(run.r.Int64N(int64(50*time.Millisecond)))
-		run.wire = append(run.wire, told{due: due, from: i, to: j, incarnation: g.starts, totals: g.budget.Totals(now)})
+		run.wire = append(run.wire, told{due: due, from: i, to: j, incarnation: g.starts, totals: g.budget.Totals(now, run.demandOf(i, now))})
 	}
 }
 
@@ -130,13 +134,17 @@
 		run.requests = append(run.requests, now)
 	}
 	for range arrivals(run.r, run.demand(i)) {
-		d := Demand{All: fleetBound, Gateways: g.count.Max(len(run.fleet), now, stormWindow), Round: run.round}
-		if g.budget.Extra(now, d) {
+		if g.budget.Extra(now, run.demandOf(i, now)) {
 			run.extras = append(run.extras, now)
 		}
 	}
 }
 
+// demandOf returns an extra send that a gateway asks for.
+func (run *fleetRun) demandOf(i int, now time.Duration) Demand {
+	return Demand{All: fleetBound, Gateways: run.fleet[i].count.Max(len(run.fleet), now, stormWindow), Round: run.round}
+}
+
 // arrivals draws how many of a rate come in one step.
 func arrivals(r *rand.Rand, perSecond float64) int {
 	n := 0
--- /dev/null
+++ b/internal/retrywindow/restarts_test.go
@@ -0,0 +1,217 @@
+package retrywindow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// disruption is what happens to one gateway of a series.
+type disruption string
+
+const (
+	killed disruption = "killed"
+	// stopped gateways take no new callers for drainTime and then end.
+	stopped disruption = "stopped"
+)
+
+// Times of the series, of the order of those of a gateway on the users' platform.
+const (
+	drainTime   = 2900 * time.Millisecond
+	restartTime = 300 * time.Millisecond
+	seriesRound = 200 * time.Millisecond
+	// failuresFrom is when upstreams begin to fail 9 of 10 requests. A whole window of
+	// requests without extra sends lies before it, so the bound allows a burst then.
+	failuresFrom = 12 * time.Second
+	seriesEnd    = 58 * time.Second
+	seriesTime   = 75 * time.Second
+	seriesStep   = 2 * time.Millisecond
+)
+
+var seriesBound = Bound{Ratio: 0.9, Slack: 58}
+
+// series disrupts one of six gateways after the other while 36 callers send requests.
+type series struct {
+	of []disruption
+	// together disrupts all gateways at the same moment.
+	together bool
+	every    time.Duration
+	attempts int
+	// think is the pause of a caller after an answer.
+	think time.Duration
+
+	r        *rand.Rand
+	gateways []seriesGateway
+	callers  []seriesCaller
+	wire     []told
+	// requests and extras are when they happened.
+	requests, extras []time.Duration
+}
+
+type seriesGateway struct {
+	budget    *Fleet
+	starts    uint64
+	nextRound time.Duration
+	// The gateway is draining or down until these times.
+	draining, down time.Duration
+}
+
+type seriesCaller struct {
+	gateway, attempts int
+	nextAt            time.Duration
+}
+
+// play runs the series on the gateways' clocks, which start at fleetStart.
+func (s *series) play(seed uint64) {
+	s.r = rand.New(rand.NewPCG(seed, 1))
+	s.gateways, s.callers = make([]seriesGateway, 6), make([]seriesCaller, 36)
+	for i := range s.gateways {
+		s.gateways[i] = seriesGateway{budget: NewFleet(stormWindow, 0), starts: 1, nextRound: fleetStart + time.Duration(s.r.Int64N(int64(seriesRound)))}
+	}
+	for i := range s.callers {
+		s.callers[i] = seriesCaller{gateway: i % len(s.gateways), nextAt: fleetStart + time.Duration(s.r.Int64N(int64(time.Second)))}
+	}
+	next, victim := fleetStart+failuresFrom+time.Second, 0
+	for now := fleetStart; now < fleetStart+seriesTime; now += seriesStep {
+		if now >= next && now < fleetStart+seriesEnd {
+			s.disruptNext(victim, now)
+			next, victim = next+s.every, victim+1
+		}
+		s.step(now)
+	}
+}
+
+func (s *series) disruptNext(victim int, now time.Duration) {
+	d := s.of[s.r.IntN(len(s.of))]
+	if !s.together {
+		s.disrupt(victim%len(s.gateways), d, now)
+		return
+	}
+	for i := range s.gateways {
+		s.disrupt(i, d, now)
+	}
+}
+
+func (s *series) disrupt(i int, d disruption, now time.Duration) {
+	g := &s.gateways[i]
+	switch d {
+	case killed:
+		g.budget, g.down = nil, now+restartTime
+	case stopped:
+		g.draining = now + drainTime
+	}
+}
+
+func (s *series) step(now time.Duration) {
+	kept := s.wire[:0]
+	for _, m := range s.wire {
+		switch g := &s.gateways[m.to]; {
+		case m.due > now:
+			kept = append(kept, m)
+		case g.budget != nil:
+			g.budget.Heard(fmt.Sprint(m.from), m.incarnation, m.totals, now, seriesRound)
+		}
+	}
+	s.wire = kept
+	for i := range s.gateways {
+		s.run(i, now)
+	}
+	for i := range s.callers {
+		if c := &s.callers[i]; now >= c.nextAt {
+			s.call(c, now)
+		}
+	}
+}
+
+// run ends, starts and lets a gateway gossip when that is due.
+func (s *series) run(i int, now time.Duration) {
+	g := &s.gateways[i]
+	if g.draining > 0 && now >= g.draining {
+		g.budget, g.draining, g.down = nil, 0, now+restartTime
+	}
+	if g.budget == nil && now >= g.down {
+		*g = seriesGateway{budget: NewFleet(stormWindow, now), starts: g.starts + 1, nextRound: now}
+	}
+	if g.budget == nil || now < g.nextRound {
+		return
+	}
+	g.nextRound = now + seriesRound
+	for j := range s.gateways {
+		if j != i {
+			s.wire = append(s.wire, told{
+				due: now + seriesStep, from: i, to: j, incarnation: g.starts, totals: g.budget.Totals(now, s.demand()),
+			})
+		}
+	}
+}
+
+func (s *series) demand() Demand {
+	return Demand{All: seriesBound, Gateways: len(s.gateways), Round: seriesRound}
+}
+
+// call lets a caller send its next request, or its gateway send it once more.
+func (s *series) call(c *seriesCaller, now time.Duration) {
+	const attemptTime = 4 * time.Millisecond
+	g := &s.gateways[c.gateway]
+	switch {
+	case g.budget == nil, g.draining > 0 && c.attempts == 0:
+		*c = seriesCaller{gateway: s.r.IntN(len(s.gateways)), nextAt: now + attemptTime}
+		return
+	case c.attempts == 0:
+		g.budget.Request(now)
+		s.requests = append(s.requests, now)
+	case now >= fleetStart+failuresFrom && s.r.Float64() < 0.9 && c.attempts < s.attempts && g.budget.Extra(now, s.demand()):
+		s.extras = append(s.extras, now)
+	default:
+		c.attempts, c.nextAt = 0, now+s.think
+		return
+	}
+	c.attempts, c.nextAt = c.attempts+1, now+attemptTime
+}
+
+// mostUsed returns the largest share of the bound that a window of extra sends has used. The
+// requests are those of that window, the one before it or the one half a window before it,
+// whichever has most. Windows that reach beyond the last extra send are left out.
+func (s *series) mostUsed() float64 {
+	count := func(all []time.Duration, from time.Duration) float64 {
+		first, _ := slices.BinarySearch(all, from)
+		end, _ := slices.BinarySearch(all, from+stormWindow)
+		return float64(end - first)
+	}
+	most := 0.0
+	for _, from := range s.extras {
+		if from+stormWindow > s.extras[len(s.extras)-1] {
+			break
+		}
+		requests := max(count(s.requests, from), count(s.requests, from-stormWindow/2), count(s.requests, from-stormWindow))
+		most = max(most, count(s.extras, from)/(seriesBound.Ratio*requests+seriesBound.Slack))
+	}
+	return most
+}
+
+// TestGatewaysRestartedAfterABurstExceedTheBound guards against gateways that forget at a
+// restart what they have sent.
+func TestGatewaysRestartedAfterABurstExceedTheBound(t *testing.T) {
+	for _, c := range []series{
+		{of: []disruption{killed}, every: 1500 * time.Millisecond, attempts: 6, think: 100 * time.Millisecond},
+		{of: []disruption{killed}, every: 3 * time.Second, attempts: 6, think: 20 * time.Millisecond},
+		{of: []disruption{killed}, together: true, every: 4 * time.Second, attempts: 6, think: 20 * time.Millisecond},
+		{of: []disruption{stopped}, every: 1500 * time.Millisecond, attempts: 6, think: 100 * time.Millisecond},
+		{of: []disruption{stopped}, every: 3 * time.Second, attempts: 3, think: 20 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%v together %v every %v, %d attempts, think %v", c.of, c.together, c.every, c.attempts, c.think), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				s := c
+				s.play(seed)
+				if used := s.mostUsed(); used > 1 {
+					t.Errorf("seed %d: %.3f of the bound was used in a window", seed, used)
+				} else {
+					t.Logf("seed %d: %.3f of the bound was used in a window", seed, used)
+				}
+			}
+		})
+	}
+}
--- a/internal/retrywindow/retrywindow_test.go
+++ b/internal/retrywindow/retrywindow_test.go
@@ -50,7 +50,7 @@
 // and a stream whose upstream was given up was cut off midway.
 func TestChoicesLeaveRoomForFailures(t *testing.T) {
 	for _, round := range []time.Duration{200 * time.Millisecond, 2 * time.Second} { // what is left, and fixed shares
-		f, d := NewFleet(10*time.Second), Demand{All: Bound{Ratio: 0.9, Slack: 2.4}, Gateways: 1, Round: round}
+		f, d := NewFleet(10*time.Second, 0), Demand{All: Bound{Ratio: 0.9, Slack: 2.4}, Gateways: 1, Round: round}
 		for i := range 70 {
 			f.Request(time.Minute + time.Duration(i)*100*time.Millisecond)
 		}
