retrywindow: requests that are heard late count as new ones (BUDGET)

Cause: a gateway that was frozen reads the messages that waited in its socket at once. It counted the requests that they tell of at that moment, up to the length of the freeze after they were sent, so they counted beyond the end of their window; only the first of the messages was recognised as late. The window itself stood still while the machine was suspended.

Evidence: TestRequestsHeardAfterAFreezeOutliveTheWindow fails without the change (64 extra sends are left for one request).

Change: a message carries the sender's clock, so that the time it waited is known; one that waited longer than peers may be silent adds extra sends but no requests, and what it says is left does not count. Budgets run on the boot clock, which goes on while a machine is suspended. Messages of earlier builds carry no time and count as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	log             *eventlog.Log
 	bootClock       func() time.Duration
 	started         time.Time
+	// startedOnBootClock is the same on the boot clock.
+	startedOnBootClock time.Duration
 
 	pool         *h1.Pool
 	answerMemory *memoryBudget
@@ -128,7 +130,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		settingsFile: o.SettingsFile, proto: o.Protocol, docs: o.Documents, store: o.Store, log: o.Log,
-		bootClock: o.BootClock, started: time.Now(),
+		bootClock: o.BootClock, started: time.Now(), startedOnBootClock: o.BootClock(),
 		pool:         h1.NewPool(dialTimeout),
 		answerMemory: newMemoryBudget(o.Settings.MemoryMB),
 		loads:        newLoadTracker(),
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -17,7 +17,7 @@
 func (g *Gateway) mayEscalate(q *request) bool { return g.drawRetry(q, true) }
 
 func (g *Gateway) drawRetry(q *request, optional bool) bool {
-	now := time.Since(g.started)
+	now := g.sinceStart()
 	g.retryBudgetsMu.Lock()
 	demand := g.retryDemand(now)
 	demand.Optional = optional
@@ -38,6 +38,10 @@
 	return ok
 }
 
+// sinceStart returns the time since the start of the process, which includes the time in
+// which the machine was suspended: upstreams count that too.
+func (g *Gateway) sinceStart() time.Duration { return g.bootClock() - g.startedOnBootClock }
+
 // retryDemand returns what a retry after a failure asks of a budget. The caller holds
 // retryBudgetsMu.
 func (g *Gateway) retryDemand(now time.Duration) retrywindow.Demand {
@@ -56,7 +60,7 @@
 func (g *Gateway) countRequest(q *request) {
 	g.retryBudgetsMu.Lock()
 	defer g.retryBudgetsMu.Unlock()
-	g.retryBudget(peers.Hash(q.service)).Request(time.Since(g.started))
+	g.retryBudget(peers.Hash(q.service)).Request(g.sinceStart())
 }
 
 // retryBudget returns the budget of a service. The caller holds retryBudgetsMu.
@@ -71,7 +75,7 @@
 
 // addBudgets adds what this gateway has counted for its budgets to a gossip message.
 func (g *Gateway) addBudgets(n *gossipv1.News) {
-	now := time.Since(g.started)
+	now := g.sinceStart()
 	g.retryBudgetsMu.Lock()
 	demand := g.retryDemand(now)
 	totals := make(map[uint32]retrywindow.Totals, len(g.retryBudgets))
@@ -84,7 +88,7 @@
 
 // receiveBudgets adds what a peer has counted to the budgets.
 func (g *Gateway) receiveBudgets(from string, incarnation uint64, totals map[uint32]retrywindow.Totals) {
-	now, round := time.Since(g.started), peers.RoundInterval(g.gateways()-1)
+	now, round := g.sinceStart(), peers.RoundInterval(g.gateways()-1)
 	g.retryBudgetsMu.Lock()
 	defer g.retryBudgetsMu.Unlock()
 	for service, t := range totals {
--- a/internal/peers/budgets.go
+++ b/internal/peers/budgets.go
@@ -1,10 +1,15 @@
 package peers
 
 import (
+	"time"
+
 	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
 )
 
+// maxClockMS bounds a time that a gateway tells, in milliseconds; about a hundred years.
+const maxClockMS = 1 << 41
+
 // AddBudgets adds to a gossip message what this gateway has counted for its retry budgets,
 // by the hash of the service.
 func AddBudgets(n *gossipv1.News, totals map[uint32]retrywindow.Totals) {
@@ -13,6 +18,7 @@
 		leftKnown = leftKnown && t.LeftKnown
 	}
 	for service, t := range totals {
+		n.BudgetAtMs = uint64(t.At / time.Millisecond)
 		if leftKnown {
 			n.BudgetLeft = append(n.BudgetLeft, t.Left)
 		}
@@ -34,6 +40,7 @@
 	out := make(map[uint32]retrywindow.Totals, all)
 	for i, service := range n.GetBudgetServices() {
 		t := retrywindow.Totals{
+			At:       time.Duration(min(n.GetBudgetAtMs(), maxClockMS)) * time.Millisecond,
 			Requests: n.GetBudgetRequests()[i], Extra: n.GetBudgetExtra()[i],
 			WindowRequests: n.GetBudgetWindowRequests()[i], WindowExtra: n.GetBudgetWindowExtra()[i],
 		}
--- a/internal/peers/budgets_test.go
+++ b/internal/peers/budgets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
@@ -9,7 +10,7 @@
 
 func TestBudgetsAreTold(t *testing.T) {
 	told := retrywindow.Totals{
-		Requests: 70, Extra: 12, WindowRequests: 40, WindowExtra: 9, Left: -3, LeftKnown: true,
+		At: 1500 * time.Millisecond, Requests: 70, Extra: 12, WindowRequests: 40, WindowExtra: 9, Left: -3, LeftKnown: true,
 	}
 	n := &gossipv1.News{}
 	AddBudgets(n, map[uint32]retrywindow.Totals{7: told})
@@ -20,6 +21,10 @@
 	if got := decodeBudgets(n)[7]; got.LeftKnown || got.Requests != told.Requests {
 		t.Errorf("without what is left: %+v", got)
 	}
+	n.BudgetAtMs = 1 << 63
+	if got := decodeBudgets(n)[7]; got.At < 0 {
+		t.Errorf("a time out of range is decoded as %v", got.At)
+	}
 	n.BudgetExtra = nil
 	if got := decodeBudgets(n); got != nil {
 		t.Errorf("columns of different lengths are decoded as %v", got)
--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -9,6 +9,8 @@
 // those since its start, from which peers that hear each message get the difference, and
 // those of its present window for peers that hear it for the first time.
 type Totals struct {
+	// At is the time of the counts on the gateway's own clock, zero if it is not told.
+	At                          time.Duration
 	Requests, Extra             uint64
 	WindowRequests, WindowExtra uint64
 	// Left is the number of extra sends that the gateway takes to be left of the bound of all
@@ -49,7 +51,10 @@
 	incarnation uint64
 	total       Totals
 	heardAt     time.Duration
-	window      *Window
+	// offset is the least difference seen between this gateway's clock when a message was
+	// read and the peer's when it was sent.
+	offset time.Duration
+	window *Window
 }
 
 // peerSums adds up the peers.
@@ -98,6 +103,7 @@
 func (f *Fleet) Totals(now time.Duration, d Demand) Totals {
 	requests, extra := f.own.counts(now)
 	t := f.total
+	t.At = now - f.since
 	t.WindowRequests, t.WindowExtra = uint64(requests), uint64(extra)
 	if t.LeftKnown = f.countsWholeWindow(now); t.LeftKnown {
 		left, _ := f.left(now, d)
@@ -114,19 +120,24 @@
 func (f *Fleet) Heard(name string, incarnation uint64, told Totals, now, round time.Duration) {
 	p := f.peers[name]
 	if p == nil {
-		p = &peer{incarnation: incarnation, total: told, heardAt: now, window: New(f.span)}
+		p = &peer{incarnation: incarnation, total: told, heardAt: now, offset: now - told.At, window: New(f.span)}
 		p.window.spread(now, int(told.WindowRequests), int(told.WindowExtra))
 		f.peers[name] = p
 		return
 	}
 	if incarnation != p.incarnation {
-		p.incarnation, p.total = incarnation, Totals{}
+		p.incarnation, p.total, p.offset = incarnation, Totals{}, now-told.At
 	}
 	if told.Requests < p.total.Requests || told.Extra < p.total.Extra {
 		return // overtaken by a later message
 	}
+	// A message that waited, such as in the buffers of a process that was frozen, tells of
+	// requests that may lie before the window.
+	p.offset = min(p.offset, now-told.At)
+	late := told.At > 0 && now-told.At-p.offset > silentRounds*round
+	told.LeftKnown = told.LeftKnown && !late
 	b := p.window.bucket(now)
-	if now-p.heardAt <= silentRounds*round {
+	if !late && now-p.heardAt <= silentRounds*round {
 		b.requests += int(told.Requests - p.total.Requests)
 	}
 	b.extra += int(told.Extra - p.total.Extra)
--- a/internal/retrywindow/restarts_test.go
+++ b/internal/retrywindow/restarts_test.go
@@ -15,11 +15,14 @@
 	killed disruption = "killed"
 	// stopped gateways take no new callers for drainTime and then end.
 	stopped disruption = "stopped"
+	// frozen gateways do nothing for frozenTime; messages to them wait.
+	frozen disruption = "frozen"
 )
 
 // Times of the series, of the order of those of a gateway on the users' platform.
 const (
 	drainTime   = 2900 * time.Millisecond
+	frozenTime  = 2 * time.Second
 	restartTime = 300 * time.Millisecond
 	seriesRound = 200 * time.Millisecond
 	// failuresFrom is when upstreams begin to fail 9 of 10 requests. A whole window of
@@ -54,8 +57,8 @@
 	budget    *Fleet
 	starts    uint64
 	nextRound time.Duration
-	// The gateway is draining or down until these times.
-	draining, down time.Duration
+	// The gateway is draining, frozen or down until these times.
+	draining, frozen, down time.Duration
 }
 
 type seriesCaller struct {
@@ -101,6 +104,8 @@
 		g.budget, g.down = nil, now+restartTime
 	case stopped:
 		g.draining = now + drainTime
+	case frozen:
+		g.frozen = now + frozenTime
 	}
 }
 
@@ -108,7 +113,7 @@
 	kept := s.wire[:0]
 	for _, m := range s.wire {
 		switch g := &s.gateways[m.to]; {
-		case m.due > now:
+		case m.due > now || now < g.frozen:
 			kept = append(kept, m)
 		case g.budget != nil:
 			g.budget.Heard(fmt.Sprint(m.from), m.incarnation, m.totals, now, seriesRound)
@@ -134,7 +139,7 @@
 	if g.budget == nil && now >= g.down {
 		*g = seriesGateway{budget: NewFleet(stormWindow, now), starts: g.starts + 1, nextRound: now}
 	}
-	if g.budget == nil || now < g.nextRound {
+	if g.budget == nil || now < g.frozen || now < g.nextRound {
 		return
 	}
 	g.nextRound = now + seriesRound
@@ -156,6 +161,8 @@
 	const attemptTime = 4 * time.Millisecond
 	g := &s.gateways[c.gateway]
 	switch {
+	case now < g.frozen:
+		return
 	case g.budget == nil, g.draining > 0 && c.attempts == 0:
 		*c = seriesCaller{gateway: s.r.IntN(len(s.gateways)), nextAt: now + attemptTime}
 		return
@@ -192,14 +199,19 @@
 }
 
 // TestGatewaysRestartedAfterABurstExceedTheBound guards against gateways that forget at a
-// restart what they have sent.
+// restart what they have sent, or count requests that they hear of late.
 func TestGatewaysRestartedAfterABurstExceedTheBound(t *testing.T) {
+	all := []disruption{killed, stopped, frozen}
 	for _, c := range []series{
 		{of: []disruption{killed}, every: 1500 * time.Millisecond, attempts: 6, think: 100 * time.Millisecond},
 		{of: []disruption{killed}, every: 3 * time.Second, attempts: 6, think: 20 * time.Millisecond},
 		{of: []disruption{killed}, together: true, every: 4 * time.Second, attempts: 6, think: 20 * time.Millisecond},
 		{of: []disruption{stopped}, every: 1500 * time.Millisecond, attempts: 6, think: 100 * time.Millisecond},
 		{of: []disruption{stopped}, every: 3 * time.Second, attempts: 3, think: 20 * time.Millisecond},
+		{of: []disruption{frozen}, every: 3 * time.Second, attempts: 3, think: 20 * time.Millisecond},
+		{of: all, every: 3 * time.Second, attempts: 3, think: 100 * time.Millisecond},
+		{of: all, every: 3 * time.Second, attempts: 6, think: 20 * time.Millisecond},
+		{of: all, every: 1500 * time.Millisecond, attempts: 6, think: 20 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%v together %v every %v, %d attempts, think %v", c.of, c.together, c.every, c.attempts, c.think), func(t *testing.T) {
 			t.Parallel()
@@ -215,3 +227,31 @@
 		})
 	}
 }
+
+// TestRequestsHeardAfterAFreezeOutliveTheWindow guards against counting requests from the
+// time at which a frozen gateway reads the messages about them.
+func TestRequestsHeardAfterAFreezeOutliveTheWindow(t *testing.T) {
+	const freeze = 5 * time.Second
+	peer, f := NewFleet(stormWindow, 0), NewFleet(stormWindow, 0)
+	d := Demand{All: seriesBound, Gateways: 2, Round: seriesRound}
+	hear := func(now time.Duration, m Totals) { f.Heard("peer", 1, m, now, seriesRound) }
+	hear(fleetStart, peer.Totals(fleetStart, d))
+	var waiting []Totals
+	for at := seriesRound; at <= freeze; at += seriesRound {
+		if at <= time.Second {
+			for range 20 {
+				peer.Request(fleetStart + at)
+			}
+		}
+		waiting = append(waiting, peer.Totals(fleetStart+at, d))
+	}
+	for _, m := range waiting {
+		hear(fleetStart+freeze, m)
+	}
+	later := fleetStart + time.Second + stormWindow + seriesRound
+	hear(later, peer.Totals(later, d))
+	f.Request(later)
+	if left, _ := f.left(later, d); left > seriesBound.Ratio {
+		t.Errorf("%.0f extra sends are left for one request in the window", left)
+	}
+}
