retrywindow: peers' windows are kept only where they are used

Where fixed parts are in force, peers' messages are needed for whether they have counted for a window; their windows, 2 KB a peer and service, are not. Peers that are gone are forgotten there too.

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -54,6 +54,7 @@
 	// offset is the least difference seen between this gateway's clock when a message was
 	// read and the peer's when it was sent.
 	offset time.Duration
+	// window is nil while fixed parts are in force.
 	window *Window
 }
 
@@ -118,11 +119,10 @@
 // Heard records what a peer has told. Requests that were told late may lie before the
 // window, so they do not count; extra sends do.
 func (f *Fleet) Heard(name string, incarnation uint64, told Totals, now, round time.Duration) {
+	fixedParts := silentRounds*round > maxLag
 	p := f.peers[name]
-	if p == nil {
-		p = &peer{incarnation: incarnation, total: told, heardAt: now, offset: now - told.At, window: New(f.span)}
-		p.window.spread(now, int(told.WindowRequests), int(told.WindowExtra))
-		f.peers[name] = p
+	if p == nil || (p.window == nil) != fixedParts {
+		f.add(name, incarnation, told, now, fixedParts)
 		return
 	}
 	if incarnation != p.incarnation {
@@ -136,14 +136,35 @@
 	p.offset = min(p.offset, now-told.At)
 	late := told.At > 0 && now-told.At-p.offset > silentRounds*round
 	told.LeftKnown = told.LeftKnown && !late
-	b := p.window.bucket(now)
-	if !late && now-p.heardAt <= silentRounds*round {
-		b.requests += int(told.Requests - p.total.Requests)
+	if p.window != nil {
+		b := p.window.bucket(now)
+		if !late && now-p.heardAt <= silentRounds*round {
+			b.requests += int(told.Requests - p.total.Requests)
+		}
+		b.extra += int(told.Extra - p.total.Extra)
 	}
-	b.extra += int(told.Extra - p.total.Extra)
 	p.total, p.heardAt = told, now
 }
 
+// add adds a peer that is heard for the first time, and forgets those that are gone. The
+// peers' windows are not needed while fixed parts are in force.
+func (f *Fleet) add(name string, incarnation uint64, told Totals, now time.Duration, fixedParts bool) {
+	for other, p := range f.peers {
+		if f.gone(p, now) {
+			delete(f.peers, other)
+		}
+	}
+	p := &peer{incarnation: incarnation, total: told, heardAt: now, offset: now - told.At}
+	if !fixedParts {
+		p.window = New(f.span)
+		p.window.spread(now, int(told.WindowRequests), int(told.WindowExtra))
+	}
+	f.peers[name] = p
+}
+
+// gone reports whether all that a peer has told lies before the window.
+func (f *Fleet) gone(p *peer, now time.Duration) bool { return now-p.heardAt > f.span+f.span/buckets }
+
 // Demand is an extra send that is asked for.
 type Demand struct {
 	// All is the bound of all gateways, Gateways their number; zero while it is unknown.
@@ -277,15 +298,15 @@
 		return
 	}
 	f.sums, f.sumsAt = peerSums{}, now
-	for name, p := range f.peers {
+	for _, p := range f.peers {
+		if p.window == nil || f.gone(p, now) {
+			continue
+		}
 		requests, extra := p.window.counts(now)
-		switch silent := now - p.heardAt; {
-		case silent <= lag:
+		if now-p.heardAt <= lag {
 			f.sums.requests += requests
 			f.sums.extra += extra
-		case silent > f.span+f.span/buckets:
-			delete(f.peers, name)
-		default:
+		} else {
 			f.sums.excess += max(0, float64(extra)-ratio*float64(requests))
 		}
 	}
--- a/internal/retrywindow/restarts_test.go
+++ b/internal/retrywindow/restarts_test.go
@@ -255,3 +255,33 @@
 		t.Errorf("%.0f extra sends are left for one request in the window", left)
 	}
 }
+
+// TestRestartedGatewayOfALargeFleetUsesItsPart: with fixed parts, it does so while most
+// gateways have counted for a whole window, and uses its part of the slack alone otherwise.
+func TestRestartedGatewayOfALargeFleetUsesItsPart(t *testing.T) {
+	const gateways = 100
+	d := Demand{All: seriesBound, Gateways: gateways, Round: time.Second}
+	for _, c := range []struct {
+		counting int
+		want     int
+	}{
+		{counting: 80, want: 36}, // of 50 requests, by the part of the ratio
+		{counting: 40, want: 0},
+	} {
+		now := fleetStart + time.Second
+		f := NewFleet(stormWindow, fleetStart)
+		for i := range gateways - 1 {
+			f.Heard(fmt.Sprint(i), 1, Totals{At: now, LeftKnown: i < c.counting}, now, d.Round)
+		}
+		for range 50 {
+			f.Request(now)
+		}
+		got := 0
+		for f.Extra(now, d) {
+			got++
+		}
+		if got != c.want {
+			t.Errorf("%d of %d gateways have counted for a window: %d extra sends, want %d", c.counting, gateways, got, c.want)
+		}
+	}
+}
