A failure that quotes a long value is logged

Operators saw no line for an odd entry with a number of 60,000 digits or a state of as many bytes: the decoder's error quotes it, and lines over 2 kB are dropped and only counted. Cause: the text of an error in a line had no bound of its own. Change: eventlog.Error writes its first 256 bytes, which fit a line with all of them escaped.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -22,6 +22,9 @@
 	queueLines = 512
 	// maxLine bounds one line in bytes; the queue then holds at most 1 MB.
 	maxLine = 2 << 10
+	// maxErrorText bounds the text of a failure in bytes, which may quote what could not be
+	// read. A line has room for it even if each byte is escaped.
+	maxErrorText = 256
 	// perSecond and burst bound the lines, important ones included. They are
 	// ten times what one gateway writes on a quiet day.
 	perSecond = 400
@@ -77,13 +80,14 @@
 	l.Event(part, event, fields...)
 }
 
-// Error is the field of a failure: its text alone, without the places in the
+// Error is the field of a failure: the start of its text, without the places in the
 // code that it went through.
 func Error(err error) zap.Field {
 	if err == nil {
 		return zap.Skip()
 	}
-	return zap.String("error", err.Error())
+	text := err.Error()
+	return zap.String("error", text[:min(len(text), maxErrorText)])
 }
 
 // Dropped returns how many lines were lost to the budget and to a full queue,
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -65,6 +66,24 @@
 	}
 }
 
+// TestFailureThatQuotesWhatWasReadIsLogged guards against a failure that no line shows, since
+// its text is longer than a line.
+func TestFailureThatQuotesWhatWasReadIsLogged(t *testing.T) {
+	for _, quoted := range []string{"9", "\x00", "\xff", "\"", "\u20ac"} {
+		var buf bytes.Buffer
+		l := New(&buf)
+		l.Event("gateway", "entry ignored", zap.String("key", strings.Repeat("k", 200)), Error(errors.New("cannot read "+strings.Repeat(quoted, 60_000))))
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		if err := l.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(buf.String(), `"error":"cannot read `) || !json.Valid(buf.Bytes()) {
+			t.Errorf("%q repeated: %q", quoted, buf.String())
+		}
+	}
+}
+
 // TestRoutineIsSampledFirst: a flood of successes leaves room for refusals.
 func TestRoutineIsSampledFirst(t *testing.T) {
 	l := New(&bytes.Buffer{})
