An odd entry that is written again and again reaches peers once, without its bytes

Another writer's entry of 64 kB that names no upstream, written ten times a second beside three gateways: the two that follow the reads of the third missed changes 6 times each in 5 s and then read the table themselves, at the rate of the changes; all three logged the entry 30 times. In a large fleet that is the rate of reads that the store grants to all gateways, and the list stands still. Cause: the rows sent to peers held every value of such an entry; one that fits no datagram leaves out the sound rows beside it, and receivers see a gap. Change: fleet.Fleet knows the rows that name no upstream. The first one is logged and sent, without its value, since receivers drop the upstream whatever it holds; later values change nothing. Why it works: what a receiver needs to know of an odd entry is its name, which is at most 200 bytes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 )
 
@@ -48,6 +49,8 @@
 	restoredRev uint64
 	// keepUntil is the time before which no missing upstream is dropped.
 	keepUntil time.Time
+	// unusable holds the IDs whose rows name no upstream to use.
+	unusable map[string]bool
 	// gone holds the start time of the last boot of each upstream that was dropped, in
 	// Unix milliseconds, by ID.
 	gone map[string]int64
@@ -55,7 +58,7 @@
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{known: map[string]entry{}, missing: map[string]time.Time{}, gone: map[string]int64{}}
+	return &Fleet{known: map[string]entry{}, missing: map[string]time.Time{}, gone: map[string]int64{}, unusable: map[string]bool{}}
 }
 
 // StoreRestored records that the store was restored from a copy, at revision rev. Rows up to
@@ -85,6 +88,7 @@
 	}
 	_, missing := f.missing[u.ID]
 	delete(f.missing, u.ID)
+	delete(f.unusable, u.ID)
 	f.known[u.ID] = entry{Upstream: u, rev: rev}
 	return !ok || missing || old.Upstream != u
 }
@@ -92,18 +96,36 @@
 // Remove applies the removal of a row at a revision. The upstream counts as gone at
 // goneAt at the latest (see Expire), unless its row is put again before.
 func (f *Fleet) Remove(id string, rev uint64, goneAt time.Time) {
+	delete(f.unusable, id)
+	f.remove(id, rev, goneAt)
+}
+
+func (f *Fleet) remove(id string, rev uint64, goneAt time.Time) {
 	if old, ok := f.known[id]; ok && rev >= old.rev {
 		f.missing[id] = goneAt
 	}
 }
 
+// RemoveUnusable applies a row at a revision that names no upstream to use. An upstream that
+// had the row before is gone at once. It reports whether the row named one, or is new.
+func (f *Fleet) RemoveUnusable(id string, rev uint64) bool {
+	f.remove(id, rev, time.Time{})
+	known := f.unusable[id]
+	f.unusable[id] = true
+	return !known
+}
+
 // Advance records that all changes up to the revision were applied.
 func (f *Fleet) Advance(rev uint64) { f.rev = max(f.rev, rev) }
 
-// RemoveOthers applies a full list: upstreams that are not in it are missing and count as
-// gone at goneAt, since rows that expired while the store was unavailable are published
-// again shortly after it returns.
+// RemoveOthers applies a full list, which holds for each row whether it names an upstream to
+// use. Upstreams that are not in it are missing and count as gone at goneAt, since rows that
+// expired while the store was unavailable are published again shortly after it returns.
 func (f *Fleet) RemoveOthers(listed map[string]bool, goneAt time.Time) {
+	maps.DeleteFunc(f.unusable, func(id string, _ bool) bool {
+		_, ok := listed[id]
+		return !ok
+	})
 	for id := range f.known {
 		if _, waiting := f.missing[id]; !listed[id] && !waiting {
 			f.missing[id] = goneAt
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -57,6 +57,32 @@
 	}
 }
 
+// TestUnusableRows: only the first of several rows that name no upstream to use is news, and
+// the upstream that the row named before is dropped at once.
+func TestUnusableRows(t *testing.T) {
+	f := New()
+	f.Put(up(), 5)
+	if !f.RemoveUnusable("a", 6) || f.RemoveUnusable("a", 7) {
+		t.Error("want the first row alone to be news")
+	}
+	if gone := f.Expire(t0); len(gone) != 1 || ids(f) != 0 {
+		t.Errorf("dropped: %v", gone)
+	}
+	for name, end := range map[string]func(){
+		"removed": func() { f.Remove("a", 8, t0) }, "missing from a list": func() { f.RemoveOthers(map[string]bool{"b": true}, t0) },
+		"sound": func() { f.Put(up(), 8) },
+	} {
+		end()
+		if !f.RemoveUnusable("a", 9) {
+			t.Errorf("unusable again after it was %s, and no news", name)
+		}
+		f.RemoveOthers(map[string]bool{"a": false}, t0)
+		if f.RemoveUnusable("a", 10) {
+			t.Error("a list that still holds the row makes it news again")
+		}
+	}
+}
+
 // TestOldRowsAreIgnored checks that a row or a removal that is older than the known row
 // changes nothing.
 func TestOldRowsAreIgnored(t *testing.T) {
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -103,7 +103,7 @@
 
 // applyUpstreamRows applies rows in order and returns those that change more than an
 // upstream's heartbeat. A row that cannot be decoded counts as the removal of its
-// upstream.
+// upstream; its later values change nothing until it can be decoded.
 func (g *Gateway) applyUpstreamRows(known *fleet.Fleet, page store.Page, full bool, goneAt time.Time) (changed listChanges) {
 	changed.g = g
 	listed := map[string]bool{}
@@ -115,9 +115,12 @@
 		}
 		u, err := g.docs.Upstream(r)
 		if err != nil {
-			known.Remove(r.Name, r.Rev, time.Time{})
-			changed.rows = append(changed.rows, r)
-			g.log.Event(component, "upstream entry ignored", zap.String("upstream", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
+			listed[r.Name] = false
+			if known.RemoveUnusable(r.Name, r.Rev) {
+				r.Value = nil // peers need not read it, and it may exceed a datagram
+				changed.rows = append(changed.rows, r)
+				g.log.Event(component, "upstream entry ignored", zap.String("upstream", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
+			}
 			continue
 		}
 		u.Boot = peers.HashBoot(u.ID, u.Born)
