A shift goes on although the row of its state was overwritten or removed

With the row of a service's shift overwritten by something else, or removed, the roll-out never ended: its status stayed in_progress or missing, and every gateway repeated a conditional write several times a second, in vain. Cause: only a row that decodes told the revision for the next write's condition; one that decodes to no state (null, {}, the state of another service) was taken, under the name in it. Change: State.Check tells states that no gateway wrote: of another service, of no phase or of an order that is not older than the row. The row's revision is kept for the next write, which replaces it; a state known before is written again. Why it works: the row in the store is replaced under its own revision, so one write of one gateway ends the matter for all.

--- a/internal/gateway/shiftrestore.go
+++ b/internal/gateway/shiftrestore.go
@@ -6,7 +6,8 @@
 )
 
 // This file handles shifts whose state the store's tables do not show: after the store was
-// restored from an older copy, or while it cannot be written.
+// restored from an older copy, while it cannot be written, or since something else has
+// written there.
 
 // maxPastOrders bounds the earlier orders that are remembered per service.
 const maxPastOrders = 8
@@ -91,6 +92,21 @@
 	}
 }
 
+// loseRow records that a service's row was removed or holds no state: a known state must be
+// written again.
+func (tr *shiftTracker) loseRow(r store.Row) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	s := tr.shift(r.Name)
+	if r.Rev <= s.rev {
+		return
+	}
+	s.rev, s.unsaved = r.Rev, s.known
+	if r.Removed {
+		s.rev = store.RevAt(store.Era(r.Rev), 0)
+	}
+}
+
 // unsavedState returns the state of the order if it must be written again.
 func (tr *shiftTracker) unsavedState(o versionshift.Order) (versionshift.State, bool) {
 	tr.mu.Lock()
--- a/internal/gateway/shifts.go
+++ b/internal/gateway/shifts.go
@@ -48,16 +48,8 @@
 		now := time.Now()
 		holds := map[string]bool{}
 		for _, r := range u.page.Rows {
-			var st versionshift.State
-			if r.Removed {
-				continue
-			}
-			holds[r.Name] = true
-			if err := json.Unmarshal(r.Value, &st); err != nil {
-				g.log.Event(component, "shift state unreadable", zap.String("service", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
-				continue
-			}
-			g.applyShift(st, r.Rev)
+			holds[r.Name] = !r.Removed
+			g.applyShiftRow(r)
 		}
 		if u.full {
 			g.shifts.applyStateList(u.page.Rev, holds)
@@ -70,6 +62,26 @@
 	return nil
 }
 
+// applyShiftRow applies a row of the table of states. One that holds no state is replaced by
+// the next write.
+func (g *Gateway) applyShiftRow(r store.Row) {
+	var st versionshift.State
+	if r.Removed {
+		g.shifts.loseRow(r)
+		return
+	}
+	err := json.Unmarshal(r.Value, &st)
+	if err == nil {
+		err = st.Check(r.Name, r.Rev)
+	}
+	if err != nil {
+		g.shifts.loseRow(r)
+		g.log.Event(component, "shift state unreadable", zap.String("service", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
+		return
+	}
+	g.applyShift(st, r.Rev)
+}
+
 // stepShifts advances shifts as the evidence requires. Every gateway runs it; the
 // condition on the row's revision lets only one write succeed.
 func (g *Gateway) stepShifts(ctx context.Context) error {
