An odd row of the gateways' table no longer has every gateway read it without pause

A row with the address of a gateway under another name (a gateway that was renamed and killed leaves one): that gateway heard its own messages as those of an unlisted one, and read the table twice a second for good. A gateway's own row overwritten: every peer read the table twice a second for good, since it heard an unlisted one; with many gateways that takes the reads that the store grants for following upstreams and configurations, and the gateway stayed without gossip until it was started again. Rows with port 0, IPv6, broadcast or multicast addresses counted as gateways in every share of a limit. Cause: a message of an unlisted gateway had the table read however often that had been in vain, and no gateway looked at its own row. Change: a message under the own name and a row with the own address are left out; further reads for the same unlisted gateway come at intervals that double up to the regular one; a gateway whose row is missing or not its own writes it again at its next read; rows must name a single IPv4 host. Why it works: a first message still has the table read at once, and a row is written before its gateway sends any.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -125,6 +125,8 @@
 	reentryUntil time.Time
 	// listSoon triggers a read of the table before the regular interval has passed.
 	listSoon chan struct{}
+	// strangers are unlisted gateways that have sent messages.
+	strangers strangers
 }
 
 // listedGateway is a row of the gateway table.
@@ -168,12 +170,13 @@
 	}
 	t.setRowMissing(true)
 	for ctx.Err() == nil {
-		if t.isRowMissing() {
-			_, err := t.opts.Store.Commit(ctx, store.Txn{Set: []store.Row{{Key: t.key(), Value: value}}})
-			t.setRowMissing(err != nil)
+		t.writeMissingRow(ctx, value)
+		read := !t.isRowMissing() && t.refreshList(ctx)
+		if read {
+			t.writeMissingRow(ctx, value) // the list shows whether it holds this gateway's row
 		}
 		next := listInterval(t.Gateways())
-		if t.isRowMissing() || !t.refreshList(ctx) {
+		if !read || t.isRowMissing() {
 			next = retryDelay
 		}
 		timer := time.NewTimer(next)
@@ -193,6 +196,15 @@
 	return nil
 }
 
+// writeMissingRow writes this gateway's row if the table may lack it.
+func (t *Gossip) writeMissingRow(ctx context.Context, value []byte) {
+	if !t.isRowMissing() {
+		return
+	}
+	_, err := t.opts.Store.Commit(ctx, store.Txn{Set: []store.Row{{Key: t.key(), Value: value}}})
+	t.setRowMissing(err != nil)
+}
+
 // Reregister makes Register write this gateway's row again, since the store may have lost
 // it.
 func (t *Gossip) Reregister() {
@@ -238,15 +250,24 @@
 	}
 	all := map[string]listedGateway{}
 	names := map[string]bool{}
+	rowMissing := true
 	for _, r := range page.Rows {
 		var e gatewayRow
-		if err := json.Unmarshal(r.Value, &e); err != nil || r.Name == t.opts.Name {
-			continue // written by something else, or our own row
-		}
-		if a, err := netip.ParseAddrPort(e.Address); err == nil {
-			all[r.Name], names[r.Name] = listedGateway{address: a, domain: e.Domain}, true
+		err := json.Unmarshal(r.Value, &e)
+		switch {
+		case r.Name == t.opts.Name:
+			rowMissing = err != nil || e != gatewayRow{Address: t.opts.Address, Domain: t.opts.Domain}
+		case err != nil || e.Address == t.opts.Address:
+			// Written by something else, or by a gateway that had this one's address.
+		default:
+			if a, ok := parsePeer(e.Address); ok {
+				all[r.Name], names[r.Name] = listedGateway{address: a, domain: e.Domain}, true
+			}
 		}
 	}
+	if rowMissing {
+		t.setRowMissing(true)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -260,6 +281,7 @@
 			p.since = now
 		}
 		all[name] = p
+		t.strangers.forget(name)
 	}
 	for name, p := range t.listed {
 		if _, ok := all[name]; !ok && now.Before(t.reentryUntil) && t.Peers.isFresh(name, now) {
@@ -274,6 +296,13 @@
 	return true
 }
 
+// parsePeer returns the address of a row; ok is false unless it is that of a single host.
+func parsePeer(address string) (a netip.AddrPort, ok bool) {
+	a, err := netip.ParseAddrPort(address)
+	ip, broadcast := a.Addr(), netip.AddrFrom4([4]byte{255, 255, 255, 255})
+	return a, err == nil && a.Port() != 0 && ip.Is4() && !ip.IsUnspecified() && !ip.IsMulticast() && ip != broadcast
+}
+
 // Send sends a gossip message to all listed gateways in each round until ctx ends, and
 // additional messages for requests sent between two rounds.
 func (t *Gossip) Send(ctx context.Context) error {
@@ -362,6 +391,8 @@
 func (t *Gossip) handle(n *gossipv1.News, from netip.AddrPort) {
 	t.mu.Lock()
 	peer, known := t.listed[n.GetGateway()]
+	ask := !known && n.GetGateway() != t.opts.Name &&
+		t.strangers.heard(n.GetGateway(), time.Now(), listInterval(len(t.listed)+1))
 	t.mu.Unlock()
 	switch {
 	case known && n.GetReading() != nil:
@@ -377,6 +408,8 @@
 			t.dispatchNotices(n)
 		}
 		return
+	case !ask:
+		return
 	}
 	select {
 	case t.listSoon <- struct{}{}: // a gateway that has registered since the last read
