A stop lasts until the last accepted connection has been served

Cause: the drain loop ended when no request ran and the 50 ms for connections in the backlog were over. The listener's deadline and the loop's pause end at the same moment, so a connection may be accepted then and not be counted. http.Server.Shutdown gave its request 0.48 s and the process ended. Shutdown also closes a connection whose request has been read but whose state is still idle; the gateway did not know of that close and forwarded the request.

Change: the loop ends once the HTTP server has every accepted connection (acceptor.ended) and none has or expects a request; that check and the closing of what is idle happen under one lock, which marks the connections, so that a request read meanwhile is not forwarded (connTracker.closeAll). Shutdown is not called for callers. The moments of a stop are computed once (internal/graceperiod), so a reload of the settings does not move them.

The race inside Shutdown was found by reading and not reproduced; TestRequestReadAsTheStopClosesConnections covers what replaces it. go test -race ./internal/gateway ./internal/graceperiod and ./platform -run 'Stop|Close|Arrives' pass.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// closeAll closes all connections unless a request runs or is expected on one.
+func (tr *connTracker) closeAll(now time.Time) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if tr.runningLocked(now) > 0 {
+		return false
+	}
+	for c := range tr.states {
+		tr.closedIdle[c] = true
+		_ = c.Close() // no request of the connection was forwarded since its last answer
+	}
+	return true
+}
+
 // CloseIdle closes the callers' connections that have been idle since before now, as the
 // gateway itself does while it stops.
 func (g *Gateway) CloseIdle(now time.Time) { g.conns.closeIdle(now, 0) }
@@ -118,7 +132,11 @@
 func (tr *connTracker) running() int {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	n, now := tr.active, time.Now()
+	return tr.runningLocked(time.Now())
+}
+
+func (tr *connTracker) runningLocked(now time.Time) int {
+	n := tr.active
 	for _, s := range tr.states {
 		if s.expectsRequest(now) {
 			n++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"tarragonbay.example/tarragonbay/internal/exchange"
 	"tarragonbay.example/tarragonbay/internal/fleet"
 	"tarragonbay.example/tarragonbay/internal/gctune"
+	"tarragonbay.example/tarragonbay/internal/graceperiod"
 	"tarragonbay.example/tarragonbay/internal/h1"
 	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
@@ -104,11 +105,9 @@
 	// speedsSent is when the speeds of upstreams were last sent; only the sender of gossip
 	// uses it.
 	speedsSent time.Time
-	stopping   atomic.Bool
-	// stopStarted is when the stop began, as the time since the start on the monotonic
-	// clock.
-	stopStarted atomic.Int64
-	counters    *counters
+	// stopPlan is set once the gateway has been told to stop.
+	stopPlan atomic.Pointer[graceperiod.Plan]
+	counters *counters
 
 	// followers receive the reads of peers, by table.
 	followersMu sync.Mutex
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -4,16 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/explain"
-	"tarragonbay.example/tarragonbay/internal/result"
-	"tarragonbay.example/tarragonbay/internal/routetable"
 )
 
 // Limits on callers that apply before a configuration sets its own.
@@ -37,6 +35,13 @@
 type acceptor struct {
 	net.Listener
 	finishing atomic.Bool
+	// ended is closed once every accepted connection has been handed to the HTTP server.
+	ended     chan struct{}
+	endedOnce sync.Once
+}
+
+func newAcceptor(ln net.Listener) *acceptor {
+	return &acceptor{Listener: ln, ended: make(chan struct{})}
 }
 
 // backlogTimeout is how long connections in the backlog are still accepted after finish.
@@ -45,17 +50,18 @@
 // finish makes the listener accept the connections in the backlog and then end.
 func (a *acceptor) finish() error {
 	a.finishing.Store(true)
-	tcp, ok := a.Listener.(*net.TCPListener)
+	ln, ok := a.Listener.(interface{ SetDeadline(t time.Time) error })
 	if !ok {
 		return a.Close()
 	}
-	return tcp.SetDeadline(time.Now().Add(backlogTimeout))
+	return ln.SetDeadline(time.Now().Add(backlogTimeout))
 }
 
 // Accept implements net.Listener.
 func (a *acceptor) Accept() (net.Conn, error) {
 	c, err := a.Listener.Accept()
 	if err != nil && a.finishing.Load() {
+		a.endedOnce.Do(func() { close(a.ended) })
 		return nil, http.ErrServerClosed
 	}
 	return c, err
@@ -90,7 +96,7 @@
 			}
 			return nil, errors.Annotatef(err, "listen on %s", s.address)
 		}
-		out = append(out, &server{http: s.http, ln: &acceptor{Listener: ln}})
+		out = append(out, &server{http: s.http, ln: newAcceptor(ln)})
 	}
 	return out, nil
 }
@@ -117,72 +123,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-// Times of a drain.
-const (
-	// unreadyDelay is how long callers may still be sent here after the process reports
-	// itself unready: two missed readiness checks one second apart, and a margin.
-	unreadyDelay = 2600 * time.Millisecond
-	// maxAcceptShare is the maximum share of the grace period in which new connections are
-	// accepted. While most gateways of a failure domain stop, callers are sent to all of
-	// them; the rest of the grace period is for the requests on these connections.
-	maxAcceptShare = 0.5
-	// drainPollInterval is the interval between two checks for running requests.
-	drainPollInterval = 50 * time.Millisecond
-	// shutdownShare is the share of the grace period that is reserved for shutting down.
-	shutdownShare = 0.12
-)
-
-// refuseWhileStopping refuses a stream that arrives after callers have had the time to
-// move to another gateway, because the grace period would end in the middle of it.
-func (g *Gateway) refuseWhileStopping(q *request) *result.Error {
-	if !g.stopping.Load() || q.route.Kind != routetable.Stream ||
-		q.arrived.Sub(g.started)-time.Duration(g.stopStarted.Load()) < unreadyDelay {
-		return nil
-	}
-	return result.New(result.Stopping, "this gateway is stopping").WithRetryAfter(minRetryDelay)
-}
-
-// drain serves requests that still arrive, until none runs or the grace period is over.
-// The first server is the one for callers.
-func (g *Gateway) drain(servers []*server) {
-	start := time.Now()
-	accepts := true
-	stopAccepting := func() {
-		if accepts {
-			accepts = false
-			if err := servers[0].ln.finish(); err != nil {
-				g.log.Event(component, "listener not finished", eventlog.Error(err))
-			}
-		}
-	}
-	acceptUntil := max(unreadyDelay, time.Duration(maxAcceptShare*float64(g.settings().Grace)))
-	g.stopStarted.Store(int64(start.Sub(g.started)))
-	g.stopping.Store(true)
-	end := start.Add(time.Duration((1 - shutdownShare) * float64(g.settings().Grace)))
-	g.log.Event(component, "stopping", zap.Int("running", g.conns.running()), zap.Duration("graceMs", g.settings().Grace))
-	for now := start; now.Before(end); now = time.Now() {
-		if passed := now.Sub(start); passed >= unreadyDelay {
-			// Callers open their next connections at other gateways; no request that was
-			// read is dropped.
-			g.CloseIdle(now)
-			idle := g.conns.running() == 0
-			if idle && !accepts {
-				break
-			}
-			if idle || passed >= acceptUntil {
-				stopAccepting()
-			}
-		}
-		time.Sleep(drainPollInterval)
-	}
-	stopAccepting()
-	g.log.Event(component, "drained", zap.Int("running", g.conns.running()), zap.Duration("tookMs", time.Since(start)))
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), time.Duration(shutdownShare/2*float64(g.settings().Grace)))
-	defer cancel()
-	for _, s := range servers {
-		if err := s.http.Shutdown(shutdownCtx); err != nil {
-			g.log.Event(component, "cut at the end of the grace", zap.String("listener", s.ln.Addr().String()), eventlog.Error(err))
-		}
-	}
-}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -72,7 +72,7 @@
 // ready reports whether new callers should be sent to this gateway, and the reason if not.
 func (g *Gateway) ready() (bool, string) {
 	switch {
-	case g.stopping.Load():
+	case g.stopping():
 		return false, "stopping"
 	case g.routeTable.Load() == nil:
 		return false, "no configuration"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -213,7 +213,7 @@
 func (r *relay) writeHead(e *h1.Exchange) {
 	h := r.w.Header()
 	setHeaders(h, r.g.proto.ResponseHeaders(e.Response().Header))
-	if r.g.stopping.Load() {
+	if r.g.stopping() {
 		h.Set("Connection", "close")
 	}
 	r.w.WriteHeader(http.StatusOK)
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -275,7 +275,7 @@
 	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(a.body.Len()))
 	}
-	if g.stopping.Load() {
+	if g.stopping() {
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(a.status)
