Requests that outlast a stop get an answer

What callers saw: at the end of the grace period the connections of all requests under way were closed with no answer, also those of requests that may not be repeated, and the log did not name one of them: the line told the listener only, and the handlers ended after the process or logged "the caller went away".

Change: at 0.89 of the grace period every request whose answer has not begun ends: 504 (TB4003, may have run) if it was forwarded, 503 (TB3007, not run) if not, also while it waits for room. The attempt is not counted as a failure of its upstream. A stream that has begun goes on until connections are cut.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -69,9 +69,12 @@
 	}
 }
 
-// selectAllowed chooses an upstream unless the request is held, or has failed and is
-// suspected to crash upstreams.
+// selectAllowed chooses an upstream unless the gateway stops too soon for the request, or
+// the request is held, or has failed and is suspected to crash upstreams.
 func (g *Gateway) selectAllowed(q *request, failed bool) (selection, *result.Error) {
+	if err := g.refuseWhileStopping(q, time.Now()); err != nil {
+		return selection{}, err
+	}
 	suspicion, held := g.judge(q)
 	if held != nil {
 		return selection{}, held
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,23 +17,55 @@
 const (
 	// drainPollInterval is the interval between two checks for running requests.
 	drainPollInterval = 50 * time.Millisecond
-	// cutTimeout bounds the closing of the other listeners.
+	// cutTimeout bounds the wait for requests to end after their connections were cut, and
+	// the closing of the other listeners.
 	cutTimeout = 100 * time.Millisecond
 )
 
 // stopping reports whether the gateway has been told to stop.
 func (g *Gateway) stopping() bool { return g.stopPlan.Load() != nil }
 
+// answersDue reports whether the gateway stops so soon that every request must be answered.
+func (g *Gateway) answersDue() bool { return g.ending.Err() != nil }
+
 // refuseWhileStopping refuses a stream that arrives after callers have had the time to
-// move to another gateway, because the grace period would end in the middle of it.
-func (g *Gateway) refuseWhileStopping(q *request) *result.Error {
+// move to another gateway, and every request once answers are due.
+func (g *Gateway) refuseWhileStopping(q *request, _ time.Time) *result.Error {
 	plan := g.stopPlan.Load()
-	if plan == nil || q.route.Kind != routetable.Stream || q.arrived.Before(plan.Moved) {
+	if plan == nil || !g.answersDue() && (q.route.Kind != routetable.Stream || q.arrived.Before(plan.Moved)) {
 		return nil
 	}
 	return result.New(result.Stopping, "this gateway is stopping").WithRetryAfter(minRetryDelay)
 }
 
+// errStopped means that an attempt ended because the gateway stops.
+var errStopped = errors.New("the gateway stops")
+
+// stopCause marks the error of an attempt that ended when all answers were due.
+func (g *Gateway) stopCause(err error) error {
+	if err == nil || !g.answersDue() {
+		return err
+	}
+	return fmt.Errorf("%w: %v", errStopped, err) //nolint:errorlint // the text alone, since the upstream did not fail
+}
+
+// cutEvent names the end of a request whose connection is gone: usual unless a stop has cut it.
+func (g *Gateway) cutEvent(usual string) string {
+	if g.cut.Load() {
+		return "cut at the end of the grace"
+	}
+	return usual
+}
+
+// stoppingField tells how long ago a stop began.
+func (g *Gateway) stoppingField() zap.Field {
+	plan := g.stopPlan.Load()
+	if plan == nil {
+		return zap.Skip()
+	}
+	return zap.Duration("stoppingMs", time.Since(plan.Start))
+}
+
 // drain serves requests that still arrive, until none runs or the grace period is over.
 // The first server is the one for callers.
 func (g *Gateway) drain(servers []*server) {
@@ -42,7 +76,11 @@
 	if running := g.conns.running(); running > 0 {
 		g.log.Event(component, "connections cut", zap.Int("running", running))
 	}
+	g.cut.Store(true)
 	_ = servers[0].http.Close() // only its listener can fail to close, and that is closed already
+	for end := time.Now().Add(cutTimeout); g.conns.running() > 0 && time.Now().Before(end); {
+		time.Sleep(cutTimeout / 20)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
 	defer cancel()
 	for _, s := range servers[1:] {
@@ -66,6 +104,9 @@
 		}
 	}
 	for now := plan.Start; now.Before(plan.CutAt); now = time.Now() {
+		if !now.Before(plan.AnswerBy) {
+			g.endRequests()
+		}
 		if !now.Before(plan.Moved) {
 			// Callers open their next connections at other gateways; no request that was
 			// read is dropped.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,11 @@
 	speedsSent time.Time
 	// stopPlan is set once the gateway has been told to stop.
 	stopPlan atomic.Pointer[graceperiod.Plan]
+	// ending ends when a stop requires every request to be answered; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
+	// cut is true once a stop has closed the connections that were left.
+	cut      atomic.Bool
 	counters *counters
 
 	// followers receive the reads of peers, by table.
@@ -142,6 +147,7 @@
 		counters:     newCounters(o.Metrics),
 		retryBudgets: map[uint32]*retrywindow.Fleet{}, followers: map[string]*tableFollower{},
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.currentSettings.Store(&o.Settings)
 	g.storeContact.reset()
 	o.Metrics.GaugeFunc(component, "connections_opened", g.pool.Opened)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -36,7 +36,11 @@
 func (g *Gateway) refuse(w http.ResponseWriter, q *request, e *result.Error) {
 	g.counters.refused.Inc(1)
 	retry := q.retryAfter(e)
-	g.log.Event(component, "refused", q.fields(zap.String("code", e.Code.String()), zap.String("outcome", e.Outcome.String()),
+	event := "refused"
+	if e.Code == result.CallerGone {
+		event = g.cutEvent(event)
+	}
+	g.log.Event(component, event, q.fields(g.stoppingField(), zap.String("code", e.Code.String()), zap.String("outcome", e.Outcome.String()),
 		zap.Int("status", e.Code.HTTPStatus()), zap.Duration("retryAfterMs", retry), zap.String("why", e.Message),
 		zap.Duration("confirmedMsAgo", g.storeContact.age(g.bootClock())))...)
 	if e.Code == result.CallerGone {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -110,7 +110,7 @@
 		}
 		return result.New(result.NoSuchRoute, "no route matches the host and path")
 	}
-	if err := g.refuseWhileStopping(q); err != nil {
+	if err := g.refuseWhileStopping(q, q.arrived); err != nil {
 		return err
 	}
 	if err := g.checkKey(q); err != nil {
--- a/internal/gateway/rooms.go
+++ b/internal/gateway/rooms.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"strconv"
 	"sync"
@@ -132,11 +133,17 @@
 	if !held {
 		return func() {}, nil
 	}
-	permit, err := g.rooms.queue.Acquire(q.in.Context(), &admission.Request{
+	ctx, cancel := context.WithCancel(q.in.Context())
+	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
+	permit, err := g.rooms.queue.Acquire(ctx, &admission.Request{
 		Organisation: organisationName(flow), Target: q.service, Priority: int(flow.Rank), Deadline: q.deadline,
 		MaxWait: roomPatience(q.route, each),
 	})
 	if err != nil {
+		if stopping := g.refuseWhileStopping(q, time.Now()); stopping != nil && !q.callerGone() {
+			return nil, stopping
+		}
 		return nil, g.refuseForRoom(q, err)
 	}
 	waited := time.Since(now)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,6 +52,8 @@
 	w http.ResponseWriter
 	// started is true once the response head was sent to the caller.
 	started bool
+	// outlastEnding keeps the end of all answers from ending this stream.
+	outlastEnding func() bool
 	// lastEventID is the id of the last forwarded event.
 	lastEventID string
 	events      int
@@ -110,7 +112,7 @@
 // incomplete answer must not look complete.
 func (r *relay) abort(failure *result.Error) {
 	r.g.counters.abortedStreams.Inc(1)
-	r.g.log.Event(component, "stream cut", r.q.fields(zap.Int("events", r.events), zap.String("lastEvent", r.lastEventID),
+	r.g.log.Event(component, r.g.cutEvent("stream cut"), r.q.fields(r.g.stoppingField(), zap.Int("events", r.events), zap.String("lastEvent", r.lastEventID),
 		zap.String("code", failure.Code.String()), zap.String("why", failure.Error()))...)
 	panic(http.ErrAbortHandler)
 }
@@ -142,6 +144,9 @@
 	waiting := g.crashes.await(q, cancel)
 	r.waiting = waiting
 	a, v, err := r.run(ctx, p, s, start)
+	if !r.started {
+		err = g.stopCause(err)
+	}
 	held := g.crashes.done(waiting)
 	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: r.began, framed: r.framed, events: r.attemptEvents})
 	failed := (q.isUpstreamFault(v, err) && !held) || (a != nil && !a.restRequested)
@@ -164,6 +169,10 @@
 	g, q := r.g, r.q
 	headCtx, cancelHead := context.WithCancel(ctx)
 	defer cancelHead()
+	if !r.started {
+		r.outlastEnding = context.AfterFunc(g.ending, cancelHead)
+		defer r.outlastEnding()
+	}
 	canMove := q.route.Repeats() && q.sent+1 < q.route.MaxAttempts
 	silenceTimer := time.AfterFunc(maxSilence(q.route, r.started, canMove), cancelHead)
 	defer silenceTimer.Stop()
@@ -195,7 +204,7 @@
 	}
 	if err := r.copyEvents(e, s, silenceTimer, so); err != nil {
 		e.Abort()
-		if ctx.Err() == nil && headCtx.Err() != nil {
+		if ctx.Err() == nil && headCtx.Err() != nil && (r.started || !g.answersDue()) {
 			so.timedOut()
 		}
 		return nil, outcomeUnknown, err
@@ -211,6 +220,7 @@
 
 // writeHead sends the response head of the first upstream to the caller.
 func (r *relay) writeHead(e *h1.Exchange) {
+	r.outlastEnding()
 	h := r.w.Header()
 	setHeaders(h, r.g.proto.ResponseHeaders(e.Response().Header))
 	if r.g.stopping() {
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -96,9 +96,9 @@
 func (q *request) isUpstreamFault(v attemptResult, cause error) bool {
 	switch v {
 	case outcomeUnknown:
-		return !q.callerGone()
+		return !q.callerGone() && !errors.Is(cause, errStopped)
 	case notSent:
-		return !errors.Is(cause, errCallerLeft)
+		return !errors.Is(cause, errCallerLeft) && !errors.Is(cause, errStopped)
 	}
 	return v == misdirected
 }
@@ -113,6 +113,8 @@
 		return result.Wrap(cause, result.NoUpstream, "upstream %s cannot be reached", upstream).WithRetryAfter(jitter(shortRetryDelay))
 	case v == notRun || v == misdirected:
 		return result.Wrap(cause, result.UpstreamBusy, "upstream %s did not run the request", upstream).WithRetryAfter(jitter(shortRetryDelay))
+	case errors.Is(cause, errStopped):
+		return result.Wrap(cause, result.OutcomeUnknown, "this gateway stopped before upstream %s had answered", upstream)
 	case time.Now().After(q.deadline):
 		return result.Wrap(cause, result.DeadlineExceeded, "the deadline has passed")
 	}
@@ -136,8 +138,10 @@
 	}
 	ctx, cancel := context.WithDeadline(q.in.Context(), limit)
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	s := g.loads.startSend(latencyGroup{service: q.service}, p.up.ID, p.choice)
 	a, framed, v, err := g.exchange(ctx, q, p)
+	err = g.stopCause(err)
 	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: true, framed: framed})
 	failed := q.isUpstreamFault(v, err) || (a != nil && a.failed())
 	if v == answered {
--- a/internal/graceperiod/graceperiod.go
+++ b/internal/graceperiod/graceperiod.go
@@ -12,9 +12,10 @@
 	// accepted. While most processes of a failure domain stop, callers are sent to all of
 	// them; the rest of the grace period is for the requests on these connections.
 	maxAcceptShare = 0.5
-	// cutShare is the share of the grace period after which connections are closed. The rest
-	// is for ending the process.
-	cutShare = 0.93
+	// answerShare is the share of the grace period after which every request gets an answer,
+	// and cutShare that after which connections are closed. The rest is for ending the process.
+	answerShare = 0.89
+	cutShare    = 0.93
 )
 
 // Plan holds the moments of one stop.
@@ -25,6 +26,8 @@
 	Moved time.Time
 	// AcceptUntil is when the last connections are accepted.
 	AcceptUntil time.Time
+	// AnswerBy is when requests whose answer has not begun are answered with a failure.
+	AnswerBy time.Time
 	// CutAt is when the connections that are left are closed.
 	CutAt time.Time
 }
@@ -32,7 +35,7 @@
 // New returns the plan for a grace period that begins at start.
 func New(start time.Time, period time.Duration) Plan {
 	after := func(share float64) time.Time { return start.Add(time.Duration(share * float64(period))) }
-	p := Plan{Start: start, Moved: start.Add(unreadyDelay), AcceptUntil: after(maxAcceptShare), CutAt: after(cutShare)}
+	p := Plan{Start: start, Moved: start.Add(unreadyDelay), AcceptUntil: after(maxAcceptShare), AnswerBy: after(answerShare), CutAt: after(cutShare)}
 	if p.AcceptUntil.Before(p.Moved) {
 		p.AcceptUntil = p.Moved
 	}
