Refuse requests that the rest of the grace period does not hold

Cause: only streams were refused once callers had had the time to move. A plain request was forwarded whatever its deadline; the last ones come 5.3 s into a grace period of 8 s and were cut at 7.5 s.

Change: one pure decision, graceperiod.Plan.Holds: once callers have had the time to move (2.6 s), a request is sent to an upstream only if the attempt is given up before answers are due. It is asked before the body is read, and again before each attempt (after a slow body, a wait for room, or an upstream's "not run"). Otherwise the caller gets 503 (TB3007, not run) with Retry-After at once. A non-repeatable request or a stream needs all of its time, a repeatable one that of its first attempt. What may have run is not refused, since 503 promises that it has not. Streams use the same decision; short ones are taken now.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -11,7 +11,6 @@
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/graceperiod"
 	"tarragonbay.example/tarragonbay/internal/result"
-	"tarragonbay.example/tarragonbay/internal/routetable"
 )
 
 const (
@@ -28,11 +27,12 @@
 // answersDue reports whether the gateway stops so soon that every request must be answered.
 func (g *Gateway) answersDue() bool { return g.ending.Err() != nil }
 
-// refuseWhileStopping refuses a stream that arrives after callers have had the time to
-// move to another gateway, and every request once answers are due.
-func (g *Gateway) refuseWhileStopping(q *request, _ time.Time) *result.Error {
+// refuseWhileStopping refuses a request that the rest of the grace period does not hold.
+// It does not apply once an upstream may have run the request: no other gateway can take it
+// over then.
+func (g *Gateway) refuseWhileStopping(q *request, now time.Time) *result.Error {
 	plan := g.stopPlan.Load()
-	if plan == nil || !g.answersDue() && (q.route.Kind != routetable.Stream || q.arrived.Before(plan.Moved)) {
+	if plan == nil || !g.answersDue() && (q.mayHaveRun || plan.Holds(now, q.attemptLimit(now))) {
 		return nil
 	}
 	return result.New(result.Stopping, "this gateway is stopping").WithRetryAfter(minRetryDelay)
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"tarragonbay.example/tarragonbay/internal/graceperiod"
+	"tarragonbay.example/tarragonbay/internal/routetable"
 	"tarragonbay.example/tarragonbay/internal/settings"
 )
 
@@ -103,3 +105,41 @@
 		})
 	}
 }
+
+// TestRequestsRefusedInAStop: only what no upstream may have run is refused, so that 503
+// stays a promise.
+func TestRequestsRefusedInAStop(t *testing.T) {
+	start := time.Now()
+	late := start.Add(4 * time.Second)
+	once := &routetable.Route{Kind: routetable.Once, MaxAttempts: 2}
+	for _, c := range []struct {
+		name       string
+		stops, due bool
+		route      *routetable.Route
+		left       time.Duration
+		mayHaveRun bool
+		want       bool
+	}{
+		{"no stop", false, false, once, 6 * time.Second, false, false},
+		{"does not fit", true, false, once, 6 * time.Second, false, true},
+		{"fits", true, false, once, 3 * time.Second, false, false},
+		{"its first attempt fits", true, false, plainRoute, 6 * time.Second, false, false},
+		{"its first attempt does not fit", true, false, plainRoute, 9 * time.Second, false, true},
+		{"repeat of what may have run", true, false, plainRoute, 9 * time.Second, true, false},
+		{"answers are due", true, true, plainRoute, time.Second, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newTestGateway()
+			if plan := graceperiod.New(start, 8*time.Second); c.stops {
+				g.stopPlan.Store(&plan)
+			}
+			if c.due {
+				g.endRequests()
+			}
+			q := &request{deadline: late.Add(c.left), route: c.route, mayHaveRun: c.mayHaveRun}
+			if got := g.refuseWhileStopping(q, late) != nil; got != c.want {
+				t.Errorf("refused %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -110,13 +110,13 @@
 		}
 		return result.New(result.NoSuchRoute, "no route matches the host and path")
 	}
-	if err := g.refuseWhileStopping(q, q.arrived); err != nil {
-		return err
-	}
 	if err := g.checkKey(q); err != nil {
 		return err
 	}
 	q.setSize()
+	if err := g.refuseWhileStopping(q, q.arrived); err != nil {
+		return err
+	}
 	q.setWriteDeadline(w, q.deadline)
 	return q.readBody(w)
 }
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -91,6 +91,14 @@
 	return v == notSent || v == notRun || v == misdirected || q.route.Repeats()
 }
 
+// attemptLimit is when an attempt that begins now is given up.
+func (q *request) attemptLimit(now time.Time) time.Time {
+	if q.route.Kind == routetable.Repeatable && q.sent+1 < q.route.MaxAttempts {
+		return now.Add(time.Duration(firstAttemptShare * float64(q.timeLeft(now))))
+	}
+	return q.deadline
+}
+
 // isUpstreamFault reports whether an attempt without an answer counts as a failure of its
 // upstream.
 func (q *request) isUpstreamFault(v attemptResult, cause error) bool {
@@ -132,11 +140,7 @@
 // attemptUnary sends the request to one upstream and reads its answer.
 func (g *Gateway) attemptUnary(q *request, p selection) (*answer, attemptResult, error) {
 	now := time.Now()
-	limit := q.deadline
-	if q.route.Kind == routetable.Repeatable && q.sent+1 < q.route.MaxAttempts {
-		limit = now.Add(time.Duration(firstAttemptShare * float64(q.timeLeft(now))))
-	}
-	ctx, cancel := context.WithDeadline(q.in.Context(), limit)
+	ctx, cancel := context.WithDeadline(q.in.Context(), q.attemptLimit(now))
 	defer cancel()
 	defer context.AfterFunc(g.ending, cancel)()
 	s := g.loads.startSend(latencyGroup{service: q.service}, p.up.ID, p.choice)
--- a/internal/graceperiod/graceperiod.go
+++ b/internal/graceperiod/graceperiod.go
@@ -1,4 +1,5 @@
-// Package graceperiod divides the grace period of a process that stops.
+// Package graceperiod divides the grace period of a process that stops, and decides which
+// requests the rest of it holds.
 package graceperiod
 
 import "time"
@@ -41,3 +42,10 @@
 	}
 	return p
 }
+
+// Holds reports whether a request that is given up at limit may be sent to an upstream now.
+// Until Moved, its caller has nowhere else to go; later the request must be over before
+// AnswerBy even if it takes all of that time.
+func (p Plan) Holds(now, limit time.Time) bool {
+	return now.Before(p.Moved) || !limit.After(p.AnswerBy)
+}
