--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,7 @@
 	speedsSent time.Time
 	// stopPlan is set once the gateway has been told to stop.
 	stopPlan atomic.Pointer[graceperiod.Plan]
-	// ending ends when a stop requires every request to be answered; endRequests ends it.
+	// ending is cancelled, by endRequests, when a stop requires every request to be answered.
 	ending      context.Context
 	endRequests context.CancelFunc
 	// cut is true once a stop has closed the connections that were left.
