--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -91,14 +91,22 @@
 	return v == notSent || v == notRun || v == misdirected || q.route.Repeats()
 }
 
+// attemptLimit is when an attempt that begins now is given up.
+func (q *request) attemptLimit(now time.Time) time.Time {
+	if q.route.Kind == routetable.Repeatable && q.sent+1 < q.route.MaxAttempts {
+		return now.Add(time.Duration(firstAttemptShare * float64(q.timeLeft(now))))
+	}
+	return q.deadline
+}
+
 // isUpstreamFault reports whether an attempt without an answer counts as a failure of its
 // upstream.
 func (q *request) isUpstreamFault(v attemptResult, cause error) bool {
 	switch v {
 	case outcomeUnknown:
-		return !q.callerGone()
+		return !q.callerGone() && !errors.Is(cause, errStopped)
 	case notSent:
-		return !errors.Is(cause, errCallerLeft)
+		return !errors.Is(cause, errCallerLeft) && !errors.Is(cause, errStopped)
 	}
 	return v == misdirected
 }
@@ -113,6 +121,8 @@
 		return result.Wrap(cause, result.NoUpstream, "upstream %s cannot be reached", upstream).WithRetryAfter(jitter(shortRetryDelay))
 	case v == notRun || v == misdirected:
 		return result.Wrap(cause, result.UpstreamBusy, "upstream %s did not run the request", upstream).WithRetryAfter(jitter(shortRetryDelay))
+	case errors.Is(cause, errStopped):
+		return result.Wrap(cause, result.OutcomeUnknown, "this gateway stopped before upstream %s had answered", upstream)
 	case time.Now().After(q.deadline):
 		return result.Wrap(cause, result.DeadlineExceeded, "the deadline has passed")
 	}
@@ -130,14 +140,12 @@
 // attemptUnary sends the request to one upstream and reads its answer.
 func (g *Gateway) attemptUnary(q *request, p selection) (*answer, attemptResult, error) {
 	now := time.Now()
-	limit := q.deadline
-	if q.route.Kind == routetable.Repeatable && q.sent+1 < q.route.MaxAttempts {
-		limit = now.Add(time.Duration(firstAttemptShare * float64(q.timeLeft(now))))
-	}
-	ctx, cancel := context.WithDeadline(q.in.Context(), limit)
+	ctx, cancel := context.WithDeadline(q.in.Context(), q.attemptLimit(now))
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	s := g.loads.startSend(latencyGroup{service: q.service}, p.up.ID, p.choice)
 	a, framed, v, err := g.exchange(ctx, q, p)
+	err = g.stopCause(err)
 	g.recordAttemptEnd(q, p, attemptEnd{verdict: v, err: err, began: true, framed: framed})
 	failed := q.isUpstreamFault(v, err) || (a != nil && a.failed())
 	if v == answered {
@@ -275,7 +283,7 @@
 	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(a.body.Len()))
 	}
-	if g.stopping.Load() {
+	if g.stopping() {
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(a.status)
