A hold is saved although its row was overwritten

With the row of a hold in force overwritten by something that cannot be read, every gateway wrote it some four times a second, in vain. A row named 0a or A was taken for the hold a, whose own row then was removed, in vain, without pause once the hold had ended. Cause: rows that cannot be read told no revision for the condition of the next write, and a feature had several spellings. Change: the revision of a row that cannot be read is kept, and the next write replaces it while its hold is in force; only the spelling that gateways write names a hold. A row that cannot be read is not removed: a later build may have written it. Why it works: one write under the row's own revision ends the matter for all gateways.

--- a/internal/gateway/holds.go
+++ b/internal/gateway/holds.go
@@ -45,6 +45,8 @@
 type savedHold struct {
 	rev      uint64
 	features []quarantine.Feature
+	// unreadable is true for a row that no gateway of this build wrote.
+	unreadable bool
 }
 
 // holdRows are the rows of the hold table as far as they are known.
@@ -58,9 +60,14 @@
 
 func featureName(f quarantine.Feature) string { return strconv.FormatUint(uint64(f), 16) }
 
+// parseFeature is the inverse of featureName. It takes no other spelling of a number, since
+// that is the name of another row.
 func parseFeature(name string) (quarantine.Feature, error) {
 	n, err := strconv.ParseUint(name, 16, 64)
-	return quarantine.Feature(n), errors.Annotatef(err, "feature %q", name)
+	if f := quarantine.Feature(n); err == nil && featureName(f) == name {
+		return f, nil
+	}
+	return 0, errors.NotValidf("feature %q", name)
 }
 
 func featureNames(all []quarantine.Feature) string {
@@ -108,12 +115,12 @@
 		var h quarantine.Hold
 		if err == nil {
 			h, err = rows.decode(name, r.Value)
+			rows.saved[name] = savedHold{rev: r.Rev, features: h.Features, unreadable: err != nil}
 		}
 		if err != nil {
 			g.log.Event(component, "hold unreadable", zap.String("row", r.Name), zap.Uint64("rev", r.Rev), eventlog.Error(err))
 			continue
 		}
-		rows.saved[name] = savedHold{rev: r.Rev, features: h.Features}
 		if now.Before(h.Until) && c.tracker.Restore(h) {
 			changes = append(changes, quarantine.Change{Hold: h})
 		}
@@ -170,13 +177,13 @@
 	inForce := map[quarantine.Feature]bool{}
 	for _, h := range holds {
 		inForce[h.Name] = true
-		if s, saved := t.saved[h.Name]; !saved || !slices.Equal(s.features, h.Features) {
+		if s, saved := t.saved[h.Name]; !saved || s.unreadable || !slices.Equal(s.features, h.Features) {
 			row, err := t.encode(h)
 			return store.Txn{Expect: []store.Expect{{Key: row.Key, Rev: s.rev}}, Set: []store.Row{row}}, h.Name, true, err
 		}
 	}
 	for name, s := range t.saved {
-		if !inForce[name] {
+		if !inForce[name] && !s.unreadable {
 			return store.Txn{Expect: []store.Expect{{Key: holdKey(name), Rev: s.rev}}, Delete: []store.Key{holdKey(name)}}, name, true, nil
 		}
 	}
