A gateway that has missed many changes reads the newest configuration alone

Gateways that the store had turned away, or that were cut off, while a large configuration changed kept the old one for 15 s after it was back: callers with keys got 503. Cause: the store's feed returns every version of a row, so what a gateway asks for after an outage grows with each change: five versions of 1,450 routes are 2.7 MB, 2.2 s of a 10 Mbit/s link, of which it needs the last 0.45 s. It ended only when the store dropped the history (20 s) and the gateway listed its rows. Change: a gateway that a peer's read tells that it is behind, and whose last read is older than two intervals (1.5 s here), lists the operator's table; a call for the changes that is under way then is given up. The reader of the table still reads changes, which its peers need. Why it works: the size of a list doesn't depend on how often rows changed.

--- a/internal/following/tablereader.go
+++ b/internal/following/tablereader.go
@@ -14,6 +14,10 @@
 	// CheckInterval is the interval at which each of the other gateways calls the store
 	// itself, to check that it can reach it; zero for never.
 	CheckInterval time.Duration
+	// ReplacedWhole is true for a table of few rows that are replaced again and again: a
+	// gateway that has missed changes for long reads the rows, since the store returns
+	// every version of them as a change.
+	ReplacedWhole bool
 }
 
 // reachabilityChecksPerSecond bounds the calls that all gateways together make to check
@@ -40,6 +44,9 @@
 	// failingInterval is the time between two calls of a gateway that cannot reach the
 	// store while a peer reads for it.
 	failingInterval = 4.0
+	// relistAge is the age of the newest known read from which a gateway that is behind
+	// reads all rows of a table that is replaced whole.
+	relistAge = 2.0
 	// minCallInterval is the minimum time between two calls of a gateway that is behind,
 	// or that knows of no recent read and is not the table reader.
 	minCallInterval = 0.1
@@ -74,6 +81,8 @@
 	// call for up to Hold.
 	Call bool
 	Hold time.Duration
+	// List is true when the call should read all rows rather than the changes.
+	List bool
 	// SendToPeers is true when the result of the call should be sent to peers.
 	SendToPeers bool
 	// Wait is how long a gateway that does not call waits for readings from peers before
@@ -136,6 +145,12 @@
 	return pause
 }
 
+// Relists reports whether a gateway that knows that it is behind reads all rows rather than
+// the changes, which may be too many for its link.
+func (p ReadPolicy) Relists(lastReadAge time.Duration) bool {
+	return p.ReplacedWhole && lastReadAge > fraction(p.Interval, relistAge)
+}
+
 // Next returns a gateway's next action. Calls to the store are expensive, so of the
 // gateways that are alive and reach the store, only the first in the order of names reads
 // the table for all; any other gateway reads it as soon as it is behind or receives no
@@ -157,7 +172,7 @@
 		if wait := fraction(p.Interval, minCallInterval) - v.LastCallAge; wait > 0 {
 			return Action{Wait: wait}
 		}
-		return Action{Call: true, SendToPeers: !v.Behind}
+		return Action{Call: true, SendToPeers: !v.Behind, List: v.Behind && p.Relists(v.LastReadAge)}
 	case !isReader && p.CheckInterval > 0 && v.LastCallAge >= p.CheckInterval:
 		return Action{Call: true}
 	case !isReader:
--- a/internal/following/tablereader_test.go
+++ b/internal/following/tablereader_test.go
@@ -312,3 +312,33 @@
 		t.Errorf("tail after revision %d with %d rows", after, len(rows))
 	}
 }
+
+// TestGatewayThatMissedManyChangesReadsTheRows: a gateway that was cut off while a large
+// configuration changed many times asked for every version of it.
+func TestGatewayThatMissedManyChangesReadsTheRows(t *testing.T) {
+	replaced := ReadPolicy{Interval: 750 * time.Millisecond, LongPoll: true, ReplacedWhole: true}
+	changed := replaced
+	changed.ReplacedWhole = false
+	old := ReadState{LastCallAge: 4 * time.Second, LastReadAge: 4 * time.Second, LastEarlierPeerReadAge: 0, EarlierPeers: 3, Behind: true}
+	recent, failing, alone := old, old, old
+	recent.LastReadAge = time.Second
+	failing.Failing = true
+	alone.Behind, alone.LastEarlierPeerReadAge = false, Never
+	for _, c := range []struct {
+		name   string
+		policy ReadPolicy
+		state  ReadState
+		list   bool
+	}{
+		{"behind for long", replaced, old, true},
+		{"behind for long, its calls fail", replaced, failing, true},
+		{"behind for a moment", replaced, recent, false},
+		{"rows that change one by one", changed, old, false},
+		// Peers need the changes that it reads for them.
+		{"takes over as reader", replaced, alone, false},
+	} {
+		if got := c.policy.Next(c.state); !got.Call || got.List != c.list {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -31,7 +31,7 @@
 
 // operatorPolicy returns how often the operator's table is read.
 func (g *Gateway) operatorPolicy() following.ReadPolicy {
-	p := following.ReadPolicy{Interval: g.feedHold() / 2, LongPoll: true}
+	p := following.ReadPolicy{Interval: g.feedHold() / 2, LongPoll: true, ReplacedWhole: true}
 	if g.gossip != nil {
 		p.CheckInterval = g.bounds().CheckInterval(g.gossip.Gateways())
 	}
--- a/internal/gateway/tablefollower.go
+++ b/internal/gateway/tablefollower.go
@@ -200,7 +200,8 @@
 		case a := <-results:
 			return f.handleResult(a)
 		case t := <-f.peerReads:
-			if !f.listed || t.After > f.rev {
+			behind := f.listed && t.After > f.rev
+			if !f.listed || (behind && (action.List || !f.policy().Relists(f.readState(f.g.bootClock()).LastReadAge))) {
 				continue // the call returns the changes that the read lacks
 			}
 			cancel()
@@ -227,7 +228,7 @@
 // already seen is an error.
 func (f *tableFollower) fetch(ctx context.Context, action following.Action) (a callResult) {
 	a = callResult{action: action, update: update{broadcast: action.SendToPeers, answer: following.Response{SentAt: f.g.bootClock(), HoldTimeout: action.Hold}}}
-	if f.listed {
+	if f.listed && !action.List {
 		a.update.page, a.err = f.g.store.Feed(ctx, f.table, f.rev, action.Hold)
 		if a.historyLost = result.Is(a.err, result.HistoryGone); !a.historyLost {
 			return a
