retrywindow: requests of lost messages count as new ones (BUDGET)

A gateway that is frozen reads the messages that its socket buffer held, and the next one tells of everything since those that did not fit. Only the time since the last message was read was compared with the time after which a peer counts as silent, and the late messages had just been read. The requests of the whole freeze counted as those of one moment, up to 2.3 times the requests of a window in the test (25 s): 2,092 extra sends left where the bound is 901.

The time between two messages on the sender's clock is compared too. TestRequestsOfLostMessagesCountAsNewOnes failed before.

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -138,7 +138,9 @@
 	told.LeftKnown = told.LeftKnown && !late
 	if p.window != nil {
 		b := p.window.bucket(now)
-		if !late && now-p.heardAt <= silentRounds*round {
+		// Messages in between may have been lost.
+		gap := max(now-p.heardAt, told.At-p.total.At)
+		if !late && gap <= silentRounds*round {
 			b.requests += int(told.Requests - p.total.Requests)
 		}
 		b.extra += int(told.Extra - p.total.Extra)
