retrywindow: a peer whose clock fell behind counts as late for ever

The least difference of two clocks was kept for the life of a peer's process. Clocks that are 50 parts in a million apart differ by more than the 600 ms after which a message counts as late in 3.4 hours; a virtual machine that was paused for a second is late at once. All messages of such a peer were then late until it started again: its requests did not count, so repeats were denied while the bound was unused, and it was no peer that tells what is left.

The least difference of the last one to two windows is used. Only one step is made for each message read, so messages that waited for a freeze do not replace both. TestPeerWhoseClockFellBehindIsLateForever failed before (0 extra sends left for 1,000 requests). Found by review.

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -51,9 +51,7 @@
 	incarnation uint64
 	total       Totals
 	heardAt     time.Duration
-	// offset is the least difference seen between this gateway's clock when a message was
-	// read and the peer's when it was sent.
-	offset time.Duration
+	offset      leastOffset
 	// window is nil while fixed parts are in force.
 	window *Window
 }
@@ -126,15 +124,14 @@
 		return
 	}
 	if incarnation != p.incarnation {
-		p.incarnation, p.total, p.offset = incarnation, Totals{}, now-told.At
+		p.incarnation, p.total, p.offset = incarnation, Totals{}, leastOffset{}
 	}
 	if told.Requests < p.total.Requests || told.Extra < p.total.Extra {
 		return // overtaken by a later message
 	}
 	// A message that waited, such as in the buffers of a process that was frozen, tells of
 	// requests that may lie before the window.
-	p.offset = min(p.offset, now-told.At)
-	late := told.At > 0 && now-told.At-p.offset > silentRounds*round
+	late := told.At > 0 && now-told.At-p.offset.observe(now-told.At, now, f.span) > silentRounds*round
 	told.LeftKnown = told.LeftKnown && !late
 	if p.window != nil {
 		b := p.window.bucket(now)
@@ -156,7 +153,8 @@
 			delete(f.peers, other)
 		}
 	}
-	p := &peer{incarnation: incarnation, total: told, heardAt: now, offset: now - told.At}
+	p := &peer{incarnation: incarnation, total: told, heardAt: now}
+	p.offset.observe(now-told.At, now, f.span)
 	if !fixedParts {
 		p.window = New(f.span)
 		p.window.spread(now, int(told.WindowRequests), int(told.WindowExtra))
--- a/internal/retrywindow/gaps_test.go
+++ b/internal/retrywindow/gaps_test.go
@@ -31,3 +31,35 @@
 		t.Errorf("%.0f extra sends are left for 1000 requests in the window", left)
 	}
 }
+
+// TestPeerWhoseClockFellBehindIsLateForever guards against peers that count as silent since
+// their virtual machine was paused, or since clocks drift apart.
+func TestPeerWhoseClockFellBehindIsLateForever(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		clock func(at time.Duration) time.Duration
+	}{
+		{"paused", func(at time.Duration) time.Duration {
+			if at > 2*time.Hour {
+				return at - 2*time.Second
+			}
+			return at
+		}},
+		{"50 parts in a million apart", func(at time.Duration) time.Duration { return at - at/20000 }},
+	} {
+		f, d := NewFleet(stormWindow, 0), Demand{All: seriesBound, Gateways: 2, Round: seriesRound}
+		requests := uint64(0)
+		now := fleetStart
+		for ; now < 4*time.Hour; now += seriesRound {
+			requests += 20
+			f.Heard("peer", 1, Totals{At: c.clock(now), Requests: requests, WindowRequests: 1000, LeftKnown: true}, now, seriesRound)
+		}
+		f.Request(now)
+		if left, _ := f.left(now, d); left < 800 {
+			t.Errorf("%s: %.0f extra sends are left for 1000 requests in the window", c.name, left)
+		}
+		if _, ok := f.toldLeft(now, d); !ok {
+			t.Errorf("%s: the peer does not count as one that has told", c.name)
+		}
+	}
+}
