retrywindow: a peer heard again after a long cut uses up the bound

Extra sends that a peer made while it was not heard all counted as made at the moment it was heard again, those of a cut of minutes too; after a restart in the cut, or a message of an older process behind one of a newer, those of its whole life. What was left fell to thousands below zero, so the gateway denied repeats for a window, and told young peers so.

Of what a message adds, no more counts than what lies in the window that the message tells. TestPeerHeardAgainAfterALongCutUsesTheBoundUp failed before (-19,141 left for 1,000 requests).

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -138,9 +138,9 @@
 		// Messages in between may have been lost.
 		gap := max(now-p.heardAt, told.At-p.total.At)
 		if !late && gap <= silentRounds*round {
-			b.requests += int(told.Requests - p.total.Requests)
+			b.requests += int(min(told.Requests-p.total.Requests, told.WindowRequests))
 		}
-		b.extra += int(told.Extra - p.total.Extra)
+		b.extra += int(min(told.Extra-p.total.Extra, told.WindowExtra))
 	}
 	p.total, p.heardAt = told, now
 }
--- a/internal/retrywindow/gaps_test.go
+++ b/internal/retrywindow/gaps_test.go
@@ -63,3 +63,21 @@
 		}
 	}
 }
+
+// TestPeerHeardAgainAfterALongCutUsesTheBoundUp guards against counting extra sends that lie
+// before the window when a peer is heard again.
+func TestPeerHeardAgainAfterALongCutUsesTheBoundUp(t *testing.T) {
+	d := Demand{All: seriesBound, Gateways: 2, Round: seriesRound}
+	for _, incarnation := range []uint64{1, 2} {
+		f := NewFleet(stormWindow, 0)
+		f.Heard("peer", 1, Totals{At: time.Minute, Requests: 10, Extra: 5}, fleetStart, seriesRound)
+		now := fleetStart + 10*time.Minute
+		for range 1000 {
+			f.Request(now)
+		}
+		f.Heard("peer", incarnation, Totals{At: 11 * time.Minute, Requests: 60000, Extra: 20000, WindowRequests: 1000, WindowExtra: 100}, now, seriesRound)
+		if left, _ := f.left(now, d); left < 700 {
+			t.Errorf("incarnation %d: %.0f extra sends are left for 1000 requests in the window", incarnation, left)
+		}
+	}
+}
