retrywindow: extra sends that peers have not heard of are forgotten when a gateway joins (BUDGET)

The extra sends of the last three rounds are kept apart, so that a gateway uses its share of what is left once. The count was emptied when the length of a round changed, which is so with each gateway that joins or leaves a fleet of 22 and more. All gateways read of it at about the same time; each then used its share of what is left a second time.

The count is carried over. Found by review.

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -244,7 +244,7 @@
 	requests, extra := f.own.counts(now)
 	f.sumPeers(now, lag, d.All.Ratio)
 	if f.unheard == nil || f.unheard.span != lag {
-		f.unheard = New(lag)
+		f.unheard = f.unheard.resized(now, lag)
 	}
 	all := float64(requests + f.sums.requests)
 	if all == 0 {
--- a/internal/retrywindow/gaps_test.go
+++ b/internal/retrywindow/gaps_test.go
@@ -81,3 +81,25 @@
 		}
 	}
 }
+
+// TestSendsAreForgottenWhenTheRoundChanges guards against a gateway that uses its share twice
+// because a gateway joins or leaves while peers have not heard of its extra sends.
+func TestSendsAreForgottenWhenTheRoundChanges(t *testing.T) {
+	f, peer := NewFleet(stormWindow, 0), NewFleet(stormWindow, 0)
+	d := Demand{All: seriesBound, Gateways: 24, Round: 240 * time.Millisecond}
+	for range 1000 {
+		f.Request(fleetStart)
+		peer.Request(fleetStart)
+	}
+	f.Heard("peer", 1, peer.Totals(fleetStart, d), fleetStart, d.Round)
+	got := 0
+	for at := fleetStart; at < fleetStart+200*time.Millisecond; at += time.Millisecond {
+		for f.Extra(at, d) {
+			got++
+		}
+		d.Round = 250 * time.Millisecond
+	}
+	if half := int(seriesBound.Ratio * 1000); got > half {
+		t.Errorf("%d extra sends for half of 2000 requests, want at most %d", got, half)
+	}
+}
--- a/internal/retrywindow/retrywindow.go
+++ b/internal/retrywindow/retrywindow.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// resized returns a window of another length in which the extra sends of w, which may be nil,
+// count as made now.
+func (w *Window) resized(now, span time.Duration) *Window {
+	out := New(span)
+	if w != nil {
+		_, out.bucket(now).extra = w.countsWhole(now)
+	}
+	return out
+}
+
 // Request counts one request of a caller.
 func (w *Window) Request(now time.Duration) { w.bucket(now).requests++ }
 
