--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -44,6 +44,8 @@
 	// sums are those of the peers as of sumsAt.
 	sums   peerSums
 	sumsAt time.Duration
+	// sharedAt is when what is left was shared last, rather than fixed parts in force.
+	sharedAt time.Duration
 }
 
 // peer is what one other gateway has told.
@@ -52,7 +54,7 @@
 	total       Totals
 	heardAt     time.Duration
 	offset      leastOffset
-	// window is nil while fixed parts are in force.
+	// window is nil while only fixed parts are in force.
 	window *Window
 }
 
@@ -117,7 +119,7 @@
 // Heard records what a peer has told. Requests that were told late may lie before the
 // window, so they do not count; extra sends do.
 func (f *Fleet) Heard(name string, incarnation uint64, told Totals, now, round time.Duration) {
-	fixedParts := silentRounds*round > maxLag
+	fixedParts := silentRounds*round > maxLag && !f.sharedLately(now)
 	p := f.peers[name]
 	if p == nil || (p.window == nil) != fixedParts {
 		f.add(name, incarnation, told, now, fixedParts)
@@ -220,7 +222,12 @@
 		return true
 	}
 	if d.lag() > maxLag {
-		return f.vouched(now, d) && float64(extraWhole+1) <= d.usable(part.Ratio*float64(whole)+part.Slack)
+		if !f.vouched(now, d) || float64(extraWhole+1) > d.usable(part.Ratio*float64(whole)+part.Slack) {
+			return false
+		}
+		if !f.sharedLately(now) {
+			return true
+		}
 	}
 	left, share := f.left(now, d)
 	if !f.countsWholeWindow(now) {
@@ -235,12 +242,21 @@
 	return float64(unheard+1) <= share*(left+float64(unheard))
 }
 
+// sharedLately reports whether peers may have used this gateway's part within the window,
+// because what is left was shared until fixed parts came into force.
+func (f *Fleet) sharedLately(now time.Duration) bool {
+	return f.sharedAt > 0 && now-f.sharedAt <= f.span+f.span/buckets
+}
+
 // lag returns the time in which peers may not know of extra sends.
 func (d Demand) lag() time.Duration { return max(minLag, silentRounds*d.Round) }
 
 // left returns what is left of the bound over all gateways, and this gateway's share of it.
 func (f *Fleet) left(now time.Duration, d Demand) (left, share float64) {
 	lag := d.lag()
+	if lag <= maxLag && f.countsWholeWindow(now) {
+		f.sharedAt = now
+	}
 	requests, extra := f.own.counts(now)
 	f.sumPeers(now, lag, d.All.Ratio)
 	if f.unheard == nil || f.unheard.span != lag {
--- a/internal/retrywindow/gaps_test.go
+++ b/internal/retrywindow/gaps_test.go
@@ -1,6 +1,7 @@
 package retrywindow
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -103,3 +104,35 @@
 		t.Errorf("%d extra sends for half of 2000 requests, want at most %d", got, half)
 	}
 }
+
+// TestFleetThatGrowsToFixedPartsUsesTheBoundTwice guards against fixed parts that a few
+// gateways have used up while what is left was shared.
+func TestFleetThatGrowsToFixedPartsUsesTheBoundTwice(t *testing.T) {
+	const grows = 20 * time.Second
+	for seed := range uint64(3) {
+		run := fleetRun{r: rand.New(rand.NewPCG(seed, 7)), fleet: make([]fleetGateway, 33), round: 330 * time.Millisecond}
+		run.perSecond = func(int) float64 { return 14 }
+		for at := time.Duration(0); at < fleetTime; at += fleetStep {
+			if at == grows {
+				run.fleet, run.round = append(run.fleet, fleetGateway{}), 340*time.Millisecond
+			}
+			run.demand = func(g int) float64 {
+				if at > 14*time.Second && (g < 9) == (at < grows) {
+					return 200
+				}
+				return 0
+			}
+			run.deliver(fleetStart + at)
+			for i := range run.fleet {
+				if run.startOrStop(i, at) {
+					run.gossip(i, at)
+					run.send(i, fleetStart+at)
+				}
+			}
+		}
+		check(t, len(run.fleet), seed, fleetBound, stormWindow, run.requests, run.extras)
+		if used := usedShare(run.requests, run.extras); used < 0.5 {
+			t.Errorf("seed %d: %.2f of the bound was used", seed, used)
+		}
+	}
+}
