--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -63,6 +63,8 @@
 	at      time.Time // when the message was received
 	// The hashes of sessions that run on the old and on the new version of a shift.
 	oldSessions, newSessions map[uint32]bool
+	// former are the sessions of the peer's process before this one.
+	former formerSessions
 	// speeds is the peer's last report on the speeds of upstreams, which is not in every
 	// message.
 	speeds speedReport
@@ -70,6 +72,16 @@
 	added []addedRequest
 }
 
+// formerSessions are the sessions in the last message of a process that has ended.
+type formerSessions struct {
+	at       time.Time
+	old, new map[uint32]bool
+}
+
+// formerSessionTime is how long the sessions of an ended process count, which is as long as a
+// gateway keeps a session on its version.
+const formerSessionTime = 10 * time.Second
+
 // addedRequest is a request that a peer has sent to an upstream since its last full message.
 type addedRequest struct {
 	upstream uint32
@@ -105,6 +117,13 @@
 	} else if old != nil {
 		h.speeds = old.speeds
 	}
+	switch {
+	case old == nil:
+	case old.message.GetIncarnation() != n.GetIncarnation():
+		h.former = formerSessions{at: old.at, old: old.oldSessions, new: old.newSessions}
+	case now.Sub(old.former.at) <= formerSessionTime:
+		h.former = old.former
+	}
 	b.peers[n.GetGateway()] = h
 	return true
 }
@@ -283,8 +302,8 @@
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	for _, h := range b.peers {
-		onOld = onOld || h.oldSessions[hash]
-		onNew = onNew || h.newSessions[hash]
+		onOld = onOld || h.oldSessions[hash] || h.former.old[hash]
+		onNew = onNew || h.newSessions[hash] || h.former.new[hash]
 	}
 	return onOld, onNew
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -379,3 +379,21 @@
 		table.Evidence("s", 9, t0)
 	}
 }
+
+// TestRestartedPeersSessionsLoseTheirVersion guards against callers of a gateway that was
+// stopped, whose sessions go on at others and on the other version of a shift.
+func TestRestartedPeersSessionsLoseTheirVersion(t *testing.T) {
+	b, now := NewPeerTable(), time.Unix(1000, 0)
+	b.Record(&gossipv1.News{Gateway: "peer", Incarnation: 1, Number: 9, OldSessions: []uint32{Hash("kept")}, NewSessions: []uint32{Hash("moved")}}, now)
+	for i := range uint32(60) {
+		after := time.Duration(i+1) * 200 * time.Millisecond
+		b.Record(&gossipv1.News{Gateway: "peer", Incarnation: 2, Number: i + 1}, now.Add(after))
+		want := after <= formerSessionTime
+		if onOld, _ := b.SessionVersions("kept"); onOld != want {
+			t.Fatalf("on the old version %v after the last message of the process before: %v", after, onOld)
+		}
+		if _, onNew := b.SessionVersions("moved"); onNew != want {
+			t.Fatalf("on the new version %v after the last message of the process before: %v", after, onNew)
+		}
+	}
+}
