--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -44,6 +44,8 @@
 	// sums are those of the peers as of sumsAt.
 	sums   peerSums
 	sumsAt time.Duration
+	// sharedAt is when what is left was shared last, rather than fixed parts in force.
+	sharedAt time.Duration
 }
 
 // peer is what one other gateway has told.
@@ -51,10 +53,8 @@
 	incarnation uint64
 	total       Totals
 	heardAt     time.Duration
-	// offset is the least difference seen between this gateway's clock when a message was
-	// read and the peer's when it was sent.
-	offset time.Duration
-	// window is nil while fixed parts are in force.
+	offset      leastOffset
+	// window is nil while only fixed parts are in force.
 	window *Window
 }
 
@@ -119,29 +119,30 @@
 // Heard records what a peer has told. Requests that were told late may lie before the
 // window, so they do not count; extra sends do.
 func (f *Fleet) Heard(name string, incarnation uint64, told Totals, now, round time.Duration) {
-	fixedParts := silentRounds*round > maxLag
+	fixedParts := silentRounds*round > maxLag && !f.sharedLately(now)
 	p := f.peers[name]
 	if p == nil || (p.window == nil) != fixedParts {
 		f.add(name, incarnation, told, now, fixedParts)
 		return
 	}
 	if incarnation != p.incarnation {
-		p.incarnation, p.total, p.offset = incarnation, Totals{}, now-told.At
+		p.incarnation, p.total, p.offset = incarnation, Totals{}, leastOffset{}
 	}
 	if told.Requests < p.total.Requests || told.Extra < p.total.Extra {
 		return // overtaken by a later message
 	}
 	// A message that waited, such as in the buffers of a process that was frozen, tells of
 	// requests that may lie before the window.
-	p.offset = min(p.offset, now-told.At)
-	late := told.At > 0 && now-told.At-p.offset > silentRounds*round
+	late := told.At > 0 && now-told.At-p.offset.observe(now-told.At, now, f.span) > silentRounds*round
 	told.LeftKnown = told.LeftKnown && !late
 	if p.window != nil {
 		b := p.window.bucket(now)
-		if !late && now-p.heardAt <= silentRounds*round {
-			b.requests += int(told.Requests - p.total.Requests)
+		// Messages in between may have been lost.
+		gap := max(now-p.heardAt, told.At-p.total.At)
+		if !late && gap <= silentRounds*round {
+			b.requests += int(min(told.Requests-p.total.Requests, told.WindowRequests))
 		}
-		b.extra += int(told.Extra - p.total.Extra)
+		b.extra += int(min(told.Extra-p.total.Extra, told.WindowExtra))
 	}
 	p.total, p.heardAt = told, now
 }
@@ -154,7 +155,8 @@
 			delete(f.peers, other)
 		}
 	}
-	p := &peer{incarnation: incarnation, total: told, heardAt: now, offset: now - told.At}
+	p := &peer{incarnation: incarnation, total: told, heardAt: now}
+	p.offset.observe(now-told.At, now, f.span)
 	if !fixedParts {
 		p.window = New(f.span)
 		p.window.spread(now, int(told.WindowRequests), int(told.WindowExtra))
@@ -220,7 +222,12 @@
 		return true
 	}
 	if d.lag() > maxLag {
-		return f.vouched(now, d) && float64(extraWhole+1) <= d.usable(part.Ratio*float64(whole)+part.Slack)
+		if !f.vouched(now, d) || float64(extraWhole+1) > d.usable(part.Ratio*float64(whole)+part.Slack) {
+			return false
+		}
+		if !f.sharedLately(now) {
+			return true
+		}
 	}
 	left, share := f.left(now, d)
 	if !f.countsWholeWindow(now) {
@@ -235,16 +242,25 @@
 	return float64(unheard+1) <= share*(left+float64(unheard))
 }
 
+// sharedLately reports whether peers may have used this gateway's part within the window,
+// because what is left was shared until fixed parts came into force.
+func (f *Fleet) sharedLately(now time.Duration) bool {
+	return f.sharedAt > 0 && now-f.sharedAt <= f.span+f.span/buckets
+}
+
 // lag returns the time in which peers may not know of extra sends.
 func (d Demand) lag() time.Duration { return max(minLag, silentRounds*d.Round) }
 
 // left returns what is left of the bound over all gateways, and this gateway's share of it.
 func (f *Fleet) left(now time.Duration, d Demand) (left, share float64) {
 	lag := d.lag()
+	if lag <= maxLag && f.countsWholeWindow(now) {
+		f.sharedAt = now
+	}
 	requests, extra := f.own.counts(now)
 	f.sumPeers(now, lag, d.All.Ratio)
 	if f.unheard == nil || f.unheard.span != lag {
-		f.unheard = New(lag)
+		f.unheard = f.unheard.resized(now, lag)
 	}
 	all := float64(requests + f.sums.requests)
 	if all == 0 {
