An entry with a gateway's own address names no upstream to it

A sound entry of a service with the address at which a gateway serves callers: a request of an anonymous route went round in that gateway, each time as a new one, until its time was over or an answer failed; with keys, a caller would get the 401 of the second round. Cause: an upstream's address was not compared with the own one. Change: such an entry counts as one that names no upstream, at that gateway. Why it works: no request is sent to the own listener.

--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
@@ -102,8 +103,8 @@
 }
 
 // applyUpstreamRows applies rows in order and returns those that change more than an
-// upstream's heartbeat. A row that cannot be decoded counts as the removal of its
-// upstream; its later values change nothing until it can be decoded.
+// upstream's heartbeat. A row that cannot be decoded, or would have the gateway send requests
+// to itself, counts as the removal of its upstream; its later values change nothing until it can be decoded.
 func (g *Gateway) applyUpstreamRows(known *fleet.Fleet, page store.Page, full bool, goneAt time.Time) (changed listChanges) {
 	changed.g = g
 	listed := map[string]bool{}
@@ -114,6 +115,9 @@
 			continue
 		}
 		u, err := g.docs.Upstream(r)
+		if own := g.settings().Listen; err == nil && own != "" && u.Address == own {
+			err = errors.NotValidf("this gateway's own address %s in an upstream's entry", u.Address)
+		}
 		if err != nil {
 			listed[r.Name] = false
 			if known.RemoveUnusable(r.Name, r.Rev) {
