--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -80,7 +80,7 @@
 		a.checkCommand(), a.diffCommand(), a.publishCommand(), a.getCommand(), a.exportCommand(), a.replaceCommand(),
 		a.withdrawCommand(), a.drainCommand(), a.activateCommand(), a.rolloutCommand(),
 		a.statusCommand(), a.explainCommand(), a.ledgerCommand(), a.dumpCommand(), a.logLevelCommand(), a.stopCommand(),
-		a.codesCommand(), a.keysCommand(), a.settingsCommand(), a.loadCommand(), a.benchCommand(),
+		a.codesCommand(), a.keysCommand(), a.settingsCommand(), a.loadCommand(), a.benchCommand(), a.soakCommand(),
 	)
 	return root
 }
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -98,10 +98,11 @@
 	BadStage     Code = 7005
 	FenceUnknown Code = 7006
 
-	BadSettings Code = 8001
-	BadUsage    Code = 8002
-	BadTLS      Code = 8003
-	AdminAway   Code = 8004
+	BadSettings   Code = 8001
+	BadUsage      Code = 8002
+	BadTLS        Code = 8003
+	AdminAway     Code = 8004
+	PromiseBroken Code = 8005
 )
 
 // Table lists every code once, in order.
@@ -204,4 +205,5 @@
 	{BadUsage, "bad_usage", http.StatusBadRequest, NotRun, "The command line cannot be understood."},
 	{BadTLS, "bad_tls", http.StatusBadRequest, NotRun, "A certificate or key cannot be used."},
 	{AdminAway, "admin_away", http.StatusServiceUnavailable, NotRun, "The daemon's admin listener does not answer."},
+	{PromiseBroken, "promise_broken", http.StatusInternalServerError, Unknown, "A soak saw a broken promise."},
 }
