--- a/internal/ctl/soak.go
+++ b/internal/ctl/soak.go
@@ -42,7 +42,8 @@
 the seed. The store, the upstreams, the proxies and the callers run in this process.
 
 Plays: mixed draws faults of gateways, links, the store and upstreams; stops ends and
-pauses gateways one after the other while most answers of a service fail.
+pauses gateways one after the other while most answers of a service fail; few does so
+where only a quarter of the gateways get requests that may be repeated.
 
 The report goes to standard output, progress to standard error. The exit code is 1
 if a promise was broken; the logs are kept then, in --keep or in a new folder.`,
