--- a/internal/gateway/shifts.go
+++ b/internal/gateway/shifts.go
@@ -117,7 +117,7 @@
 		return unsaved, nil, true
 	}
 	if !st.BelongsTo(o) && st.Order < o.Rev {
-		return versionshift.Start(o, storeNow), nil, true
+		return versionshift.Start(o, storeNow, st), nil, true
 	}
 	observed = g.localEvidence(o).Add(g.peerEvidence(o, now))
 	next = versionshift.Next(st, observed, storeNow)
--- a/internal/gateway/shifttracker.go
+++ b/internal/gateway/shifttracker.go
@@ -44,6 +44,9 @@
 	// withdrawal is the withdrawal that this gateway has decided on and that the table may
 	// not hold yet.
 	withdrawal *versionshift.State
+	// rejected holds the versions that were withdrawn and not ordered again. States that an
+	// earlier build writes do not name them.
+	rejected map[string]bool
 	// pastOrders holds earlier orders. rewrittenRev is the revision at which the current
 	// order was written again in the current era.
 	pastOrders   []versionshift.Order
@@ -81,7 +84,7 @@
 func (tr *shiftTracker) shift(service string) *serviceShift {
 	s := tr.services[service]
 	if s == nil {
-		s = &serviceShift{firstSeen: map[string]time.Time{}, baselines: map[baselineKey]*latencyBaseline{}}
+		s = &serviceShift{firstSeen: map[string]time.Time{}, rejected: map[string]bool{}, baselines: map[baselineKey]*latencyBaseline{}}
 		tr.services[service] = s
 	}
 	return s
@@ -98,7 +101,15 @@
 	if s.ordered {
 		s.pastOrders = append(s.pastOrders[max(0, len(s.pastOrders)-maxPastOrders+1):], s.order)
 	}
+	withdrawn := s.isWithdrawn()
 	s.order, s.ordered = o, true
+	delete(s.rejected, o.To)
+	if s.known {
+		s.reject(s.state)
+	}
+	if withdrawn {
+		s.reject(*s.withdrawal)
+	}
 	s.evidence = evidence{}
 	select {
 	case tr.wakeup <- struct{}{}:
@@ -167,9 +178,10 @@
 	}
 	var newUps, oldUps []fleet.Upstream
 	for _, u := range ups {
-		if u.Version == s.order.To {
+		switch {
+		case u.Version == s.order.To:
 			newUps = append(newUps, u)
-		} else {
+		case !s.rejected[u.Version]:
 			oldUps = append(oldUps, u)
 		}
 	}
@@ -196,6 +208,16 @@
 	return newUps, false
 }
 
+// reject records the versions that a state names as withdrawn, unless the version is ordered
+// now.
+func (s *serviceShift) reject(st versionshift.State) {
+	for _, v := range st.RejectedVersions() {
+		if !s.ordered || v != s.order.To {
+			s.rejected[v] = true
+		}
+	}
+}
+
 // takesNew reports whether the request belongs to the new version's share, and whether it
 // must stay there because its session has run there before.
 func (tr *shiftTracker) takesNew(s *serviceShift, q shiftQuery, upstreams int, now time.Time, peerState peerShiftState) (takes, stays bool) {
@@ -366,6 +388,7 @@
 	if s.ordered && st.BelongsTo(s.order) && st.Order < s.order.Rev {
 		s.order.Rev = st.Order // all gateways identify a shift by its first order
 	}
+	s.reject(st)
 	changed := !s.known || s.state.Phase != st.Phase || s.state.Order != st.Order
 	s.state, s.known, s.rev = st, true, rev
 	return changed
--- a/internal/versionshift/busy_test.go
+++ b/internal/versionshift/busy_test.go
@@ -37,7 +37,7 @@
 
 func (p *busySimulation) run(within time.Duration, exposure float64) State {
 	const step, stepsPerEvaluation = 0.1, 3 // a gateway evaluates the evidence every third step
-	s := Start(Order{Within: within}, 0)
+	s := Start(Order{Within: within}, 0, State{})
 	p.endTimes = make([][]float64, p.engines)
 	var seen EvidenceByClass
 	for n := 1; float64(n)*step <= within.Seconds(); n++ {
--- a/internal/versionshift/check_test.go
+++ b/internal/versionshift/check_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestCheck(t *testing.T) {
-	sound := Start(Order{Service: "s", To: "v2", Rev: 5}, 1)
+	sound := Start(Order{Service: "s", To: "v2", Rev: 5}, 1, State{})
 	if err := sound.Check("s", 6); err != nil {
 		t.Error(err)
 	}
--- a/internal/versionshift/versionshift.go
+++ b/internal/versionshift/versionshift.go
@@ -9,6 +9,7 @@
 package versionshift
 
 import (
+	"slices"
 	"time"
 )
 
@@ -55,6 +56,23 @@
 	Since   time.Duration `json:"since"`
 	// Reason is the reason for the last change of phase.
 	Reason string `json:"why,omitempty"`
+	// Rejected holds the versions that earlier shifts of the service withdrew and that were
+	// not ordered again; the latest comes last.
+	Rejected []string `json:"rejected,omitempty"`
+}
+
+// maxRejected bounds State.Rejected. The upstreams of a withdrawn version leave after some
+// seconds.
+const maxRejected = 8
+
+// RejectedVersions returns the versions that get no new requests after this shift unless they
+// are ordered again.
+func (s State) RejectedVersions() []string {
+	out := slices.Clone(s.Rejected)
+	if s.Phase == Withdrawn {
+		out = append(out, s.To)
+	}
+	return out
 }
 
 // Ended reports whether the shift is complete or withdrawn, so that its phase no
@@ -122,11 +140,13 @@
 	minBusyGood = 24
 )
 
-// Start returns the state of a shift that starts at now, on the store's clock.
-func Start(o Order, now time.Duration) State {
+// Start returns the state of a shift that starts at now, on the store's clock, after an
+// earlier shift of the service; the zero State stands for none.
+func Start(o Order, now time.Duration, earlier State) State {
+	rejected := slices.DeleteFunc(earlier.RejectedVersions(), func(v string) bool { return v == o.To })
 	return State{
 		Service: o.Service, To: o.To, Within: o.Within, Order: o.Rev,
-		Phase: Trial, Started: now, Since: now,
+		Phase: Trial, Started: now, Since: now, Rejected: rejected[max(0, len(rejected)-maxRejected):],
 	}
 }
 
--- a/internal/versionshift/versionshift_test.go
+++ b/internal/versionshift/versionshift_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,7 +10,7 @@
 )
 
 func TestGoodVersionGoesThroughAllPhases(t *testing.T) {
-	s := Start(Order{Service: "a", To: "v2", Within: 24 * time.Second, Rev: 7}, 100*time.Second)
+	s := Start(Order{Service: "a", To: "v2", Within: 24 * time.Second, Rev: 7}, 100*time.Second, State{})
 	var phases []Phase
 	for at := time.Duration(0); at < 24*time.Second; at += 100 * time.Millisecond {
 		e := Evidence{GoodTotal: 50, New: responses(20, 0, 0, 3), OldGood: 200}
@@ -122,7 +123,7 @@
 }
 
 func (p *simulation) run(within, step time.Duration, perStep int) State {
-	s := Start(Order{Within: within}, 0)
+	s := Start(Order{Within: within}, 0, State{})
 	var window []Evidence
 	goodTotal := 0
 	for at := step; at <= within; at += step {
@@ -195,7 +196,7 @@
 func TestPhasesOnlyGoForward(t *testing.T) {
 	rank := map[Phase]int{Trial: 0, LoadTest: 1, Moved: 2, Done: 3, Withdrawn: 3}
 	rapid.Check(t, func(t *rapid.T) {
-		s := Start(Order{Within: time.Duration(rapid.IntRange(1, 60).Draw(t, "within")) * time.Second}, 0)
+		s := Start(Order{Within: time.Duration(rapid.IntRange(1, 60).Draw(t, "within")) * time.Second}, 0, State{})
 		now := time.Duration(0)
 		for range 50 {
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
@@ -299,3 +300,28 @@
 		t.Errorf("phase %s from the sum over all routes, want trial", got.Phase)
 	}
 }
+
+func TestShiftNamesTheVersionsWithdrawnBefore(t *testing.T) {
+	order := func(to string) Order { return Order{Service: "s", To: to, Within: time.Minute} }
+	withdraw := func(s State) State {
+		s.Phase = Withdrawn
+		return s
+	}
+	second := withdraw(Start(order("v2"), 0, State{}))
+	third := withdraw(Start(order("v3"), 0, second))
+	for _, c := range []struct {
+		to   string
+		want []string
+	}{{"v4", []string{"v2", "v3"}}, {"v2", []string{"v3"}}, {"v3", []string{"v2"}}} {
+		if got := Start(order(c.to), 0, third).Rejected; !slices.Equal(got, c.want) {
+			t.Errorf("the shift to %s rejects %v, want %v", c.to, got, c.want)
+		}
+	}
+	s := State{}
+	for i := range 3 * maxRejected {
+		s = withdraw(Start(order(string(rune('a'+i))), 0, s))
+	}
+	if n := len(Start(order("z"), 0, s).Rejected); n != maxRejected {
+		t.Errorf("%d versions are kept, want %d", n, maxRejected)
+	}
+}
