--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"tarragonbay.example/tarragonbay/internal/exchange"
 	"tarragonbay.example/tarragonbay/internal/fleet"
 	"tarragonbay.example/tarragonbay/internal/gctune"
+	"tarragonbay.example/tarragonbay/internal/graceperiod"
 	"tarragonbay.example/tarragonbay/internal/h1"
 	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
@@ -106,11 +107,14 @@
 	// speedsSent is when the speeds of upstreams were last sent; only the sender of gossip
 	// uses it.
 	speedsSent time.Time
-	stopping   atomic.Bool
-	// stopStarted is when the stop began, as the time since the start on the monotonic
-	// clock.
-	stopStarted atomic.Int64
-	counters    *counters
+	// stopPlan is set once the gateway has been told to stop.
+	stopPlan atomic.Pointer[graceperiod.Plan]
+	// ending is cancelled, by endRequests, when a stop requires every request to be answered.
+	ending      context.Context
+	endRequests context.CancelFunc
+	// cut is true once a stop has closed the connections that were left.
+	cut      atomic.Bool
+	counters *counters
 
 	// followers receive the reads of peers, by table.
 	followersMu sync.Mutex
@@ -145,6 +149,7 @@
 		counters:     newCounters(o.Metrics),
 		retryBudgets: map[uint32]*retrywindow.Fleet{}, followers: map[string]*tableFollower{},
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.currentSettings.Store(&o.Settings)
 	g.storeContact.reset()
 	o.Metrics.GaugeFunc(component, "connections_opened", g.pool.Opened)
