Soak: a burst of repeats while gateways end and pause in a quick series

The plays had failures from the first request on, so that no window of unused repeats came before a restart, and none of them showed the fault that mended.

--- a/internal/ctl/soak.go
+++ b/internal/ctl/soak.go
@@ -44,7 +44,8 @@
 Plays: mixed draws faults of gateways, links, the store and upstreams; stops ends and
 pauses gateways one after the other while most answers of a service fail; few does so
 where only a quarter of the gateways get requests that may be repeated; cascade
-does so while smaller models doubt their answers, which go to larger ones.
+does so while smaller models doubt their answers, which go to larger ones; burst does so
+in a quick series from the moment on at which answers begin to fail.
 
 The report goes to standard output, progress to standard error. The exit code is 1
 if a promise was broken; the logs are kept then, in --keep or in a new folder.`,
