retrywindow: gateways behind a one-way cut use the bound twice (BUDGET)

Gateways that hear the others but are not heard, as behind a cut of one direction, used what the others left of the bound. The others, which take them as silent, used it as well.

Change: a message names the gateways whose counts its sender hears. A peer that does not hear this gateway counts as silent, so that both sides keep to their own requests. Finer buckets make up for what this costs while gateways start.

Measured: TestGatewaysBehindAOneWayCutUseTheBoundTwice fails without the condition in sumPeers.

--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -78,12 +78,15 @@
 	now := g.sinceStart()
 	g.retryBudgetsMu.Lock()
 	demand := g.retryDemand(now)
-	totals := make(map[uint32]retrywindow.Totals, len(g.retryBudgets))
+	totals, heard := make(map[uint32]retrywindow.Totals, len(g.retryBudgets)), map[string]bool{}
 	for service, b := range g.retryBudgets {
 		totals[service] = b.Totals(now, demand)
+		for _, name := range b.HeardPeers(now, demand) {
+			heard[name] = true
+		}
 	}
 	g.retryBudgetsMu.Unlock()
-	peers.AddBudgets(n, totals)
+	peers.AddBudgets(n, totals, heard)
 }
 
 // receiveBudgets adds what a peer has counted to the budgets.
--- a/internal/peers/budgets.go
+++ b/internal/peers/budgets.go
@@ -1,18 +1,22 @@
 package peers
 
 import (
+	"slices"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
 	"tarragonbay.example/tarragonbay/internal/retrywindow"
 )
 
-// maxClockMS bounds a time that a gateway tells, in milliseconds; about a hundred years.
+// maxClockMS bounds a time that a gateway tells, in milliseconds; about 70 years.
 const maxClockMS = 1 << 41
 
 // AddBudgets adds to a gossip message what this gateway has counted for its retry budgets,
-// by the hash of the service.
-func AddBudgets(n *gossipv1.News, totals map[uint32]retrywindow.Totals) {
+// by the hash of the service, and the names of the gateways whose counts it hears.
+func AddBudgets(n *gossipv1.News, totals map[uint32]retrywindow.Totals, heard map[string]bool) {
+	for name := range heard {
+		n.BudgetHeard = append(n.BudgetHeard, Hash(name))
+	}
 	leftKnown := true
 	for _, t := range totals {
 		leftKnown = leftKnown && t.LeftKnown
@@ -29,9 +33,11 @@
 	}
 }
 
-// decodeBudgets returns the counts in a gossip message by the hash of the service, or nil
-// if its columns differ in length.
-func decodeBudgets(n *gossipv1.News) map[uint32]retrywindow.Totals {
+// decodeBudgets returns the counts in a gossip message to the gateway of the given name, by
+// the hash of the service, or nil if its columns differ in length. Messages of earlier builds
+// do not tell whom their sender hears.
+func decodeBudgets(n *gossipv1.News, to string) map[uint32]retrywindow.Totals {
+	deaf := n.GetBudgetAtMs() > 0 && !slices.Contains(n.GetBudgetHeard(), Hash(to))
 	all := len(n.GetBudgetServices())
 	if len(n.GetBudgetRequests()) != all || len(n.GetBudgetExtra()) != all ||
 		len(n.GetBudgetWindowRequests()) != all || len(n.GetBudgetWindowExtra()) != all {
@@ -43,6 +49,7 @@
 			At:       time.Duration(min(n.GetBudgetAtMs(), maxClockMS)) * time.Millisecond,
 			Requests: n.GetBudgetRequests()[i], Extra: n.GetBudgetExtra()[i],
 			WindowRequests: n.GetBudgetWindowRequests()[i], WindowExtra: n.GetBudgetWindowExtra()[i],
+			Deaf: deaf,
 		}
 		if len(n.GetBudgetLeft()) == all {
 			t.Left, t.LeftKnown = n.GetBudgetLeft()[i], true
--- a/internal/peers/limits.go
+++ b/internal/peers/limits.go
@@ -97,7 +97,7 @@
 	if len(n.GetLeaving()) > 0 {
 		t.opts.Leaving(n.GetGateway(), n.GetLeaving())
 	}
-	if totals := decodeBudgets(n); len(totals) > 0 {
+	if totals := decodeBudgets(n, t.opts.Name); len(totals) > 0 {
 		t.opts.Budgets(n.GetGateway(), n.GetIncarnation(), totals)
 	}
 	if limits := decodeLimits(n); len(limits) > 0 {
--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -17,6 +17,8 @@
 	// gateways. LeftKnown is false while the gateway has not counted for a whole window.
 	Left      int64
 	LeftKnown bool
+	// Deaf is true when the gateway tells that it does not hear the one it tells this.
+	Deaf bool
 }
 
 // Fleet limits the extra sends of one service at one gateway by what all gateways have
@@ -25,7 +27,8 @@
 //
 // What is left of the bound is computed from the gateways that are heard. A gateway that is
 // silent keeps to its own requests, and so do the others: it only counts where it has used
-// more than its requests allow. Of what is left, each gateway uses its share of the
+// more than its requests allow. One that does not hear this gateway counts as silent, since
+// it uses what it leaves itself. Of what is left, each gateway uses its share of the
 // requests until its peers have heard of it, so all of them together use it once.
 //
 // A process that has just started has lost what its predecessor counted, and what it is told
@@ -167,6 +170,21 @@
 // gone reports whether all that a peer has told lies before the window.
 func (f *Fleet) gone(p *peer, now time.Duration) bool { return now-p.heardAt > f.span+f.span/buckets }
 
+// HeardPeers returns the names of the peers that are not silent, which nobody needs where fixed
+// parts are in force.
+func (f *Fleet) HeardPeers(now time.Duration, d Demand) []string {
+	if d.lag() > maxLag {
+		return nil
+	}
+	var out []string
+	for name, p := range f.peers {
+		if now-p.heardAt <= d.lag() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Demand is an extra send that is asked for.
 type Demand struct {
 	// All is the bound of all gateways, Gateways their number; zero while it is unknown.
@@ -319,7 +337,7 @@
 			continue
 		}
 		requests, extra := p.window.counts(now)
-		if now-p.heardAt <= lag {
+		if now-p.heardAt <= lag && !p.total.Deaf {
 			f.sums.requests += requests
 			f.sums.extra += extra
 		} else {
--- a/internal/retrywindow/fleet_test.go
+++ b/internal/retrywindow/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -122,7 +123,10 @@
 		}
 		now := fleetStart + at
 		due := now + 5*time.Millisecond + time.Duration(run.r.Int64N(int64(50*time.Millisecond)))
-		run.wire = append(run.wire, told{due: due, from: i, to: j, incarnation: g.starts, totals: g.budget.Totals(now, run.demandOf(i, now))})
+		d := run.demandOf(i, now)
+		totals := g.budget.Totals(now, d)
+		totals.Deaf = !slices.Contains(g.budget.HeardPeers(now, d), fmt.Sprint(j))
+		run.wire = append(run.wire, told{due: due, from: i, to: j, incarnation: g.starts, totals: totals})
 	}
 }
 
--- a/internal/retrywindow/gaps_test.go
+++ b/internal/retrywindow/gaps_test.go
@@ -136,3 +136,30 @@
 		}
 	}
 }
+
+// TestGatewaysBehindAOneWayCutUseTheBoundTwice guards against gateways that hear the others
+// but are not heard: they used what the others left, and then the others used it too.
+func TestGatewaysBehindAOneWayCutUseTheBoundTwice(t *testing.T) {
+	const othersFail = 20 * time.Second
+	for seed := range uint64(3) {
+		run := fleetRun{r: rand.New(rand.NewPCG(seed, 7)), fleet: make([]fleetGateway, 12), round: 200 * time.Millisecond}
+		run.perSecond = func(int) float64 { return 28 }
+		run.parted = func(a, b int, at time.Duration) bool { return at > 12*time.Second && a < 4 && b >= 4 }
+		for at := time.Duration(0); at < fleetTime; at += fleetStep {
+			run.demand = func(g int) float64 {
+				if at > 14*time.Second && (g < 4) == (at < othersFail) {
+					return 300
+				}
+				return 0
+			}
+			run.deliver(fleetStart + at)
+			for i := range run.fleet {
+				if run.startOrStop(i, at) {
+					run.gossip(i, at)
+					run.send(i, fleetStart+at)
+				}
+			}
+		}
+		check(t, len(run.fleet), seed, fleetBound, stormWindow, run.requests, run.extras)
+	}
+}
--- a/internal/retrywindow/restarts_test.go
+++ b/internal/retrywindow/restarts_test.go
@@ -145,9 +145,9 @@
 	g.nextRound = now + seriesRound
 	for j := range s.gateways {
 		if j != i {
-			s.wire = append(s.wire, told{
-				due: now + seriesStep, from: i, to: j, incarnation: g.starts, totals: g.budget.Totals(now, s.demand()),
-			})
+			totals := g.budget.Totals(now, s.demand())
+			totals.Deaf = !slices.Contains(g.budget.HeardPeers(now, s.demand()), fmt.Sprint(j))
+			s.wire = append(s.wire, told{due: now + seriesStep, from: i, to: j, incarnation: g.starts, totals: totals})
 		}
 	}
 }
--- a/internal/retrywindow/retrywindow.go
+++ b/internal/retrywindow/retrywindow.go
@@ -16,7 +16,7 @@
 }
 
 // buckets is the number of buckets in a window; the oldest one expires as a whole.
-const buckets = 100
+const buckets = 125
 
 type count struct {
 	at       int64 // number of the bucket since the epoch of the clock
