--- a/internal/retrywindow/fleet_test.go
+++ b/internal/retrywindow/fleet_test.go
@@ -226,7 +226,7 @@
 			t.Parallel()
 			for seed := range uint64(3) {
 				requests, extras := runFleet(c, seed)
-				check(t, c.gateways, seed, fleetBound, stormWindow, requests, extras)
+				check(t, c.gateways, seed, fleetBound, requests, extras)
 				if used := usedShare(requests, extras); used < c.minUsed {
 					t.Errorf("seed %d: %.2f of the bound was used, want %.2f", seed, used, c.minUsed)
 				} else {
--- a/internal/retrywindow/gaps_test.go
+++ b/internal/retrywindow/gaps_test.go
@@ -130,7 +130,7 @@
 				}
 			}
 		}
-		check(t, len(run.fleet), seed, fleetBound, stormWindow, run.requests, run.extras)
+		check(t, len(run.fleet), seed, fleetBound, run.requests, run.extras)
 		if used := usedShare(run.requests, run.extras); used < 0.5 {
 			t.Errorf("seed %d: %.2f of the bound was used", seed, used)
 		}
@@ -160,6 +160,6 @@
 				}
 			}
 		}
-		check(t, len(run.fleet), seed, fleetBound, stormWindow, run.requests, run.extras)
+		check(t, len(run.fleet), seed, fleetBound, run.requests, run.extras)
 	}
 }
--- a/internal/retrywindow/shares_test.go
+++ b/internal/retrywindow/shares_test.go
@@ -84,21 +84,21 @@
 				s.change(now)
 				s.step(now, all, r)
 			}
-			check(t, gateways, seed, all, stormWindow, s.requests, s.extras)
+			check(t, gateways, seed, all, s.requests, s.extras)
 		}
 	}
 }
 
 // check compares each window that ends with an extra send with the bound. Both lists are
 // sorted.
-func check(t *testing.T, gateways int, seed uint64, all Bound, span time.Duration, requests, extras []time.Duration) {
+func check(t *testing.T, gateways int, seed uint64, all Bound, requests, extras []time.Duration) {
 	t.Helper()
 	from, reqFrom, reqTo := 0, 0, 0
 	for i, end := range extras {
-		for extras[from] <= end-span {
+		for extras[from] <= end-stormWindow {
 			from++
 		}
-		for reqFrom < len(requests) && requests[reqFrom] <= end-span {
+		for reqFrom < len(requests) && requests[reqFrom] <= end-stormWindow {
 			reqFrom++
 		}
 		for reqTo < len(requests) && requests[reqTo] <= end {
