Tests of clients that do not behave, red on

The tests start gateways, an entry and an agent as processes on loopback, with the memory (80 MB, 96 MB) and the descriptors (1,200, 200 of them for files) of small hosts, and have small crowds press on each listener: bodies that stop a byte short, heads of very many lines, heads without end, silent connections, requests in a row, unread answers, bytes sent ahead of answers, and a crowd while a gateway starts, reloads and stops. They check that the process lives, what it has resident and unread, its sockets, an ordinary request beside and after the crowd, and that nothing ran that was promised not to have run. No times and no share of served requests are checked.

--- a/integration/harness/binary.go
+++ b/integration/harness/binary.go
@@ -47,7 +47,7 @@
 		}
 		binary.path = filepath.Join(dir, "tarragonbayd")
 		args := []string{"build", "-o", binary.path}
-		if raceEnabled {
+		if RaceEnabled {
 			args = append(args, "-race")
 		}
 		binary.out, binary.err = exec.Command("go", append(args, daemonPackage)...).CombinedOutput()
--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -37,6 +37,10 @@
 	Edit func(o *Objects)
 	// LinkTLS turns mutual TLS between daemons on.
 	LinkTLS bool
+	// Limits are those in the settings of the daemons, where they differ from the defaults.
+	Limits map[string]any
+	// Descriptors bounds the files of each daemon, unless it is zero.
+	Descriptors int
 	// TableReads and TableWrites limit the table service, a second.
 	TableReads, TableWrites float64
 }
@@ -89,6 +93,8 @@
 	// verified is set once the promises were checked.
 	verified  bool
 	dir       string
+	limits    map[string]any
+	files     int
 	certs     *Certs
 	publisher *publish.Publisher
 }
@@ -100,7 +106,7 @@
 	if len(spec.Versions) == 0 {
 		spec.Versions = []string{"small@1"}
 	}
-	c := &Cluster{T: t, History: &history.Memory{}, dir: t.TempDir()}
+	c := &Cluster{T: t, History: &history.Memory{}, dir: t.TempDir(), limits: spec.Limits, files: spec.Descriptors}
 	if spec.LinkTLS {
 		certs := NewCerts(t, c.dir)
 		c.certs = &certs
@@ -195,6 +201,9 @@
 		"timeouts": map[string]any{"drain": "20s"},
 		"log":      map[string]any{"level": "debug"},
 	}
+	if c.limits != nil {
+		s["limits"] = c.limits
+	}
 	for k, v := range more {
 		s[k] = v
 	}
@@ -221,7 +230,11 @@
 
 func (c *Cluster) startNode(n *Node) *Proc {
 	c.T.Helper()
-	p := Start(c.T, n.name, nil, nextBinary(c.T), n.role, "--settings", n.settings)
+	command := []string{nextBinary(c.T), n.role, "--settings", n.settings}
+	if c.files > 0 {
+		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, c.files)}, command...)
+	}
+	p := Start(c.T, n.name, nil, command[0], command[1:]...)
 	n.admin = adminapi.NewClient(p.Ready.Admin, "")
 	url := "http://" + p.Ready.Caller
 	n.url.Store(&url)
--- a/integration/harness/race_on.go
+++ b/integration/harness/race_on.go
@@ -2,4 +2,5 @@
 
 package harness
 
-const raceEnabled = true
+// RaceEnabled tells that the race detector is in the programs.
+const RaceEnabled = true
