--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -48,6 +48,7 @@
 	DomainDrained    Code = 3015
 	RequestHeld      Code = 3016
 	EngineTooSmall   Code = 3017
+	NoRoom           Code = 3018
 
 	UpstreamFailed   Code = 4001
 	AnswerCut        Code = 4002
@@ -151,6 +152,7 @@
 	{DomainDrained, "domain_drained", http.StatusServiceUnavailable, NotRun, "Every upstream of the service is in a failure domain that the operator has drained."},
 	{RequestHeld, "request_held", http.StatusServiceUnavailable, NotRun, "Requests like this one have crashed upstreams, so it is sent to none."},
 	{EngineTooSmall, "engine_too_small", http.StatusServiceUnavailable, NotRun, "Prompt and answer exceed the memory of every engine of the service; smaller requests are served."},
+	{NoRoom, "no_room", http.StatusServiceUnavailable, NotRun, "The process holds too much for others to take the request."},
 
 	{UpstreamFailed, "upstream_failed", http.StatusBadGateway, Ran, "The upstream failed while it ran the request."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, Ran, "The answer could not be completed."},
