Gateways admit what callers send before they take it in

What callers saw: 60 clients whose bodies stop a byte short, 500 with heads of many lines, or 700 that send ahead of their answers drove a gateway of 80 MB to 264, 186 and 152 MB; on its host it is killed, with every request in flight.

Cause: a gateway read each body whole, let net/http parse each head up to 64 kB (1 MB at the listeners for readiness and operators), accepted connections until its descriptors were spent, and let the system receive over 100 kB ahead for each; nothing counted them together. memorybudget.go bounded answers alone.

Now all three listeners are internal/intake's, with shares of one plan (holding.NewPlan) from memoryMb and the new setting maxDescriptors. Bodies are kept once, in segments, for all attempts. Answers and large events are reserved in the same share; an answer without room is not blamed on its upstream and is not asked for again. The pool bounds the connections to upstreams and closes idle ones first. Receive buffers are 16 KiB. The runtime gets its limit. heldMb and callerConnections override what follows from the host.

--- a/internal/daemoncmd/gateway.go
+++ b/internal/daemoncmd/gateway.go
@@ -44,6 +44,7 @@
 				Store:        store,
 				Log:          eventlog.New(stdout),
 				Metrics:      metrics,
+				LimitRuntime: true,
 				BootClock:    bootclock.Now,
 			})
 			return g.Run(cmd.Context())
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -63,7 +63,7 @@
 			g.rateLimits.release(p.grant)
 			connects.record(time.Since(start))
 		}
-		if q.callerGone() || connects.exhausted() || !q.mayTryNext(v, time.Now()) {
+		if q.callerGone() || q.outOfMemory || connects.exhausted() || !q.mayTryNext(v, time.Now()) {
 			return out
 		}
 	}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/h1"
+	"tarragonbay.example/tarragonbay/internal/intake"
 )
 
 // connTracker tracks the callers' connections and which of them are idle.
@@ -26,7 +27,7 @@
 
 // connContext stores the connection in the context of its requests.
 func (tr *connTracker) connContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return intake.ConnContext(context.WithValue(ctx, connKey{}, c), c)
 }
 
 // alive reports whether the request's connection has not been closed as idle. A request on
--- a/internal/gateway/crossings.go
+++ b/internal/gateway/crossings.go
@@ -42,7 +42,7 @@
 
 // bytes estimates what a request moves. The caller holds c.mu.
 func (c *crossings) bytes(q *request) float64 {
-	bytes := float64(headBytes + len(q.body))
+	bytes := float64(headBytes + q.body.Len())
 	if s := c.answers[q.route.Name]; s != nil {
 		bytes += s.Mean()
 	}
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -36,7 +36,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	callers := &server{ln: newAcceptor(laggingListener{inner.(*net.TCPListener)}), http: &http.Server{
+	accepts := newAcceptor(laggingListener{inner.(*net.TCPListener)})
+	callers := &server{ln: accepts, admitted: accepts, http: &http.Server{
 		ReadHeaderTimeout: headerTimeout, ConnState: g.conns.stateChanged, ConnContext: g.conns.connContext,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(1500 * time.Millisecond)
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -95,7 +95,7 @@
 	}
 	q := &request{
 		in:      &http.Request{Method: http.MethodPost, Host: question.Host, RequestURI: question.Path, URL: &url.URL{Path: question.Path}},
-		arrived: now, routeTable: table, triedUpstreams: map[string]bool{}, memory: g.answerMemory, explained: true,
+		arrived: now, routeTable: table, triedUpstreams: map[string]bool{}, explained: true,
 		call: exchange.Call{
 			Model: question.Model, Session: question.Session, Budget: question.TimeLeft,
 			PromptTokens: question.PromptTokens, MaxTokens: question.MaxTokens, ExpectedTokens: question.ExpectedTokens,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,8 @@
 	Store        store.Store
 	Log          *eventlog.Log
 	Metrics      *telemetry.Metrics
+	// LimitRuntime sets the memory limit of the runtime, which the whole process shares.
+	LimitRuntime bool
 	// BootClock is bootclock.Now outside tests.
 	BootClock func() time.Duration
 }
@@ -78,13 +80,14 @@
 	log             *eventlog.Log
 	bootClock       func() time.Duration
 	started         time.Time
+	runtimeLimited  bool
 	// startedOnBootClock is the same on the boot clock.
 	startedOnBootClock time.Duration
 
-	pool         *h1.Pool
-	answerMemory *memoryBudget
-	routeTable   atomic.Pointer[routetable.Table]
-	fleet        atomic.Pointer[fleetView]
+	pool       *h1.Pool
+	intake     *intakes
+	routeTable atomic.Pointer[routetable.Table]
+	fleet      atomic.Pointer[fleetView]
 	// drainedDomains holds the failure domains that the operator has drained.
 	drainedDomains atomic.Pointer[domaindrain.Set]
 	storeContact   storeContact
@@ -134,9 +137,9 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		settingsFile: o.SettingsFile, proto: o.Protocol, docs: o.Documents, store: o.Store, log: o.Log,
-		bootClock: o.BootClock, started: time.Now(), startedOnBootClock: o.BootClock(),
+		bootClock: o.BootClock, runtimeLimited: o.LimitRuntime, started: time.Now(), startedOnBootClock: o.BootClock(),
 		pool:         h1.NewPool(dialTimeout),
-		answerMemory: newMemoryBudget(o.Settings.MemoryMB),
+		intake:       newIntakes(),
 		loads:        newLoadTracker(),
 		speeds:       newSpeedTracker(),
 		values:       newValueTracker(),
@@ -151,6 +154,7 @@
 	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.currentSettings.Store(&o.Settings)
+	g.applyPlan(o.Settings)
 	g.storeContact.reset()
 	o.Metrics.GaugeFunc(component, "connections_opened", g.pool.Opened)
 	o.Metrics.GaugeFunc(component, "callers_connected", g.conns.openCount)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/explain"
+	"tarragonbay.example/tarragonbay/internal/intake"
 )
 
 // Limits on callers that apply before a configuration sets its own.
@@ -22,12 +23,16 @@
 	headerTimeout = 10 * time.Second
 	// adminTimeout bounds requests to the readiness and metrics listeners.
 	adminTimeout = 2 * time.Second
+	// operatorHeaderBytes bounds the header section of those requests.
+	operatorHeaderBytes = 8 << 10
 )
 
 // server is one open listener.
 type server struct {
 	http *http.Server
 	ln   *acceptor
+	// admitted accepts from ln what there is room for.
+	admitted net.Listener
 }
 
 // acceptor is a listener that can stop without closing connections that wait to be
@@ -70,7 +75,7 @@
 // listen opens the listeners for callers, readiness and, if configured, metrics.
 func (g *Gateway) listen() ([]*server, error) {
 	callers := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: intake.Handler(g), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: g.conns.stateChanged, ConnContext: g.conns.connContext,
 	}
 	admin := http.NewServeMux()
@@ -79,33 +84,42 @@
 	admin.HandleFunc("POST "+explain.Path, g.serveExplain)
 	var out []*server
 	for _, s := range []struct {
-		address string
-		http    *http.Server
+		name, address string
+		http          *http.Server
 	}{
-		{g.settings().Listen, callers},
-		{g.settings().ReadyListen, &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: adminTimeout}},
-		{g.settings().AdminListen, &http.Server{Handler: admin, ReadHeaderTimeout: adminTimeout}},
+		{callersListener, g.settings().Listen, callers},
+		{readyListener, g.settings().ReadyListen, operatorServer(http.HandlerFunc(g.serveReady))},
+		{adminListener, g.settings().AdminListen, operatorServer(admin)},
 	} {
 		if s.address == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", s.address)
+		ln, err := intake.Listen(s.address)
 		if err != nil {
 			for _, o := range out {
 				_ = o.ln.Close() // nothing was served on it
 			}
 			return nil, errors.Annotatef(err, "listen on %s", s.address)
 		}
-		out = append(out, &server{http: s.http, ln: newAcceptor(ln)})
+		accepts := newAcceptor(ln)
+		out = append(out, &server{http: s.http, ln: accepts, admitted: g.admitFrom(s.name, accepts)})
 	}
 	return out, nil
 }
 
+// operatorServer returns a server for the platform's and operators' questions.
+func operatorServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: intake.Handler(h), ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout, MaxHeaderBytes: operatorHeaderBytes,
+		ConnContext: intake.ConnContext,
+	}
+}
+
 // serve runs until the context ends or the server is closed.
 func (s *server) serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.admitted); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Annotatef(err, "serve on %s", s.ln.Addr())
 	}
 	return nil
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -54,7 +54,7 @@
 	g.proto.Refusal(h, q.call, retry)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	if g.stopping() {
+	if g.stopping() || e.Code == result.NoRoom {
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(e.Code.HTTPStatus())
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -52,6 +52,7 @@
 	}
 	g.log.Event(component, "settings reloaded", zap.String("why", trigger), zap.Bool("changed", s != g.settings()))
 	g.currentSettings.Store(&s)
+	g.applyPlan(s)
 }
 
 // fileStamp is compared to detect changes of a file.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -12,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/exchange"
+	"tarragonbay.example/tarragonbay/internal/h1"
+	"tarragonbay.example/tarragonbay/internal/intake"
 	"tarragonbay.example/tarragonbay/internal/quarantine"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/routetable"
@@ -28,7 +30,7 @@
 	// org is the organisation that holds the caller's key; nil on anonymous routes.
 	org     *routetable.Organisation
 	service string
-	body    []byte
+	body    h1.Body
 	// deadline is when the caller stops waiting or the route's timeout ends.
 	deadline time.Time
 	// sent counts the upstreams to which the request was sent.
@@ -50,10 +52,10 @@
 	// callerLost is true once the caller is known to have gone, for example by a failed
 	// write.
 	callerLost bool
-	// memory is the gateway's budget for answers; reservedBytes counts the bytes that this
-	// request has reserved in it.
-	memory        *memoryBudget
-	reservedBytes int64
+	// conn admits what is held for the request; nil outside a listener.
+	conn *intake.Conn
+	// outOfMemory is true once there was no memory to hold an answer.
+	outOfMemory bool
 	// sharedTokens is the size of the prompt parts that other requests share, promptTokens
 	// that of the whole prompt.
 	sharedTokens, promptTokens int
@@ -65,8 +67,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	q := &request{in: in, call: g.proto.Call(in.Header), arrived: time.Now(), triedUpstreams: map[string]bool{}, memory: g.answerMemory}
-	defer q.releaseMemory()
+	q := &request{in: in, call: g.proto.Call(in.Header), arrived: time.Now(), triedUpstreams: map[string]bool{}, conn: intake.FromContext(in.Context())}
 	q.setWriteDeadline(w, q.arrived.Add(defaultTimeout)) // replaces the deadline of the connection's last request
 	g.counters.requests.Inc(1)
 	if !g.conns.alive(in.Context()) {
@@ -198,7 +199,7 @@
 	if err := conn.SetReadDeadline(q.deadline); err != nil {
 		return result.Wrap(err, result.CallerGone, "cannot set the read deadline of the body")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.in.Body, maxBytes))
+	body, err := h1.ReadBody(http.MaxBytesReader(w, q.in.Body, maxBytes), min(q.in.ContentLength, maxBytes), math.MaxInt64, nil)
 	if err == nil {
 		err = conn.SetReadDeadline(time.Time{})
 	}
@@ -206,6 +207,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	case errors.Is(err, intake.ErrNoRoom):
+		return result.New(result.NoRoom, "there is no room for the body").WithRetryAfter(jitterUp(intake.RetryAfter))
 	case err != nil:
 		return result.Wrap(err, result.CallerGone, "the body is incomplete")
 	}
@@ -213,6 +216,18 @@
 	return nil
 }
 
+// errNoMemory means that there was no memory to hold an answer.
+var errNoMemory = errors.New("there is no room for the answer")
+
+// reserveMemory admits memory for an answer to the request.
+func (q *request) reserveMemory(bytes int64) bool {
+	if q.conn == nil || q.conn.Reserve(bytes) {
+		return true
+	}
+	q.outOfMemory = true
+	return false
+}
+
 // timeLeft returns the time until the request's deadline.
 func (q *request) timeLeft(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
@@ -308,10 +323,12 @@
 		return q.content
 	}
 	h := xxhash.New()
-	for _, s := range []string{q.in.Method, q.in.Host, q.in.RequestURI, q.call.Key, string(q.body)} {
+	for _, s := range []string{q.in.Method, q.in.Host, q.in.RequestURI, q.call.Key} {
 		_, _ = h.WriteString(s) // never fails
 		_, _ = h.Write([]byte{0})
 	}
+	_, _ = q.body.WriteTo(h)
+	_, _ = h.Write([]byte{0})
 	q.content = h.Sum64()
 	return q.content
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -328,10 +328,13 @@
 	r.buffer = r.buffer[:0]
 	for {
 		line, err := in.ReadSlice('\n')
-		r.buffer = append(r.buffer, line...)
-		if len(r.buffer) > maxBytes {
+		if len(r.buffer)+len(line) > maxBytes {
 			return nil, errPartialEvent
 		}
+		if !r.grow(len(line)) {
+			return nil, errNoMemory
+		}
+		r.buffer = append(r.buffer, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -348,6 +351,24 @@
 	}
 }
 
+// unreservedEventBytes is the size of the event buffer that a request in progress is charged
+// for anyway.
+const unreservedEventBytes = 4 << 10
+
+// grow makes room in the event buffer; it reports whether there was memory for it.
+func (r *relay) grow(n int) bool {
+	need := len(r.buffer) + n
+	if need <= cap(r.buffer) {
+		return true
+	}
+	size := 2 * need
+	if size > unreservedEventBytes && !r.q.reserveMemory(int64(size)) {
+		return false
+	}
+	r.buffer = append(make([]byte, 0, size), r.buffer...)
+	return true
+}
+
 // endsLine reports whether the blank line stands alone, not at the end of a
 // longer line that filled the reader's buffer.
 func endsLine(all, line []byte) bool {
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -104,7 +104,7 @@
 func (q *request) isUpstreamFault(v attemptResult, cause error) bool {
 	switch v {
 	case outcomeUnknown:
-		return !q.callerGone() && !errors.Is(cause, errStopped)
+		return !q.callerGone() && !q.outOfMemory && !errors.Is(cause, errStopped)
 	case notSent:
 		return !errors.Is(cause, errCallerLeft) && !errors.Is(cause, errStopped)
 	}
--- a/internal/gctune/gctune.go
+++ b/internal/gctune/gctune.go
@@ -28,6 +28,10 @@
 // that has grown may pass the floor.
 const every = 250 * time.Millisecond
 
+// SetLimit tells the runtime how much memory in bytes it may use. Near the limit it collects
+// garbage sooner than the percentage asks for.
+func SetLimit(bytes int64) { debug.SetMemoryLimit(bytes) }
+
 // usage is what the last collection found, in bytes.
 type usage struct {
 	// live is the heap in use.
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -9,7 +9,9 @@
 // Buffer sizes for response bodies, in bytes.
 const (
 	// maxUnreservedBytes is how much a response may buffer without a reservation.
-	maxUnreservedBytes = 64 << 10
+	maxUnreservedBytes = 8 << 10
+	// maxSingleBytes is the largest body of known length that is read into one segment.
+	maxSingleBytes = 64 << 10
 	// firstSegmentBytes is the size of the first segment of a response of unknown
 	// length. Each further segment is as large as all before it together, up to
 	// maxSegmentBytes.
@@ -38,48 +40,63 @@
 	return written, nil
 }
 
-// String returns a copy of the body; it is meant for small bodies.
-func (b Body) String() string {
-	var out []byte
+// AppendTo appends the body to out.
+func (b Body) AppendTo(out []byte) []byte {
 	for _, s := range b.segments {
 		out = append(out, s...)
 	}
-	return string(out)
+	return out
 }
 
+// String returns a copy of the body; it is meant for small bodies.
+func (b Body) String() string { return string(b.AppendTo(nil)) }
+
+// BodyOf returns a body of one segment, which it does not copy.
+func BodyOf(segment []byte) Body { return Body{segments: [][]byte{segment}, size: len(segment)} }
+
 // ReadAll reads the whole body, at most limit bytes. Beyond maxUnreservedBytes it calls
 // reserve before each allocation and fails if reserve returns false; a nil reserve allows
 // every allocation. After an error the response is incomplete.
 func (e *Exchange) ReadAll(limit int64, reserve func(bytes int64) bool) (Body, error) {
+	body, err := ReadBody(e.resp.Body, e.resp.ContentLength, limit, reserve)
+	return body, errors.Annotate(err, "read a response body")
+}
+
+// ReadBody reads a body to its end, at most limit bytes. A negative length is not known.
+// Memory is reserved as by Exchange.ReadAll.
+func ReadBody(src io.Reader, length, limit int64, reserve func(bytes int64) bool) (Body, error) {
 	var body Body
-	if e.resp.ContentLength > limit {
-		return body, errors.Errorf("response of %d bytes exceeds the limit of %d", e.resp.ContentLength, limit)
+	if length > limit {
+		return body, errors.Errorf("a body of %d bytes exceeds the limit of %d", length, limit)
 	}
-	size := int(min(e.resp.ContentLength+1, maxUnreservedBytes+1)) // one byte more lets the last read return io.EOF
-	if size <= 0 || size > maxUnreservedBytes {
+	size := int(min(length+1, maxSingleBytes+1)) // one byte more lets the last read return io.EOF
+	if size <= 0 || size > maxSingleBytes {
 		size = firstSegmentBytes
 	}
+	if size > maxUnreservedBytes && reserve != nil && !reserve(int64(size)) {
+		return body, errors.Errorf("no memory reserved for a body of %d bytes", length)
+	}
 	segment, allocated := make([]byte, 0, size), size
 	for {
 		if len(segment) == cap(segment) {
 			next := min(allocated, maxSegmentBytes)
 			if allocated+next > maxUnreservedBytes && reserve != nil && !reserve(int64(next)) {
-				return Body{}, errors.Errorf("no memory reserved for a response of over %d bytes", body.size)
+				return Body{}, errors.Errorf("no memory reserved for a body of over %d bytes", body.size)
 			}
 			body.segments = append(body.segments, segment)
 			segment, allocated = make([]byte, 0, next), allocated+next
 		}
-		n, err := e.resp.Body.Read(segment[len(segment):cap(segment)])
+		n, err := src.Read(segment[len(segment):cap(segment)])
 		segment = segment[:len(segment)+n]
 		body.size += n
 		switch {
 		case int64(body.size) > limit:
-			return Body{}, errors.Errorf("response exceeds the limit of %d bytes", limit)
+			return Body{}, errors.Errorf("a body exceeds the limit of %d bytes", limit)
 		case errors.Is(err, io.EOF):
 			body.segments = append(body.segments, segment)
 			return body, nil
 		case err != nil:
-			return Body{}, errors.Annotate(err, "read a response body")
+			return Body{}, err
 		}
 	}
 }
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e, err := Start(context.Background(), c, &Request{Method: "POST", URI: "/", Host: "h", Body: make([]byte, 32<<20)},
+	e, err := Start(context.Background(), c, &Request{Method: "POST", URI: "/", Host: "h", Body: BodyOf(make([]byte, 32<<20))},
 		func(*http.Response) bool { return true })
 	if err != nil {
 		t.Fatal(err)
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -17,6 +17,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"tarragonbay.example/tarragonbay/internal/intake"
 )
 
 // Timeouts and buffer size of connections.
@@ -48,6 +50,9 @@
 	expires time.Time
 	// Reused is true if the connection has been idle in the pool before.
 	Reused bool
+
+	pool      *Pool // nil if the connection does not count
+	closeOnce sync.Once
 }
 
 // Pool holds the idle connections of each upstream.
@@ -57,8 +62,57 @@
 	mu   sync.Mutex
 	idle map[string][]*Conn
 
-	// opened counts the connections opened since the start.
-	opened atomic.Int64
+	// opened counts the connections opened since the start, open those that are open or
+	// being opened, and maxOpen bounds these; zero sets no bound.
+	opened, open, maxOpen atomic.Int64
+}
+
+// errPoolFull means that all connections that a pool may have are in use.
+var errPoolFull = errors.New("too many connections to upstreams are open")
+
+// SetMaxOpen bounds the open connections, idle ones among them.
+func (p *Pool) SetMaxOpen(n int) { p.maxOpen.Store(int64(n)) }
+
+// reserve counts a connection that is about to be opened. If there are too many, it closes
+// an idle one first.
+func (p *Pool) reserve() bool {
+	for {
+		limit := p.maxOpen.Load()
+		if n := p.open.Add(1); limit <= 0 || n <= limit {
+			return true
+		}
+		p.open.Add(-1)
+		c := p.popAnyIdle()
+		if c == nil {
+			return false
+		}
+		_ = c.Close() // nothing is in flight on it
+	}
+}
+
+// popAnyIdle removes an idle connection to any upstream, or returns nil if there is none.
+func (p *Pool) popAnyIdle() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for upstream, conns := range p.idle {
+		if len(conns) == 0 {
+			continue
+		}
+		c := conns[0]
+		p.idle[upstream] = conns[1:]
+		return c
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.closeOnce.Do(func() {
+		if c.pool != nil {
+			c.pool.open.Add(-1)
+		}
+	})
+	return c.Conn.Close()
 }
 
 // NewPool returns an empty pool. A connection that is not established within
@@ -165,12 +219,18 @@
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
-	nc, err := Dialer().DialContext(ctx, "tcp", address)
+	if !p.reserve() {
+		return nil, errPoolFull
+	}
+	nc, err := upstreamDialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, errors.Annotate(err, "connect to an upstream")
 	}
 	p.opened.Add(1)
-	return newConn(nc, nc), nil
+	c := newConn(nc, nc)
+	c.pool = p
+	return c, nil
 }
 
 // newConn returns a connection that writes to nc and reads responses from src.
@@ -181,7 +241,13 @@
 
 // Dialer returns a dialer whose connections fail when the peer stops responding:
 // it sets TCP keep-alive and TCP_USER_TIMEOUT.
-func Dialer() *net.Dialer {
+func Dialer() *net.Dialer { return newDialer(func(int) {}) }
+
+// upstreamDialer bounds what upstreams send ahead of slow callers.
+var upstreamDialer = newDialer(intake.SmallReceiveBuffer)
+
+// newDialer returns a dialer that also calls prepare with each socket.
+func newDialer(prepare func(fd int)) *net.Dialer {
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
@@ -189,6 +255,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var controlErr error
 			err := raw.Control(func(fd uintptr) {
+				prepare(int(fd))
 				controlErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
 					int(unackedTimeout.Milliseconds()))
 			})
--- a/internal/h1/roundtrip.go
+++ b/internal/h1/roundtrip.go
@@ -27,7 +27,7 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 }
 
 // Exchange is a request in flight on a connection and its response. Each exchange must
@@ -83,8 +83,8 @@
 // response, because the upstream may respond before it has read the whole body.
 func (e *Exchange) send(req *Request) error {
 	head := encodeHead(req)
-	if len(req.Body) <= maxInlineBodyBytes {
-		_, err := e.conn.Write(append(head, req.Body...))
+	if req.Body.Len() <= maxInlineBodyBytes {
+		_, err := e.conn.Write(req.Body.AppendTo(head))
 		return errors.Annotate(err, "send a request")
 	}
 	if _, err := e.conn.Write(head); err != nil {
@@ -93,7 +93,7 @@
 	e.bodyUnsent.Store(true)
 	go func() {
 		// A write error surfaces when the response is read.
-		if _, err := e.conn.Write(req.Body); err == nil {
+		if _, err := req.Body.WriteTo(e.conn); err == nil {
 			e.bodyUnsent.Store(false)
 		}
 	}()
@@ -107,7 +107,7 @@
 // encodeHead encodes the request line and header. The body is always sent with a
 // Content-Length, never chunked.
 func encodeHead(req *Request) []byte {
-	b := make([]byte, 0, 1024+len(req.Body)%maxInlineBodyBytes)
+	b := make([]byte, 0, 1024+req.Body.Len()%maxInlineBodyBytes)
 	b = append(b, req.Method...)
 	b = append(b, ' ')
 	b = append(b, req.URI...)
@@ -127,9 +127,9 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if len(req.Body) > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
+	if req.Body.Len() > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(req.Body)), 10)
+		b = strconv.AppendInt(b, int64(req.Body.Len()), 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,11 +1,13 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
+	"tarragonbay.example/tarragonbay/internal/holding"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -23,8 +25,16 @@
 	// to itself.
 	PeerListen string `json:"peerListen"`
 	Store      string `json:"store" doc:"Address of the platform's store."`
-	// MemoryMB is the memory that the process may use, in MiB.
+	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `json:"memoryMb"`
+	// MaxDescriptors is the number of descriptors that the process may have; zero takes the
+	// limit of the process.
+	MaxDescriptors int `json:"maxDescriptors"`
+	// HeldMB bounds what is held for callers and operators, in megabytes, and
+	// CallerConnections the callers' connections. Zero derives them from the memory and the
+	// descriptors (internal/holding).
+	HeldMB            int `json:"heldMb"`
+	CallerConnections int `json:"callerConnections"`
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration `json:"grace"`
 	// RevokeWithin is the time after which a key that was taken away must be
@@ -105,6 +115,7 @@
 	if s.MemoryMB <= 0 {
 		d.faultAt("memoryMb", "must be above 0", "")
 	}
+	d.checkHolding(s)
 	for _, t := range []struct {
 		field string
 		value time.Duration
@@ -124,3 +135,22 @@
 		d.faultAt("repeatRatio", "the bounds on repeats must not be negative", "")
 	}
 }
+
+// Megabyte is the unit of MemoryMB and HeldMB, in bytes.
+const Megabyte = 1_000_000
+
+// checkHolding checks the limits on what is held for others.
+func (d *decoder) checkHolding(s *Gateway) {
+	if m := s.MemoryMB * Megabyte; m > 0 && m < holding.MinMemory {
+		d.faultAt("memoryMb", fmt.Sprintf("must be at least %d", holding.MinMemory/Megabyte), "")
+	}
+	if s.MaxDescriptors != 0 && s.MaxDescriptors < holding.MinDescriptors {
+		d.faultAt("maxDescriptors", fmt.Sprintf("must be 0 or at least %d", holding.MinDescriptors), "")
+	}
+	if s.HeldMB < 0 || s.HeldMB > 0 && s.HeldMB >= s.MemoryMB {
+		d.faultAt("heldMb", "must be 0 or above, and less than memoryMb", "")
+	}
+	if s.CallerConnections < 0 || s.MaxDescriptors > 0 && s.CallerConnections > s.MaxDescriptors {
+		d.faultAt("callerConnections", "must be 0 or above, and at most maxDescriptors", "")
+	}
+}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -28,6 +28,11 @@
 		{`"grace"`, `"grease"`, `did you mean "grace"`},
 		{`true`, `1`, "fairShares: must be true or false"},
 		{`134`, `0`, "memoryMb: must be above 0"},
+		{`134`, `20`, "memoryMb: must be at least 56"},
+		{`134`, `134,"maxDescriptors":100`, "maxDescriptors: must be 0 or at least 360"},
+		{`134`, `134,"heldMb":134`, "heldMb: must be 0 or above, and less than memoryMb"},
+		{`134`, `134,"heldMb":-1`, "heldMb: must be 0 or above"},
+		{`134`, `134,"callerConnections":-1`, "callerConnections: must be 0 or above"},
 	} {
 		_, err := ParseGateway("f", []byte(strings.Replace(goodGateway, c.from, c.to, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "TB8001") {
