Gateways keep no names that callers choose

What callers saw: 8,000 requests of sound form, one after the other, each with a session or a model name of 7 kB, left a gateway of 80 MB with 95 and 92 MB; it ends, though no crowd is there.

Sessions were kept by name, up to 20,000 of them, and the time of each model that a caller named got an entry of its own that nobody removed.

Sessions are kept by a 64-bit hash and the 32-bit one of the gossip messages, and looking up a model's time keeps nothing. TestCrowdOfNames failed before with the figures above and passes now (35 and 28 MB). Prompt parts were sound (34 MB before, 32 now).

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -50,16 +50,16 @@
 func (tr *shiftTracker) pinnedSessions(now time.Time, limit int) (onOld, onNew []uint32) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	for name, p := range tr.sessions {
+	for _, p := range tr.sessions {
 		s := tr.shift(p.service)
 		if !s.ordered || now.Sub(p.at) > sessionPinTime || (s.stateCurrent() && s.state.Ended()) {
 			continue
 		}
 		switch {
 		case p.version == s.order.To && len(onNew) < limit:
-			onNew = append(onNew, peers.Hash(name))
+			onNew = append(onNew, p.hash)
 		case p.version != s.order.To && len(onOld) < limit && (!s.stateCurrent() || s.state.KeepsOldSessions(tr.storeNow(now))):
-			onOld = append(onOld, peers.Hash(name))
+			onOld = append(onOld, p.hash)
 		}
 	}
 	return onOld, onNew
--- a/internal/gateway/shifttracker.go
+++ b/internal/gateway/shifttracker.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/store"
 	"tarragonbay.example/tarragonbay/internal/versionshift"
 )
@@ -20,7 +23,8 @@
 
 	mu       sync.Mutex
 	services map[string]*serviceShift
-	sessions map[string]sessionPin
+	// sessions are those of the last seconds, by sessionKey.
+	sessions map[uint64]sessionPin
 	wakeup   chan struct{}
 	// clockOffset is the store's clock minus this process's, as of the last read of the
 	// states; it is valid once clockKnown is set.
@@ -61,7 +65,9 @@
 // sessionPin is the version that a session's last request ran on.
 type sessionPin struct {
 	service, version string
-	at               time.Time
+	// hash identifies the session in gossip messages.
+	hash uint32
+	at   time.Time
 }
 
 // Limits on versions and sessions.
@@ -76,7 +82,7 @@
 func newShiftTracker(exposure float64) *shiftTracker {
 	return &shiftTracker{
 		maxExposure: exposure,
-		services:    map[string]*serviceShift{}, sessions: map[string]sessionPin{},
+		services:    map[string]*serviceShift{}, sessions: map[uint64]sessionPin{},
 		wakeup: make(chan struct{}, 1),
 	}
 }
@@ -223,7 +229,7 @@
 func (tr *shiftTracker) takesNew(s *serviceShift, q shiftQuery, upstreams int, now time.Time, peerState peerShiftState) (takes, stays bool) {
 	at := tr.storeNow(now)
 	inShare := s.stateCurrent() && s.state.Takes(q.sessionPoint, q.shortPrompt, tr.maxExposure, upstreams)
-	if p, ok := tr.sessions[q.session]; ok && q.session != "" && p.service == q.service {
+	if p, ok := tr.sessions[sessionKey(q.session)]; ok && q.session != "" && p.service == q.service {
 		inShare = tr.pin(s, p, inShare, now)
 		if p.version == s.order.To {
 			return inShare, inShare
@@ -354,10 +360,14 @@
 		}
 	}
 	if len(tr.sessions) < maxSessions {
-		tr.sessions[session] = sessionPin{service: service, version: version, at: now}
+		tr.sessions[sessionKey(session)] = sessionPin{service: service, version: version, hash: peers.Hash(session), at: now}
 	}
 }
 
+// sessionKey identifies a session. Callers name their sessions, at any length, so the names
+// are not kept.
+func sessionKey(session string) uint64 { return xxhash.Sum64String(session) }
+
 // openOrders returns the orders whose shifts are not settled yet.
 func (tr *shiftTracker) openOrders() []versionshift.Order {
 	tr.mu.Lock()
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -17,24 +17,25 @@
 
 func newSpeedTracker() *speedTracker { return &speedTracker{speeds: map[speedKey]*placement.Speed{}} }
 
-func (tr *speedTracker) speed(service, model string) *placement.Speed {
-	k := speedKey{service, model}
-	s := tr.speeds[k]
-	if s == nil {
-		s = &placement.Speed{}
-		tr.speeds[k] = s
-	}
-	return s
-}
-
+// factor returns what has been learned of a model. The name may be a caller's own, so nothing
+// is kept for it.
 func (tr *speedTracker) factor(service, model string) float64 {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	return tr.speed(service, model).Factor()
+	if s := tr.speeds[speedKey{service, model}]; s != nil {
+		return s.Factor()
+	}
+	return (&placement.Speed{}).Factor()
 }
 
 func (tr *speedTracker) observe(service, model string, work, expected, took time.Duration) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.speed(service, model).Learn(work, expected, took)
+	k := speedKey{service, model}
+	s := tr.speeds[k]
+	if s == nil {
+		s = &placement.Speed{}
+		tr.speeds[k] = s
+	}
+	s.Learn(work, expected, took)
 }
