Entries and agents admit what they take in, at every listener

What callers saw: 500 clients with heads of many lines drove an entry and an agent to 183 and 178 MB where their hosts have 96, and 1,500 silent ones took 1,191 of 1,200 descriptors. Operators got no answer within a minute beside either: connections over the limit of 64 waited in the kernel, unaccepted.

Cause: the same as at gateways. netutil.LimitListener bounded the connections of callers and operators alone, the link's not at all, and a queue of connections that no one accepts keeps ordinary clients out.

The listeners for callers, operators and other daemons are internal/intake's, with shares of the plan that follows from the new settings limits.memory (2 GiB by default) and limits.descriptors (the limit of the process). The runtime gets its limit. A body that finds bodyMemory spent closes a client that has stalled.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -28,6 +28,7 @@
 // crowdSpec is a cluster whose daemons have low limits.
 var crowdSpec = harness.Spec{Entries: 1, Agents: 1, Descriptors: crowdFiles, Limits: map[string]any{
 	"bodyBytes": crowdBody, "bodyMemory": 8 * crowdBody, "headerBytes": 16384, "heapFloor": 8 << 20,
+	"memory": crowdMemoryBytes,
 }}
 
 const crowdStart = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + harness.Key + "\r\nContent-Type: application/json\r\n"
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -92,9 +92,6 @@
 // maxBody bounds the body of a request, in bytes.
 const maxBody = 4 << 10
 
-// maxConnections bounds the open admin connections.
-const maxConnections = 64
-
 // handler serves operators.
 type handler struct{ Options }
 
@@ -117,11 +114,11 @@
 
 // Listen opens the admin listener of the settings; nothing is served before
 // its Run.
-func Listen(s settings.Settings, handler http.Handler) (*httpserver.Server, error) {
+func Listen(s settings.Settings, a httpserver.Admission, handler http.Handler) (*httpserver.Server, error) {
 	return httpserver.Listen(httpserver.Config{
 		Name:        "operators",
 		Address:     s.Admin.Listen,
-		Connections: maxConnections,
+		Admission:   a,
 		HeaderBytes: s.Limits.HeaderBytes,
 		ReadHeader:  s.Timeouts.ReadHeader,
 		Idle:        s.Timeouts.Idle,
--- a/internal/callerapi/body.go
+++ b/internal/callerapi/body.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"tarragonbay.example/tarragonbay/internal/intake"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -53,6 +54,9 @@
 	}
 	if h.bodyBytes.Add(size) > h.Limits.BodyMemory {
 		h.bodyBytes.Add(-size)
+		if c := intake.FromContext(req.Context()); c != nil {
+			c.CloseStalled() // a client that has stalled within its body makes room for the next
+		}
 		return false
 	}
 	req.reserved = size
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,9 @@
 
 	"tarragonbay.example/tarragonbay/internal/adminapi"
 	"tarragonbay.example/tarragonbay/internal/gctune"
+	"tarragonbay.example/tarragonbay/internal/holding"
 	"tarragonbay.example/tarragonbay/internal/httpserver"
+	"tarragonbay.example/tarragonbay/internal/intake"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/membership"
 	"tarragonbay.example/tarragonbay/internal/ports"
@@ -88,6 +90,8 @@
 	linkServer *http.Server
 	linkLn     net.Listener
 	admin      *httpserver.Server
+	// plan is what the process may hold for others.
+	plan holding.Plan
 
 	drainOnce sync.Once
 	draining  chan struct{}
@@ -129,6 +133,7 @@
 		metrics:     telemetry.NewMetrics(),
 		dumps:       &telemetry.Dumps{},
 		draining:    make(chan struct{}),
+		plan:        holding.NewPlan(s.Limits.Memory, intake.Descriptors(s.Limits.Descriptors)),
 	}
 	if err := d.loadTLS(); err != nil {
 		return nil, err
@@ -163,12 +168,14 @@
 	mux := http.NewServeMux()
 	mux.Handle(publish.NewPeerHandler(d.follower))
 	r.mount(mux)
-	d.linkServer = link.NewHTTPServer(mux, d.serverTLS)
+	d.linkServer = link.NewHTTPServer(intake.Handler(mux), nil)
+	d.linkServer.ConnContext = intake.ConnContext
+	d.linkLn = d.admitLinks()
 	if d.settings.Admin.Listen == "" {
 		return nil
 	}
 	var err error
-	d.admin, err = adminapi.Listen(d.settings, adminapi.NewHandler(adminapi.Options{
+	d.admin, err = adminapi.Listen(d.settings, d.admission("operators", d.plan.Operators), adminapi.NewHandler(adminapi.Options{
 		KeyHash: d.settings.Admin.KeyHash,
 		Log:     d.log,
 		Metrics: d.metrics,
@@ -200,6 +207,9 @@
 	return st
 }
 
+// RuntimeLimit is the memory limit for the runtime of the process, in bytes.
+func (d *Daemon) RuntimeLimit() int64 { return d.plan.Runtime }
+
 // Ready returns nil while the daemon takes work.
 func (d *Daemon) Ready() error { return d.readiness() }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -163,7 +163,7 @@
 		Metrics:  d.metrics,
 		Log:      d.log.Part("callers"),
 	})
-	r.caller, err = callerapi.Listen(d.settings, handler)
+	r.caller, err = callerapi.Listen(d.settings, d.admission("callers", d.callerLimits()), handler)
 	return err
 }
 
--- a/internal/daemoncmd/cmd.go
+++ b/internal/daemoncmd/cmd.go
@@ -17,6 +17,7 @@
 	"tarragonbay.example/tarragonbay/examples"
 	"tarragonbay.example/tarragonbay/internal/daemon"
 	"tarragonbay.example/tarragonbay/internal/dev"
+	"tarragonbay.example/tarragonbay/internal/gctune"
 	"tarragonbay.example/tarragonbay/internal/result"
 	"tarragonbay.example/tarragonbay/internal/settings"
 )
@@ -104,6 +105,7 @@
 			if err != nil {
 				return err
 			}
+			gctune.SetLimit(d.RuntimeLimit())
 			line, err := json.Marshal(readyLine{Ready: true, Role: string(role), Name: s.Name, Addresses: d.Addresses()})
 			if err != nil {
 				return err
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -10,12 +10,22 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/net/netutil"
+	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/holding"
+	"tarragonbay.example/tarragonbay/internal/intake"
 	"tarragonbay.example/tarragonbay/internal/settings"
 	"tarragonbay.example/tarragonbay/internal/tlsfiles"
 )
 
+// Admission bounds what a listener takes in.
+type Admission struct {
+	// Share admits connections and requests.
+	Share *holding.Share
+	// Event writes a line about what was refused or closed to the log; nil writes none.
+	Event func(event string, fields ...zap.Field)
+}
+
 // Config is what a listener needs.
 type Config struct {
 	// Name is used in errors, such as "callers".
@@ -24,8 +34,7 @@
 	Address string
 	// TLS is the certificate, if any.
 	TLS settings.CallerTLS
-	// Connections that may be open at a time; more wait in the kernel.
-	Connections int
+	Admission
 	// HeaderBytes bounds the headers of a request.
 	HeaderBytes int
 	ReadHeader  time.Duration
@@ -52,7 +61,7 @@
 		}
 		tlsConfig = pair.Server()
 	}
-	ln, err := net.Listen("tcp", c.Address)
+	ln, err := intake.Listen(c.Address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for %s", c.Name)
 	}
@@ -65,14 +74,15 @@
 }
 
 func newServer(c Config, handler http.Handler, ln net.Listener, tlsConfig *tls.Config) *Server {
-	ln = netutil.LimitListener(ln, c.Connections)
-	if tlsConfig != nil {
-		ln = tls.NewListener(ln, tlsConfig)
-	}
+	ln = intake.New(ln, intake.Options{
+		Name: c.Name, Share: c.Share, HeadBytes: func() int { return c.HeaderBytes }, HoldsBodies: true,
+		TLS: tlsConfig, Answer: intake.Refuse, Event: c.Event,
+	})
 	return &Server{
 		config: c,
 		http: &http.Server{
-			Handler:           handler,
+			Handler:           intake.Handler(handler),
+			ConnContext:       intake.ConnContext,
 			ReadHeaderTimeout: c.ReadHeader,
 			IdleTimeout:       c.Idle,
 			MaxHeaderBytes:    c.HeaderBytes,
--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -21,9 +21,10 @@
 	idlePerAgent  = 256
 	// connectionBuffer is each buffer of a connection, and streamBuffer that
 	// of one for streams, which hold it for long.
-	connectionBuffer  = 2 << 10
-	streamBuffer      = 1 << 10
-	maxHeaderBytes    = 16 << 10
+	connectionBuffer = 2 << 10
+	streamBuffer     = 1 << 10
+	// MaxHeaderBytes bounds the headers of a request on the link.
+	MaxHeaderBytes    = 16 << 10
 	tlsHandshakeLimit = time.Second
 )
 
@@ -36,7 +37,7 @@
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       serverIdle,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    MaxHeaderBytes,
 		Protocols:         new(http.Protocols),
 	}
 	s.Protocols.SetHTTP1(true)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"slices"
 	"time"
+
+	"tarragonbay.example/tarragonbay/internal/holding"
 )
 
 // checker checks decoded settings and adds faults to the decoder's.
@@ -181,6 +183,12 @@
 	c.positive("limits.inFlight", int64(l.InFlight))
 	c.positive("limits.entries", int64(l.Entries))
 	c.positive("limits.heapFloor", l.HeapFloor)
+	if l.Memory < holding.MinMemory {
+		c.add("limits.memory", fmt.Sprintf("must be at least %d", holding.MinMemory))
+	}
+	if l.Descriptors != 0 && l.Descriptors < holding.MinDescriptors {
+		c.add("limits.descriptors", fmt.Sprintf("must be 0 or at least %d", holding.MinDescriptors))
+	}
 	if l.QueueLength < 0 {
 		c.add("limits.queueLength", "must not be negative")
 	}
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -44,6 +44,7 @@
 	HeaderBytes:  32 << 10,
 	NestingDepth: 64,
 	Connections:  10_000,
+	Memory:       2 << 30,
 	InFlight:     4_096,
 	QueueLength:  1_024,
 	Entries:      1,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,8 @@
 	HeaderBytes  int   `json:"headerBytes" doc:"Largest request header block." unit:"bytes"`
 	NestingDepth int   `json:"nestingDepth" doc:"Deepest nesting of a JSON body." unit:"levels"`
 	Connections  int   `json:"connections" doc:"Open caller connections." unit:"connections"`
+	Memory       int64 `json:"memory" doc:"Memory that the process may use. What is held for callers and other daemons is admitted against it." unit:"bytes"`
+	Descriptors  int   `json:"descriptors" doc:"Descriptors that the process may have. 0 takes the limit of the process." unit:"descriptors"`
 	InFlight     int   `json:"inFlight" doc:"Requests that run at a time." unit:"requests"`
 	Entries      int   `json:"entries" doc:"Number of entries behind the balancer; each applies its share of an organisation's limits. Entries only." unit:"entries"`
 	QueueLength  int   `json:"queueLength" doc:"Requests that wait at a time." unit:"requests"`
