intake: a TLS client that is closed for others is closed at once

Found by reading: tls.Conn.Close waits up to five seconds to tell a client that does not read, and it is called by whoever needs the room, the accept loop among them. The connection below is closed first.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -112,6 +112,9 @@
 // closeFor closes the connection to make room for others.
 func (c *Conn) closeFor(why holding.Closed) {
 	c.refused.Store(true)
+	if t, ok := c.Conn.(*tls.Conn); ok {
+		_ = t.NetConn().Close() // the TLS close waits for a client that does not read
+	}
 	_ = c.Close() // no complete request is lost
 	c.ln.report("connection closed to make room", zap.String("client", c.RemoteAddr().String()), zap.String("phase", why.Phase.String()),
 		zap.Int64("heldBytes", why.Held), zap.Duration("stalledMs", why.Stalled))
