holding: many clients that hold little each give way to ordinary requests

What callers would see: clients that connect, send a byte now and then and hold less each than an ordinary request fill the budget of bytes; none has stalled and none holds more, so every ordinary request is refused as without room.

TestOrdinaryRequestsBesideTrickles failed before ('no room for an ordinary request').

--- a/internal/holding/share_test.go
+++ b/internal/holding/share_test.go
@@ -124,6 +124,32 @@
 	}
 }
 
+// TestOrdinaryRequestsBesideTrickles: clients that hold little each, and send a byte now and
+// then, fill the budget. None has stalled and none holds more than an ordinary request.
+func TestOrdinaryRequestsBesideTrickles(t *testing.T) {
+	g := newGroup(t, 1000)
+	var crowd []*Client
+	for g.share.Usage().Bytes+connectionBytes+1000 <= budget {
+		crowd = append(crowd, g.open(start, Partial, 1000))
+	}
+	for i := range 10 {
+		now := after(time.Duration(i) * partialTime / 4)
+		for _, c := range crowd {
+			c.Take(Partial, 0, now)
+		}
+		c := g.connect(now)
+		if c == nil || !c.Take(Partial, HeadCost(1000, 12)+RequestBytes, now) || !c.Take(Running, 600, now) {
+			t.Fatal("no room for an ordinary request")
+		}
+		c.Close()
+	}
+	for _, c := range g.closed {
+		if c.Phase != Partial || c.Held > 60<<10 {
+			t.Errorf("closed %v", c)
+		}
+	}
+}
+
 // TestNothingRunsAfterItsConnectionWasGivenUp: the rest of a request whose client was closed
 // for others is not admitted.
 func TestNothingRunsAfterItsConnectionWasGivenUp(t *testing.T) {
--- a/internal/holding/victims.go
+++ b/internal/holding/victims.go
@@ -25,7 +25,9 @@
 
 // roomForBytes frees memory for more bytes of the client's request. A request that has
 // stalled goes first, then the incomplete one that holds most if that is more than this one
-// will hold, then connections without a request.
+// will hold, then connections without a request. A small request also takes the place of the
+// incomplete one without progress for longest, since many that hold little each may fill the
+// budget.
 func (s *Share) roomForBytes(c *Client, bytes int64, now time.Time) (victims []victim, ok bool) {
 	after := c.held + bytes
 	for {
@@ -40,6 +42,9 @@
 		if v == nil && !lacksLarge {
 			v = first(s.byPhase[Fresh].except(c), s.byPhase[Idle].except(c))
 		}
+		if v == nil && after <= smallBytes {
+			v = s.byPhase[Partial].except(c)
+		}
 		if v == nil {
 			v = s.byPhase[Running].stalledReader(now)
 		}
