Heads are measured as they were sent

What callers saw: 431 for a head within the operator's limit whose lines have no space after the colon, or end in a bare line feed: 4,094 bytes were refused at a limit of 4,096.

Cause: the size was computed from the parsed lines, with four bytes for separators that need not be there. It is now the size as it was sent, which the connection knows, where that is less. Heads that were served are served still.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -101,7 +101,7 @@
 	if q.routeTable == nil {
 		return result.New(result.NoConfiguration, "this gateway has no configuration yet").WithRetryAfter(jitter(shortRetryDelay))
 	}
-	if n := q.routeTable.Limits().HeaderBytes; n > 0 && headerBytes(q.in) > n {
+	if n := q.routeTable.Limits().HeaderBytes; n > 0 && q.headBytes() > n {
 		return result.New(result.HeadersTooLarge, "the headers are over %d bytes", n)
 	}
 	q.route = q.routeTable.Match(q.in.Host, q.in.URL.EscapedPath())
@@ -173,13 +173,19 @@
 		WithRetryAfter(jitter(shortRetryDelay))
 }
 
-func headerBytes(in *http.Request) int {
+// headBytes returns the size of the head: as it was sent, or as its parsed lines are usually
+// written if that is less.
+func (q *request) headBytes() int {
+	in := q.in
 	n := len(in.Method) + len(in.RequestURI) + len(in.Host)
 	for k, vs := range in.Header {
 		for _, v := range vs {
 			n += len(k) + len(v) + 4 // colon, space and line end
 		}
 	}
+	if q.conn != nil {
+		n = min(n, q.conn.HeadBytes())
+	}
 	return n
 }
 
