Gateways start with whatever memory and descriptors their host names

A deployment with less memory or fewer descriptors than the plan was made for would have refused its settings, and its gateways would not have started; the plan has floors for both. TestLimitsOfTheSettings covers derived, named and changed limits.

--- a/internal/holding/plan.go
+++ b/internal/holding/plan.go
@@ -42,7 +42,7 @@
 	// heldShare is the share of the memory beyond ownBytes that may be held for others. The
 	// rest is for garbage that has not been collected yet.
 	heldShare = 0.5
-	// leastHeld is held even where the memory is smaller than the settings allow.
+	// leastHeld is held even where the memory is less than MinMemory.
 	leastHeld = 8_000_000
 	// operatorsShare is the share of what is held that each listener for the platform and
 	// for operators has for itself.
@@ -104,6 +104,6 @@
 		Callers:   Limits{Bytes: held - 2*operators, Connections: callers},
 		Operators: Limits{Bytes: operators, Connections: operatorConnections},
 		Upstreams: sockets - callers,
-		Runtime:   int64((1-slackShare)*float64(memory)) - outsideRuntime,
+		Runtime:   max(leastHeld, int64((1-slackShare)*float64(memory))-outsideRuntime),
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,13 +1,11 @@
 package settings
 
 import (
-	"fmt"
 	"net/netip"
 	"os"
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/catalog"
-	"tarragonbay.example/tarragonbay/internal/holding"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -139,13 +137,11 @@
 // Megabyte is the unit of MemoryMB and HeldMB, in bytes.
 const Megabyte = 1_000_000
 
-// checkHolding checks the limits on what is held for others.
+// checkHolding checks the limits on what is held for others. The host's own limits are taken
+// as the platform names them, since a gateway that does not start serves nobody.
 func (d *decoder) checkHolding(s *Gateway) {
-	if m := s.MemoryMB * Megabyte; m > 0 && m < holding.MinMemory {
-		d.faultAt("memoryMb", fmt.Sprintf("must be at least %d", holding.MinMemory/Megabyte), "")
-	}
-	if s.MaxDescriptors != 0 && s.MaxDescriptors < holding.MinDescriptors {
-		d.faultAt("maxDescriptors", fmt.Sprintf("must be 0 or at least %d", holding.MinDescriptors), "")
+	if s.MaxDescriptors < 0 {
+		d.faultAt("maxDescriptors", "must be 0 or above", "")
 	}
 	if s.HeldMB < 0 || s.HeldMB > 0 && s.HeldMB >= s.MemoryMB {
 		d.faultAt("heldMb", "must be 0 or above, and less than memoryMb", "")
