One organisation's requests leave room for those of others

What callers would see: whole requests of one organisation, a few hundred streams or large bodies, fill what a gateway may hold; none is incomplete, so none gives way, and the requests of all others are refused until they end.

The keys are the organisations of the configuration, not names that callers choose.

TestOneOrganisationLeavesRoomForOthers shows it on the decision.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -114,6 +114,9 @@
 	if err := g.checkKey(q); err != nil {
 		return err
 	}
+	if q.conn != nil && q.org != nil && !q.conn.Own(q.org.Name) {
+		return result.New(result.NoRoom, "the organisation's requests hold too much already").WithRetryAfter(jitterUp(intake.RetryAfter))
+	}
 	q.setSize()
 	if err := g.refuseWhileStopping(q, q.arrived); err != nil {
 		return err
--- a/internal/holding/share.go
+++ b/internal/holding/share.go
@@ -45,6 +45,10 @@
 	// answersShare is the share of the budget for answers. Upstreams decide how large they
 	// are, so no request can be refused for its answer in time.
 	answersShare = 0.3
+	// contendedShare is the share of the budget from which on an organisation that holds
+	// ownerShare of it gets no more, so that the rest is for the others.
+	contendedShare = 0.75
+	ownerShare     = 0.4
 	// maxScanned bounds the clients that are compared to find the largest.
 	maxScanned = 256
 )
@@ -66,6 +70,8 @@
 	// those of answers.
 	used, large, answers int64
 	open                 int
+	// owned counts the bytes of requests by organisation.
+	owned map[string]int64
 	// byPhase holds the clients of each phase; those whose last progress is the longest
 	// ago come first.
 	byPhase [phases]list
@@ -75,7 +81,7 @@
 }
 
 // NewShare returns a share that holds nothing.
-func NewShare(limits Limits) *Share { return &Share{limits: limits} }
+func NewShare(limits Limits) *Share { return &Share{limits: limits, owned: map[string]int64{}} }
 
 // Refused returns how often there was no room.
 func (s *Share) Refused() int64 { return s.refusedCount.Load() }
@@ -97,6 +103,8 @@
 	// base counts the bytes of the connection, held those and the ones of its request, and
 	// answer those of its answer.
 	base, held, answer int64
+	// owner is the organisation of the request; empty while it is not known.
+	owner string
 	// at is the time of the last progress.
 	at     time.Time
 	closed bool
@@ -139,7 +147,10 @@
 		s.mu.Unlock()
 		return false
 	}
-	victims, ok := s.roomForBytes(c, bytes, now)
+	victims, ok := []victim(nil), bytes == 0 || !s.outgrown(c.owner, bytes)
+	if ok {
+		victims, ok = s.roomForBytes(c, bytes, now)
+	}
 	if ok {
 		s.add(c, bytes)
 		s.move(c, phase, now)
@@ -167,6 +178,24 @@
 	return ok
 }
 
+// Own names the organisation whose request the client has sent. It returns false when the
+// organisation holds so much that the request must be refused for the others.
+func (c *Client) Own(owner string) bool {
+	s := c.share
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if s.outgrown(owner, 0) {
+		s.refusedCount.Add(1)
+		return false
+	}
+	c.owner = owner
+	s.owned[owner] += c.held
+	return true
+}
+
 // Writing notes that a write to the client begins.
 func (c *Client) Writing(now time.Time) { c.writing.Store(max(1, int64(now.Sub(c.opened)))) }
 
@@ -186,6 +215,7 @@
 	if c.closed {
 		return
 	}
+	c.share.disown(c)
 	c.share.add(c, c.base-c.held)
 	c.share.dropAnswer(c)
 	c.share.move(c, phase, now)
@@ -228,6 +258,27 @@
 	s.large += largePart(c.held+bytes) - largePart(c.held)
 	s.used += bytes
 	c.held += bytes
+	if c.owner != "" {
+		s.owned[c.owner] += bytes
+	}
+}
+
+// outgrown reports whether the organisation would hold more than its part of a budget that is
+// nearly spent.
+func (s *Share) outgrown(owner string, bytes int64) bool {
+	limit := float64(s.limits.Bytes)
+	return owner != "" && float64(s.used+bytes) > contendedShare*limit && float64(s.owned[owner]+bytes) > ownerShare*limit
+}
+
+// disown ends the count of what the organisation holds through the client.
+func (s *Share) disown(c *Client) {
+	if c.owner == "" {
+		return
+	}
+	if s.owned[c.owner] -= c.held; s.owned[c.owner] <= 0 {
+		delete(s.owned, c.owner)
+	}
+	c.owner = ""
 }
 
 // largePart is what a client that holds the bytes adds to those of large clients.
@@ -256,6 +307,7 @@
 	}
 	c.closed = true
 	s.byPhase[c.phase].remove(c)
+	s.disown(c)
 	s.add(c, -c.held)
 	s.dropAnswer(c)
 	s.open--
--- a/internal/holding/share_test.go
+++ b/internal/holding/share_test.go
@@ -150,6 +150,49 @@
 	}
 }
 
+// TestOneOrganisationLeavesRoomForOthers: whole requests of one organisation, however many,
+// leave a part of the budget to the others, which are admitted as in calm.
+func TestOneOrganisationLeavesRoomForOthers(t *testing.T) {
+	g := newGroup(t, 10_000)
+	request := func(owner string) bool {
+		c := g.connect(start)
+		return c != nil && c.Take(Partial, 40<<10, start) && c.Own(owner) && c.Take(Running, 0, start)
+	}
+	large := 0
+	for request("large") {
+		large++
+	}
+	if most := budget * 3 / 4; g.share.Usage().Bytes > most+100<<10 || large < 10 {
+		t.Errorf("%d requests of one organisation hold %d of %d bytes", large, g.share.Usage().Bytes, budget)
+	}
+	for i := range 5 {
+		if !request("small") {
+			t.Fatalf("no room for request %d of another organisation", i)
+		}
+	}
+	if request("large") {
+		t.Error("the large organisation still gets room")
+	}
+}
+
+// TestOrganisationsAloneUseTheBudget: without a shortage, nothing is kept from anyone.
+func TestOrganisationsAloneUseTheBudget(t *testing.T) {
+	g := newGroup(t, 10_000)
+	for i := 0; g.share.Usage().Bytes < budget/2; i++ {
+		c := g.open(start, Partial, 40<<10)
+		if !c.Own("one") {
+			t.Fatalf("request %d refused", i)
+		}
+		if i%2 == 0 {
+			c.Done(Idle, start)
+			c.Close()
+		}
+	}
+	if n := len(g.share.owned); n != 1 {
+		t.Errorf("%d owners", n)
+	}
+}
+
 // TestNothingRunsAfterItsConnectionWasGivenUp: the rest of a request whose client was closed
 // for others is not admitted.
 func TestNothingRunsAfterItsConnectionWasGivenUp(t *testing.T) {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -258,6 +258,10 @@
 	return nil, errors.NotSupportedf("raw access to a %T", c.Conn)
 }
 
+// Own names the organisation whose request is in progress. It returns false when the
+// organisation holds so much that the request must be refused for the others.
+func (c *Conn) Own(organisation string) bool { return c.client.Own(organisation) }
+
 // Reserve admits bytes of an answer to the request in progress.
 func (c *Conn) Reserve(bytes int64) bool { return c.client.Reserve(bytes, time.Now()) }
 
