The link admits messages before it reads them

What was seen: 60 clients that send an agent a message of 8 MB, but for its last byte, drove it to 1,115 MB where its host has 96. Any size was taken, and a packed message could have unpacked to any size.

Cause, the same: bodies on the link were not counted, on the belief that frames are bounded one by one; the handlers read each message whole, at any length.

The link's bodies are admitted like others, four times each, for the buffers in which a message grows and its decoded form. Agents take no packed messages, which their clients do not send; requests for configurations and learned state are at most 64 kB once unpacked.

TestCrowdOfMessagesAtTheLink failed before (1,110 and 1,115 MB) and passes: 86 and 87 MB.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -33,12 +33,15 @@
 
 const crowdStart = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + harness.Key + "\r\nContent-Type: application/json\r\n"
 
-// crowdActs are what clients send on each connection.
-var crowdActs = []struct {
+// crowdAct is what a number of clients send on each connection.
+type crowdAct struct {
 	name    string
 	clients int
 	act     func(c net.Conn) error
-}{
+}
+
+// crowdActs press on each listener.
+var crowdActs = []crowdAct{
 	{"bodies a byte short", 60, func(c net.Conn) error {
 		return sendAll(c, crowdStart, fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBody), strings.Repeat(" ", crowdBody-1))
 	}},
@@ -86,12 +89,30 @@
 	crowdAt(t, func(c *harness.Cluster) (*harness.Node, string) { return c.Agents[0], c.Agents[0].Proc.Ready.Link })
 }
 
+// TestCrowdOfMessagesAtTheLink: messages for an agent that are longer than any that an entry
+// sends, and stop a byte short.
+func TestCrowdOfMessagesAtTheLink(t *testing.T) {
+	const messageBytes = 8 << 20
+	crowdActsAt(t, []crowdAct{{"reports", 60, func(c net.Conn) error {
+		return sendAll(c, "POST /tarragonbay.link.v1.AgentService/Report HTTP/1.1\r\nHost: x\r\nContent-Type: application/proto\r\n"+
+			"Connect-Protocol-Version: 1\r\n", fmt.Sprintf("Content-Length: %d\r\n\r\n", messageBytes), strings.Repeat("x", messageBytes-1))
+	}}, {"attempts", 60, func(c net.Conn) error {
+		return sendAll(c, "POST /tarragonbay.link.v1.AgentService/Attempt HTTP/1.1\r\nHost: x\r\nContent-Type: application/connect+proto\r\n"+
+			"Connect-Protocol-Version: 1\r\n", fmt.Sprintf("Content-Length: %d\r\n\r\n\x00\x00\x80\x00\x00", messageBytes), strings.Repeat("x", messageBytes-6))
+	}}}, func(c *harness.Cluster) (*harness.Node, string) { return c.Agents[0], c.Agents[0].Proc.Ready.Link })
+}
+
 func crowdAt(t *testing.T, where func(*harness.Cluster) (*harness.Node, string)) {
+	t.Helper()
+	crowdActsAt(t, crowdActs, where)
+}
+
+func crowdActsAt(t *testing.T, acts []crowdAct, where func(*harness.Cluster) (*harness.Node, string)) {
 	t.Helper()
 	if harness.RaceEnabled {
 		t.Skip("the race detector holds memory of its own; .ci/run runs this test without it")
 	}
-	for _, a := range crowdActs {
+	for _, a := range acts {
 		t.Run(a.name, func(t *testing.T) {
 			c := harness.New(t, crowdSpec)
 			node, address := where(c)
--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -40,12 +40,15 @@
 	return httpserver.Admission{Share: s, Event: d.log.Part("intake").Info}
 }
 
-// admitLinks returns the link's listener with its bounds. Frames on the link are bounded one
-// by one and not held together, so their bytes are not counted.
+// linkBodyCopies is how often a message on the link is held while it is read: in a buffer, in
+// the one of twice the size into which that grows, and decoded.
+const linkBodyCopies = 4
+
+// admitLinks returns the link's listener with its bounds.
 func (d *Daemon) admitLinks() net.Listener {
 	a := d.admission("link", d.linkLimits())
 	return intake.New(d.linkLn, intake.Options{
 		Name: "link", Share: a.Share, HeadBytes: func() int { return link.MaxHeaderBytes },
-		TLS: d.serverTLS, Answer: intake.Refuse, Event: a.Event,
+		BodyCopies: linkBodyCopies, TLS: d.serverTLS, Answer: intake.Refuse, Event: a.Event,
 	})
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -66,7 +66,7 @@
 		headBytes = g.maxHeadBytes
 	}
 	l := intake.New(ln, intake.Options{
-		Name: name, Share: share, HeadBytes: headBytes, HoldsBodies: true, Answer: g.unreadRefusal,
+		Name: name, Share: share, HeadBytes: headBytes, BodyCopies: 1, Answer: g.unreadRefusal,
 		Event: func(event string, fields ...zap.Field) { g.log.Event(component, event, fields...) },
 	})
 	m := g.counters.registry
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -75,7 +75,7 @@
 
 func newServer(c Config, handler http.Handler, ln net.Listener, tlsConfig *tls.Config) *Server {
 	ln = intake.New(ln, intake.Options{
-		Name: c.Name, Share: c.Share, HeadBytes: func() int { return c.HeaderBytes }, HoldsBodies: true,
+		Name: c.Name, Share: c.Share, HeadBytes: func() int { return c.HeaderBytes }, BodyCopies: 1,
 		TLS: tlsConfig, Answer: intake.Refuse, Event: c.Event,
 	})
 	return &Server{
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -178,12 +178,10 @@
 	switch {
 	case c.discarding:
 		bytes = 0
-	case !c.ln.options.HoldsBodies:
-		bytes, phase = 0, holding.Running
 	case ended:
 		phase = holding.Running
 	}
-	if c.client.Take(phase, bytes, time.Now()) {
+	if c.client.Take(phase, bytes*int64(c.ln.options.BodyCopies), time.Now()) {
 		return true
 	}
 	c.refused.Store(true)
@@ -204,7 +202,7 @@
 	} else {
 		c.body, c.chunks = chunkedBody, chunkScanner{}
 	}
-	return c.ln.options.HoldsBodies || c.client.Take(holding.Running, 0, time.Now())
+	return true
 }
 
 func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -45,7 +45,7 @@
 	if limits != nil {
 		s.share = holding.NewShare(*limits)
 		s.ln = New(ln, Options{
-			Name: "test", Share: s.share, HeadBytes: func() int { return 16 << 10 }, HoldsBodies: true,
+			Name: "test", Share: s.share, HeadBytes: func() int { return 16 << 10 }, BodyCopies: 1,
 			Answer: func(code result.Code) []byte { return Answer(code, http.Header{"Content-Length": {"0"}}, nil) },
 			Event: func(string, ...zap.Field) {
 				s.mu.Lock()
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -44,8 +44,8 @@
 	Share *holding.Share
 	// HeadBytes returns the largest head of a request in bytes.
 	HeadBytes func() int
-	// HoldsBodies is true when the handlers hold the bodies of requests whole.
-	HoldsBodies bool
+	// BodyCopies is how often the handlers hold a byte of a request's body.
+	BodyCopies int
 	// TLS is the configuration of the listener's end; nil takes connections as they are.
 	TLS *tls.Config
 	// Answer returns the whole answer to a refused request, which ends the connection. Nil
--- a/internal/learned/peers.go
+++ b/internal/learned/peers.go
@@ -32,9 +32,12 @@
 	return linkv1connect.NewEntryServiceHandler(&Handler{
 		memory: memory,
 		limit:  rate.NewLimiter(maxResponsesPerSecond, maxResponsesPerSecond),
-	})
+	}, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
+// maxRequestBytes bounds a decoded request, which is empty.
+const maxRequestBytes = 64 << 10
+
 // Learned returns the learned state of this entry, which is empty until the entry has
 // learned something. It fails with ResourceExhausted if requests exceed the rate limit.
 func (h *Handler) Learned(ctx context.Context, _ *connect.Request[linkv1.LearnedRequest]) (*connect.Response[linkv1.LearnedResponse], error) {
@@ -70,7 +73,7 @@
 
 // NewAgentHandler returns the path to mount EntryService of an agent on, and its HTTP handler.
 func NewAgentHandler(senders func(n int) []string) (string, http.Handler) {
-	return linkv1connect.NewEntryServiceHandler(&AgentHandler{senders: senders})
+	return linkv1connect.NewEntryServiceHandler(&AgentHandler{senders: senders}, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 // Learned returns the addresses of entries that may have learned state.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -38,7 +38,8 @@
 // mounted on the link listener.
 func NewHandler(agent Agent, logs *Logs) (string, http.Handler) {
 	path, h := linkv1connect.NewAgentServiceHandler(&server{agent: agent, logs: logs},
-		connect.WithCompressMinBytes(1<<30))
+		connect.WithCompressMinBytes(1<<30),
+		connect.WithCompression("gzip", nil, nil)) // what a message takes is admitted by its bytes on the link
 	return path, batchFlushes(h, logs.timing.Write)
 }
 
--- a/internal/publish/peers.go
+++ b/internal/publish/peers.go
@@ -214,9 +214,12 @@
 
 var _ linkv1connect.PeerServiceHandler = (*PeerHandler)(nil)
 
+// maxPullBytes bounds a decoded request, which names a revision.
+const maxPullBytes = 64 << 10
+
 // NewPeerHandler returns the path and the handler to mount.
 func NewPeerHandler(f *Follower, opts ...connect.HandlerOption) (string, http.Handler) {
-	return linkv1connect.NewPeerServiceHandler(newPeerHandler(f), opts...)
+	return linkv1connect.NewPeerServiceHandler(newPeerHandler(f), append(opts, connect.WithReadMaxBytes(maxPullBytes))...)
 }
 
 func newPeerHandler(f *Follower) *PeerHandler {
