holding: a flood of connections makes room for itself

What callers would see: beside a flood of silent connections, each kept connection between two requests is closed first, before any of the flood.

Of fresh and idle connections, those give way that are more; the oldest first. TestFloodIsClosedForTheFlood failed before ('closed idle').

--- a/internal/holding/share_test.go
+++ b/internal/holding/share_test.go
@@ -73,6 +73,31 @@
 	}
 }
 
+// TestFloodIsClosedForTheFlood: when most connections are of one kind, that kind makes room for
+// the next, whether its clients connect and are silent or ask once and stay.
+func TestFloodIsClosedForTheFlood(t *testing.T) {
+	for _, c := range []struct{ flood, others Phase }{{Fresh, Idle}, {Idle, Fresh}} {
+		t.Run(c.flood.String(), func(t *testing.T) {
+			g := newGroup(t, 50)
+			for range 5 {
+				g.open(start, c.others, 0)
+			}
+			for i := range 300 {
+				now := after(time.Duration(i) * time.Millisecond)
+				client := g.connect(now)
+				if client == nil || !client.Take(c.flood, 0, now) {
+					t.Fatal("no room")
+				}
+			}
+			for _, closed := range g.closed {
+				if closed.Phase != c.flood {
+					t.Fatalf("closed %v", closed)
+				}
+			}
+		})
+	}
+}
+
 // TestOrdinaryRequestsBesideHoardedBodies: clients that hold all that large requests may hold
 // keep neither ordinary requests nor large ones out for longer than they make progress.
 func TestOrdinaryRequestsBesideHoardedBodies(t *testing.T) {
--- a/internal/holding/victims.go
+++ b/internal/holding/victims.go
@@ -4,14 +4,14 @@
 
 // roomForConnection frees a connection, and the memory for it, if there is none. What is
 // closed first costs ordinary callers least: a connection on which nothing came in time, then
-// a request that has stalled, then one that is idle, which its caller opens again.
+// a request that has stalled, then the oldest of the fresh or of the idle connections,
+// whichever are more.
 func (s *Share) roomForConnection(bytes int64, now time.Time) (victims []victim, ok bool) {
 	for s.open >= s.limits.Connections || s.used+bytes > s.limits.Bytes {
 		c := first(
 			s.byPhase[Fresh].stalled(now, freshTime),
 			s.byPhase[Partial].stalled(now, partialTime),
-			s.byPhase[Idle].front,
-			s.byPhase[Fresh].front,
+			s.withoutRequest(nil),
 			s.byPhase[Partial].front,
 			s.byPhase[Running].stalledReader(now),
 		)
@@ -40,7 +40,7 @@
 			s.byPhase[Partial].largest(c, after),
 		)
 		if v == nil && !lacksLarge {
-			v = first(s.byPhase[Fresh].except(c), s.byPhase[Idle].except(c))
+			v = s.withoutRequest(c)
 		}
 		if v == nil && after <= smallBytes {
 			v = s.byPhase[Partial].except(c)
@@ -59,7 +59,7 @@
 // first, however much they hold.
 func (s *Share) roomForAnswer(c *Client, bytes int64, now time.Time) (victims []victim, ok bool) {
 	for s.used+bytes > s.limits.Bytes {
-		v := first(s.byPhase[Partial].largest(c, 0), s.byPhase[Fresh].except(c), s.byPhase[Idle].except(c))
+		v := first(s.byPhase[Partial].largest(c, 0), s.withoutRequest(c))
 		if v == nil {
 			return victims, false
 		}
@@ -86,6 +86,16 @@
 	return nil
 }
 
+// withoutRequest returns the oldest of the fresh connections or of the idle ones, whichever are
+// more: a crowd makes room for itself.
+func (s *Share) withoutRequest(besides *Client) *Client {
+	fresh, idle := s.byPhase[Fresh].except(besides), s.byPhase[Idle].except(besides)
+	if s.byPhase[Fresh].count > s.byPhase[Idle].count {
+		return first(fresh, idle)
+	}
+	return first(idle, fresh)
+}
+
 // first returns the first client that is not nil.
 func first(clients ...*Client) *Client {
 	for _, c := range clients {
@@ -97,9 +107,13 @@
 }
 
 // list holds the clients of one phase. The zero value is empty.
-type list struct{ front, back *Client }
+type list struct {
+	front, back *Client
+	count       int
+}
 
 func (l *list) pushBack(c *Client) {
+	l.count++
 	c.prev, c.next = l.back, nil
 	if l.back != nil {
 		l.back.next = c
@@ -110,6 +124,7 @@
 }
 
 func (l *list) remove(c *Client) {
+	l.count--
 	if c.prev != nil {
 		c.prev.next = c.next
 	} else {
