intake: an answer is sent before its connection gives way

What callers would see: in a crowd, a connection that ends although its request ran and was answered. Small answers lie in the server's buffer until the handler has returned, and from then on the connection counted as idle.

It counts as running now until the server reads on, which it does once it has sent the answer. TestAnswerIsSentBeforeItsConnectionGivesWay failed before (closed, 'unexpected EOF'). TestConnectionMakesRoomAfterItsAnswer checks that connections still become idle, whatever became of the body.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -43,9 +43,12 @@
 	serving atomic.Bool
 	// discarding is true once the handler has returned: what is left of the body is not kept.
 	discarding bool
-	refused    atomic.Bool
-	closeOnce  sync.Once
-	closeErr   error
+	// answered is true from the return of a handler until the server reads on, which it does
+	// once it has sent the answer.
+	answered  atomic.Bool
+	refused   atomic.Bool
+	closeOnce sync.Once
+	closeErr  error
 }
 
 type bodyKind uint8
@@ -64,6 +67,10 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	// A read of one byte is the server's watch for the close of the connection, which may begin late.
+	if len(p) > 1 && c.answered.CompareAndSwap(true, false) && c.body == noBody {
+		c.client.Take(holding.Idle, 0, time.Now())
+	}
 	switch c.body {
 	case lengthBody:
 		return c.readLength(p)
@@ -176,6 +183,8 @@
 func (c *Conn) admitBody(bytes int64, ended bool) bool {
 	phase := holding.Partial
 	switch {
+	case c.discarding && ended:
+		bytes, phase = 0, holding.Idle
 	case c.discarding:
 		bytes = 0
 	case ended:
@@ -209,11 +218,12 @@
 
 // end notes that the handler has returned.
 func (c *Conn) end(r *http.Request) {
-	phase := holding.Idle
+	phase := holding.Running // until the answer has been sent
 	if hasBody(r) && c.body != noBody {
 		c.discarding, phase = true, holding.Partial
 	}
 	c.client.Done(phase, time.Now())
+	c.answered.Store(true)
 	c.serving.Store(false)
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -10,12 +11,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
 	"tarragonbay.example/tarragonbay/internal/holding"
 	"tarragonbay.example/tarragonbay/internal/result"
+	"tarragonbay.example/tarragonbay/internal/standin/pipe"
 )
 
 // server is an HTTP server whose handler records what it gets.
@@ -250,3 +253,86 @@
 		t.Errorf("%d refusals counted, %d lines", n, s.lines)
 	}
 }
+
+// TestConnectionMakesRoomAfterItsAnswer: a connection whose request was answered is idle,
+// whatever became of the body, and gives way to the next one.
+func TestConnectionMakesRoomAfterItsAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, request string
+		reads         bool
+	}{
+		{"no body", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", true},
+		{"body read", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\norder", true},
+		{"body left", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\norder", false},
+		{"chunks left", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\norder\r\n0\r\n\r\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := serve(t, &holding.Limits{Bytes: 1 << 20, Connections: 1}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if c.reads {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				w.Header().Set("Content-Length", "2")
+				_, _ = io.WriteString(w, "ok")
+			}))
+			first, err := net.Dial("tcp", s.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer first.Close()
+			if _, err := io.WriteString(first, c.request); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(first), nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("%v, %v", resp, err)
+			}
+			for end := time.Now().Add(10 * time.Second); s.share.Closed() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the connection does not give way")
+				}
+				next, err := net.Dial("tcp", s.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = next.Close() // it may have been refused
+			}
+		})
+	}
+}
+
+// TestAnswerIsSentBeforeItsConnectionGivesWay: a handler has returned, and its answer is still
+// being sent, when the only place is asked for.
+func TestAnswerIsSentBeforeItsConnectionGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := pipe.Listen()
+		share := holding.NewShare(holding.Limits{Bytes: 1 << 20, Connections: 1})
+		ln := New(inner, Options{Name: "test", Share: share, HeadBytes: func() int { return 4096 }, BodyCopies: 1})
+		returned := make(chan struct{})
+		h := &http.Server{ReadHeaderTimeout: time.Second, ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer close(returned)
+			_, _ = io.WriteString(w, "answer")
+		}))}
+		go func() { _ = h.Serve(ln) }() // ends with Close
+		first := inner.Dial()
+		if _, err := io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		<-returned
+		synctest.Wait()
+		second := inner.Dial()
+		synctest.Wait()
+		if share.Refused() != 1 || share.Closed() != 0 {
+			t.Errorf("%d refused, %d closed", share.Refused(), share.Closed())
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(first), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "answer" {
+			t.Errorf("answer %q, %v", body, err)
+		}
+		_, _ = first.Close(), second.Close()
+		_ = h.Close()
+		synctest.Wait()
+	})
+}
