--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -286,20 +286,26 @@
 			if err != nil || resp.StatusCode != http.StatusOK {
 				t.Fatalf("%v, %v", resp, err)
 			}
-			for end := time.Now().Add(10 * time.Second); s.share.Closed() == 0; time.Sleep(time.Millisecond) {
-				if time.Now().After(end) {
-					t.Fatal("the connection does not give way")
-				}
-				next, err := net.Dial("tcp", s.address)
-				if err != nil {
-					t.Fatal(err)
-				}
-				_ = next.Close() // it may have been refused
-			}
+			s.knockUntilOneGivesWay(t)
 		})
 	}
 }
 
+// knockUntilOneGivesWay opens connections until another was closed for one of them.
+func (s *server) knockUntilOneGivesWay(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); s.share.Closed() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection does not give way")
+		}
+		next, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = next.Close() // it may have been refused
+	}
+}
+
 // TestAnswerIsSentBeforeItsConnectionGivesWay: a handler has returned, and its answer is still
 // being sent, when the only place is asked for.
 func TestAnswerIsSentBeforeItsConnectionGivesWay(t *testing.T) {
