Holds reach every gateway, and crashes are known without a refused connect

Cause: a crash was proven by a refused connect alone, a part was blamed only for crashes without any answer between them, strikes were told for 0.8 s, and a hold was carried by the store alone and refused for good after one answer.

Now the list of upstreams proves a crash too (another boot with the ID or address), five crashes hold a part by the share of its requests that they end, holds and strikes are repeated to peers, and a hold after five crashes outlives a few answers. An upstream that leaves as planned has not crashed.

--- a/internal/fleet/notices.go
+++ b/internal/fleet/notices.go
@@ -57,6 +57,13 @@
 	return out
 }
 
+// Leaves reports whether an upstream has announced that it leaves.
+func (n *Notices) Leaves(u Upstream) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.boots[bootOf(u)].leaves
+}
+
 // PauseUntil records that an upstream accepts no new requests until the given time. A later
 // notice with an earlier time does not shorten the pause.
 func (n *Notices) PauseUntil(u Upstream, until time.Time) {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -11,7 +11,9 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/crashwatch"
 	"tarragonbay.example/tarragonbay/internal/fleet"
+	"tarragonbay.example/tarragonbay/internal/holdtable"
 	"tarragonbay.example/tarragonbay/internal/peers"
 	"tarragonbay.example/tarragonbay/internal/quarantine"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -22,29 +24,19 @@
 type crashTracker struct {
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
-	// broken is when the first connection to an upstream broke that may have crashed.
-	broken map[quarantine.Boot]time.Time
-	// waiting are the attempts without an event yet.
-	waiting map[*waitingAttempt]bool
+	// breaks, waiting, roster and refusals are what the tracker is fed from and asked about.
+	breaks   crashwatch.Breaks
+	waiting  crashwatch.Waiting
+	roster   quarantine.Roster
+	refusals crashwatch.Refusals
 	// rows are the holds in the store.
-	rows holdRows
+	rows holdtable.Rows
 	// report wakes the task that tells peers, save the one that writes to the store.
 	report, save chan struct{}
 }
 
-// waitingAttempt is a request at an upstream that has had no event yet.
-type waitingAttempt struct {
-	features []quarantine.Feature
-	cancel   context.CancelFunc
-	// held is true once a hold has ended the attempt.
-	held bool
-}
-
 func newCrashTracker() *crashTracker {
-	return &crashTracker{
-		tracker: quarantine.NewTracker(), broken: map[quarantine.Boot]time.Time{}, waiting: map[*waitingAttempt]bool{},
-		report: make(chan struct{}, 1), save: make(chan struct{}, 1),
-	}
+	return &crashTracker{tracker: quarantine.NewTracker(), report: make(chan struct{}, 1), save: make(chan struct{}, 1)}
 }
 
 // wake wakes the task that waits on the channel.
@@ -55,10 +47,6 @@
 	}
 }
 
-// brokenMemory is how long a broken connection may precede the proof that its upstream
-// crashed.
-const brokenMemory = 2 * time.Second
-
 // minClearingEvents is the number of events from which a stream shows that its upstream
 // survives the request; a crash may cut off the first one.
 const minClearingEvents = 2
@@ -89,7 +77,7 @@
 	if !q.explained {
 		g.counters.held.Inc(1)
 	}
-	return verdict, result.New(result.RequestHeld, "%d upstreams crashed under requests with %s", hold.Crashes, featureNames(hold.Features)).
+	return verdict, result.New(result.RequestHeld, "%d upstreams crashed under requests with %s", hold.Crashes, holdtable.FeatureNames(hold.Features)).
 		WithRetryAfter(hold.Until.Sub(now))
 }
 
@@ -98,7 +86,7 @@
 	g.crashes.mu.Lock()
 	changes := g.crashes.tracker.Answered(q.crashFeatures(), q.contentHash(), q.sentAt)
 	g.crashes.mu.Unlock()
-	g.applyHoldChanges(changes)
+	g.applyHoldChanges(changes, byAnswer)
 }
 
 // attemptEnd is how an attempt ended.
@@ -134,18 +122,19 @@
 	}
 	var changes []quarantine.Change
 	g.crashes.mu.Lock()
+	if g.crashes.roster.Leaves(p.up.ID, boot, now) || g.notices.Leaves(p.up) {
+		g.crashes.mu.Unlock()
+		return
+	}
 	if end.events == 0 {
 		changes = g.crashes.tracker.Unanswered(quarantine.Attempt{
 			Boot: boot, Request: q.contentHash(), Features: q.crashFeatures(), SentAt: q.sentAt, EndedAt: now,
 			Began: end.began, GivenUp: end.verdict == discarded,
 		}, now)
 	}
-	verify := false
-	if _, known := g.crashes.broken[boot]; end.verdict != discarded && !known && !g.crashes.tracker.HasCrashed(boot) {
-		g.crashes.broken[boot], verify = now, true
-	}
+	verify := end.verdict != discarded && g.crashes.breaks.Add(boot, now)
 	g.crashes.mu.Unlock()
-	g.applyHoldChanges(changes)
+	g.applyHoldChanges(changes, byStrike)
 	if verify {
 		go g.verifyCrash(p.up)
 	}
@@ -177,11 +166,8 @@
 func (g *Gateway) upstreamRefused(u fleet.Upstream, now time.Time) {
 	boot := quarantine.Boot(bootID(u))
 	g.crashes.mu.Lock()
-	at, broke := g.crashes.broken[boot]
-	if !broke {
-		at = now
-	}
-	first := broke && !g.crashes.tracker.HasCrashed(boot)
+	at, broke := g.crashes.breaks.First(boot)
+	first := broke && !g.crashes.tracker.HasCrashedAt(boot, at)
 	var changes []quarantine.Change
 	if first {
 		changes = g.crashes.tracker.Crashed(boot, at, now)
@@ -190,14 +176,46 @@
 	if !first {
 		return
 	}
-	g.log.Event(component, "upstream crashed", zap.String("upstream", u.ID), zap.Int64("born", u.Born), zap.Duration("brokeMsAgo", now.Sub(at)))
-	g.applyHoldChanges(changes)
+	g.log.Event(component, "upstream crashed", zap.String("upstream", u.ID), zap.Int64("born", u.Born), zap.String("proof", "refused"), zap.Duration("brokeMsAgo", now.Sub(at)))
+	g.applyHoldChanges(changes, byStrike)
 	wake(g.crashes.report)
 }
 
+// upstreamsListed feeds changed entries of the list, which may show that upstreams crashed.
+func (g *Gateway) upstreamsListed(changed []changedUpstream, removed []string, now time.Time) {
+	var changes []quarantine.Change
+	g.crashes.mu.Lock()
+	g.crashes.roster.Read(now)
+	for _, u := range changed {
+		for _, e := range g.crashes.roster.Put(quarantine.Listed{ID: u.ID, Address: u.Address, Boot: quarantine.Boot(u.Boot), Born: u.Born, Leaving: u.Leaving}, now) {
+			e.Planned = e.Planned || g.notices.Leaves(fleet.Upstream{ID: e.ID, Born: e.Born})
+			c, crashed := g.crashes.tracker.Ended(e, now)
+			if changes = append(changes, c...); crashed {
+				g.log.Event(component, "upstream crashed", zap.String("upstream", e.ID), zap.Int64("born", e.Born), zap.String("proof", "successor"),
+					zap.String("successor", u.ID), zap.Int64("successorBorn", u.Born), zap.Uint64("rev", u.rev))
+				wake(g.crashes.report)
+			}
+		}
+	}
+	for _, id := range removed {
+		g.crashes.roster.Remove(id, now)
+	}
+	g.crashes.mu.Unlock()
+	g.applyHoldChanges(changes, byStrike)
+}
+
+// Sources of a change of holds, as they are logged.
+const (
+	byStrike = "crashes"
+	byAnswer = "answer"
+	byRow    = "row"
+	byTime   = "time"
+	byPeer   = "peer " // and its name
+)
+
 // applyHoldChanges logs changes of holds, ends the attempts that are held, and saves the
 // holds.
-func (g *Gateway) applyHoldChanges(changes []quarantine.Change) {
+func (g *Gateway) applyHoldChanges(changes []quarantine.Change, source string) {
 	if len(changes) == 0 {
 		return
 	}
@@ -206,61 +224,86 @@
 		if c.Released {
 			event = "requests released"
 		}
-		g.log.Event(component, event, zap.String("hold", featureName(c.Name)), zap.String("features", featureNames(c.Features)),
-			zap.Int("crashes", c.Crashes), zap.Duration("sinceMsAgo", time.Since(c.Since)))
+		g.log.Event(component, event, append(holdFields(c.Hold), zap.String("source", source))...)
 	}
-	now := time.Now()
 	g.crashes.mu.Lock()
-	for w := range g.crashes.waiting {
-		if v, _ := g.crashes.tracker.Judge(w.features, now); v == quarantine.Held {
-			w.held = true
-			w.cancel()
-		}
-	}
+	g.crashes.waiting.End(g.crashes.tracker, time.Now())
 	g.crashes.mu.Unlock()
 	wake(g.crashes.report)
 	wake(g.crashes.save)
 }
 
+func holdFields(h quarantine.Hold) []zap.Field {
+	return []zap.Field{
+		zap.String("hold", holdtable.FeatureName(h.Name)), zap.String("features", holdtable.FeatureNames(h.Features)),
+		zap.Int("crashes", h.Crashes), zap.Int("answers", h.Answers), zap.Duration("sinceMsAgo", time.Since(h.Since)),
+	}
+}
+
+// logRefusal logs that a hold that was placed elsewhere is not taken over, once for each reason.
+func (g *Gateway) logRefusal(h quarantine.Hold, why quarantine.Refusal, source string) {
+	if g.crashes.refusals.Note(h.Name, why) {
+		g.log.Event(component, "hold not taken over", append(holdFields(h), zap.String("why", string(why)), zap.String("source", source))...)
+	}
+}
+
 // await registers an attempt that a hold may end before its first event.
-func (c *crashTracker) await(q *request, cancel context.CancelFunc) *waitingAttempt {
-	w := &waitingAttempt{features: q.crashFeatures(), cancel: cancel}
+func (c *crashTracker) await(q *request, cancel context.CancelFunc) *crashwatch.Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting[w] = true
-	return w
+	return c.waiting.Add(q.crashFeatures(), cancel)
 }
 
 // done ends the registration; it reports whether a hold has ended the attempt.
-func (c *crashTracker) done(w *waitingAttempt) bool {
+func (c *crashTracker) done(a *crashwatch.Attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.waiting, w)
-	return w.held
+	return c.waiting.Done(a)
 }
 
 // pruneCrashes drops what no longer counts.
 func (g *Gateway) pruneCrashes(now time.Time) {
 	g.crashes.mu.Lock()
+	before := g.crashes.tracker.Unproven()
 	changes := g.crashes.tracker.Prune(now)
-	for b, at := range g.crashes.broken {
-		if now.Sub(at) > brokenMemory {
-			delete(g.crashes.broken, b)
-		}
-	}
+	unproven := g.crashes.tracker.Unproven() - before
+	g.crashes.breaks.Prune(now)
+	g.crashes.roster.Prune(now)
 	g.crashes.mu.Unlock()
-	g.applyHoldChanges(changes)
+	g.applyHoldChanges(changes, byTime)
+	if unproven > 0 {
+		g.log.Event(component, "breaks without a crash", zap.Int("attempts", unproven))
+	}
 }
 
 // Intervals of the reports on crashes.
 const (
 	// minReportPause is the shortest pause between two reports.
 	minReportPause = 20 * time.Millisecond
-	// reportRounds is for how many rounds of gossip a crash is reported, since datagrams get
-	// lost.
+	// reportRounds is for how many rounds of gossip a crash is reported at once, since datagrams
+	// get lost.
 	reportRounds = 4
+	// repeatInterval is the interval between two repetitions for gateways that were started,
+	// frozen or cut off, and repeatFanout the number of peers, drawn at random, that each goes to.
+	repeatInterval = time.Second
+	repeatFanout   = 8
 )
 
+// repeatCrashes repeats to peers what they may have missed of crashes and holds until ctx ends.
+func (g *Gateway) repeatCrashes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(repeatInterval))
+		now := time.Now()
+		g.crashes.mu.Lock()
+		r := g.crashes.tracker.Repeat(now)
+		g.crashes.mu.Unlock()
+		if !r.Empty() {
+			g.gossip.SendCrashes(r, repeatFanout, now)
+		}
+	}
+	return nil
+}
+
 // reportCrashes tells peers of crashes until ctx ends.
 func (g *Gateway) reportCrashes(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -277,7 +320,7 @@
 			if r.Empty() {
 				break
 			}
-			g.gossip.SendCrashes(r, now)
+			g.gossip.SendCrashes(r, peers.Everyone, now)
 			sleep(ctx, minReportPause+round/10)
 			timer := time.NewTimer(jitter(round))
 			select {
@@ -294,14 +337,26 @@
 // receiveCrashes applies what a peer has seen of crashes.
 func (g *Gateway) receiveCrashes(from string, r quarantine.Report) {
 	now := time.Now()
+	r.From = from
 	g.crashes.mu.Lock()
 	changes := g.crashes.tracker.Hear(r, now)
-	answer := len(r.Strikes) > 0 && len(g.crashes.tracker.Report(reportRounds*peers.RoundInterval(g.gateways()-1), now).Clearances) > 0
+	contested := false
+	for _, h := range r.Holds {
+		switch why := g.crashes.tracker.AdoptTold(h); why {
+		case quarantine.Taken:
+			changes = append(changes, quarantine.Change{Hold: h})
+		case quarantine.Known:
+		default:
+			contested = contested || why == quarantine.Answered
+			g.logRefusal(h, why, byPeer+from)
+		}
+	}
+	answer := contested || len(r.Strikes) > 0 && len(g.crashes.tracker.Report(reportRounds*peers.RoundInterval(g.gateways()-1), now).Clearances) > 0
 	g.crashes.mu.Unlock()
 	if len(changes) > 0 {
-		g.log.Event(component, "peer reports crashes", zap.String("peer", from), zap.Int("strikes", len(r.Strikes)), zap.Int("cleared", len(r.Clearances)))
+		g.log.Event(component, "peer reports crashes", zap.String("peer", from), zap.Int("strikes", len(r.Strikes)), zap.Int("cleared", len(r.Clearances)), zap.Int("holds", len(r.Holds)))
 	}
-	g.applyHoldChanges(changes)
+	g.applyHoldChanges(changes, byPeer+from)
 	if answer {
 		wake(g.crashes.report)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,7 +187,7 @@
 		if g.gossip, err = g.openGossip(); err != nil {
 			return err
 		}
-		tasks = append(tasks, g.gossip.Register, g.gossip.Send, g.gossip.Receive, g.reportCrashes)
+		tasks = append(tasks, g.gossip.Register, g.gossip.Send, g.gossip.Receive, g.reportCrashes, g.repeatCrashes)
 	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(taskCtx) })
--- a/internal/gateway/holds_test.go
+++ b/internal/gateway/holds_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"tarragonbay.example/tarragonbay/internal/holdtable"
 	"tarragonbay.example/tarragonbay/internal/quarantine"
 	"tarragonbay.example/tarragonbay/internal/store"
 )
@@ -13,7 +14,7 @@
 // shows 10 s.
 func holdValue(t *testing.T, features ...string) []byte {
 	t.Helper()
-	b, err := json.Marshal(holdRow{Features: features, SinceMS: 1, UntilMS: 3_610_000, Crashes: 2})
+	b, err := json.Marshal(holdtable.Row{Features: features, SinceMS: 1, UntilMS: 3_610_000, Crashes: 2})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,7 +23,7 @@
 
 func listHolds(g *Gateway, rows ...store.Row) {
 	for i := range rows {
-		rows[i].Table = holdTable
+		rows[i].Table = holdtable.Table
 	}
 	g.applyHoldRows(update{full: true, page: store.Page{Rows: rows, Rev: 9, Now: 10 * time.Second}}, time.Now())
 }
@@ -45,13 +46,13 @@
 			t.Fatal("no hold")
 		}
 		listHolds(g, store.Row{Key: store.Key{Name: "a"}, Rev: 7, Value: []byte(c.value)})
-		txn, _, ok, err := g.crashes.rows.next(g.crashes.tracker.Holds())
+		txn, _, ok, err := g.crashes.rows.Next(g.crashes.tracker.Holds())
 		if err != nil || !ok || len(txn.Set) != 1 || txn.Expect[0].Rev != 7 {
 			t.Errorf("%s: in force: %+v, %v, %v", name, txn, ok, err)
 		}
 		g = newTestGateway()
 		listHolds(g, store.Row{Key: store.Key{Name: "a"}, Rev: 7, Value: []byte(c.value)})
-		txn, _, ok, err = g.crashes.rows.next(g.crashes.tracker.Holds())
+		txn, _, ok, err = g.crashes.rows.Next(g.crashes.tracker.Holds())
 		if err != nil || ok != c.removed || (ok && (len(txn.Delete) != 1 || txn.Expect[0].Rev != 7)) || len(g.crashes.tracker.Holds()) != 0 {
 			t.Errorf("%s: not in force: %+v, %v, %v", name, txn, ok, err)
 		}
@@ -64,13 +65,13 @@
 	for _, name := range []string{"", "A", "0a", "+a", "0xa", "1_0", "hold", "10000000000000000"} {
 		g := newTestGateway()
 		listHolds(g, store.Row{Key: store.Key{Name: name}, Rev: 7, Value: holdValue(t, "a")})
-		if txn, _, ok, _ := g.crashes.rows.next(g.crashes.tracker.Holds()); ok || len(g.crashes.tracker.Holds()) != 0 {
+		if txn, _, ok, _ := g.crashes.rows.Next(g.crashes.tracker.Holds()); ok || len(g.crashes.tracker.Holds()) != 0 {
 			t.Errorf("%q: %+v", name, txn)
 		}
 	}
 	g := newTestGateway()
 	listHolds(g, store.Row{Key: store.Key{Name: "a"}, Rev: 7, Value: holdValue(t, "a", "b")})
-	if _, _, ok, _ := g.crashes.rows.next(g.crashes.tracker.Holds()); ok || len(g.crashes.tracker.Holds()) != 1 {
+	if _, _, ok, _ := g.crashes.rows.Next(g.crashes.tracker.Holds()); ok || len(g.crashes.tracker.Holds()) != 1 {
 		t.Error("a sound row is no hold, or is written again")
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonbay.example/tarragonbay/internal/crashwatch"
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/h1"
 	"tarragonbay.example/tarragonbay/internal/peers"
@@ -66,7 +67,7 @@
 	// framed is true when the answer shows by itself that it is whole.
 	began, framed bool
 	attemptEvents int
-	waiting       *waitingAttempt
+	waiting       *crashwatch.Attempt
 	// confidence is the model's own rating of the answer; negative when there is none.
 	confidence int
 	// idleBytes counts the bytes since the last event that showed progress.
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -86,6 +86,7 @@
 		goneAt = until
 	}
 	changed := l.g.applyUpstreamRows(l.known, u.page, u.full, goneAt)
+	l.g.upstreamsListed(changed.upstreams, changed.removed, now)
 	l.g.publishFleet(l.known, now)
 	changed.log()
 	l.feed.finishUpdate(u, changed.rows)
@@ -111,7 +112,7 @@
 	for _, r := range page.Rows {
 		if r.Removed {
 			known.Remove(r.Name, r.Rev, goneAt)
-			changed.rows = append(changed.rows, r)
+			changed.rows, changed.removed = append(changed.rows, r), append(changed.removed, r.Name)
 			continue
 		}
 		u, err := g.docs.Upstream(r)
@@ -148,6 +149,8 @@
 	// rows are the changed rows, which are sent to peers.
 	rows      []store.Row
 	upstreams []changedUpstream
+	// removed are the IDs of those that are no longer listed.
+	removed []string
 }
 
 type changedUpstream struct {
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -1,24 +1,71 @@
 package peers
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"tarragonbay.example/tarragonbay/internal/link/gossipv1"
 	"tarragonbay.example/tarragonbay/internal/quarantine"
 )
 
-// SendCrashes sends a report on crashes of upstreams to all listed gateways. Gateways whose
-// program does not know such reports take it for an addition without requests.
-func (t *Gossip) SendCrashes(r quarantine.Report, now time.Time) {
+// Everyone is the number of receivers that stands for all listed gateways.
+const Everyone = 0
+
+// SendCrashes sends a report on crashes of upstreams to the given number of listed gateways, drawn
+// at random, in as many datagrams as it needs. Gateways whose program does not know such reports take it for an addition
+// without requests; those that do not know holds read the rest.
+func (t *Gossip) SendCrashes(r quarantine.Report, receivers int, now time.Time) {
 	to := t.addresses()
+	if receivers != Everyone && receivers < len(to) {
+		rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+		to = to[:receivers]
+	}
 	if len(to) == 0 {
 		return
 	}
-	t.send(&gossipv1.News{
-		Gateway: t.opts.Name, Incarnation: t.opts.Incarnation, Addition: true, Crashes: encodeCrashes(r, now),
-	}, to)
+	for _, m := range splitCrashes(encodeCrashes(r, now)) {
+		t.send(&gossipv1.News{Gateway: t.opts.Name, Incarnation: t.opts.Incarnation, Addition: true, Crashes: m}, to)
+	}
+}
+
+// maxCrashBytes bounds a part of a report; the rest of a datagram is for the gateway's name.
+const maxCrashBytes = maxDatagramBytes - 1024
+
+// splitCrashes divides a report that does not fit a datagram.
+func splitCrashes(m *gossipv1.CrashReport) []*gossipv1.CrashReport {
+	if proto.Size(m) <= maxCrashBytes {
+		return []*gossipv1.CrashReport{m}
+	}
+	rest := &gossipv1.CrashReport{
+		Cleared: m.GetCleared(), ClearedMsAgo: m.GetClearedMsAgo(), ClearedAnswers: m.GetClearedAnswers(),
+		Boots: m.GetBoots(), CrashedMsAgo: m.GetCrashedMsAgo(), Lifted: m.GetLifted(), LiftedMsAgo: m.GetLiftedMsAgo(),
+	}
+	out := []*gossipv1.CrashReport{rest} // its bounds fit a datagram
+	part := &gossipv1.CrashReport{}
+	size := 0
+	room := func(n int) *gossipv1.CrashReport {
+		if size += n + fieldOverhead; size > maxCrashBytes || len(out) == 1 {
+			part, size = &gossipv1.CrashReport{}, n+fieldOverhead
+			out = append(out, part)
+		}
+		return part
+	}
+	for _, a := range m.GetAttempts() {
+		p := room(proto.Size(a))
+		p.Attempts = append(p.Attempts, a)
+	}
+	for _, h := range m.GetHolds() {
+		p := room(proto.Size(h))
+		p.Holds = append(p.Holds, h)
+	}
+	return out
 }
 
+// fieldOverhead is the most that the tag and the length of a submessage take, in bytes.
+const fieldOverhead = 4
+
 // ageMS returns the age of a time in a gossip message, in milliseconds.
 func ageMS(at, now time.Time) uint32 {
 	return uint32(max(0, min(now.Sub(at), maxAge)) / time.Millisecond)
@@ -43,6 +90,20 @@
 	}
 	for _, c := range r.Clearances {
 		m.Cleared, m.ClearedMsAgo = append(m.Cleared, uint64(c.Feature)), append(m.ClearedMsAgo, ageMS(c.SentAt, now))
+		m.ClearedAnswers = append(m.ClearedAnswers, c.Answers)
+	}
+	for _, h := range r.Holds {
+		told := &gossipv1.ToldHold{
+			Name: uint64(h.Name), SinceMsAgo: ageMS(h.Since, now), PlacedMsAgo: ageMS(h.Placed, now),
+			LeftMs: ageMS(now, h.Until), Crashes: uint32(max(0, h.Crashes)), Answers: uint32(max(0, h.Answers)),
+		}
+		for _, f := range h.Features {
+			told.Features = append(told.Features, uint64(f))
+		}
+		m.Holds = append(m.Holds, told)
+	}
+	for _, l := range r.Lifted {
+		m.Lifted, m.LiftedMsAgo = append(m.Lifted, uint64(l.Name)), append(m.LiftedMsAgo, ageMS(l.At, now))
 	}
 	for _, c := range r.Crashes {
 		m.Boots, m.CrashedMsAgo = append(m.Boots, uint32(c.Boot)), append(m.CrashedMsAgo, ageMS(c.At, now))
@@ -67,7 +128,28 @@
 	}
 	if len(m.GetCleared()) == len(m.GetClearedMsAgo()) {
 		for i, f := range m.GetCleared() {
-			r.Clearances = append(r.Clearances, quarantine.Clearance{Feature: quarantine.Feature(f), SentAt: timeOf(m.GetClearedMsAgo()[i], now)})
+			c := quarantine.Clearance{Feature: quarantine.Feature(f), SentAt: timeOf(m.GetClearedMsAgo()[i], now)}
+			if len(m.GetClearedAnswers()) == len(m.GetCleared()) {
+				c.Answers = m.GetClearedAnswers()[i]
+			}
+			r.Clearances = append(r.Clearances, c)
+		}
+	}
+	for _, told := range m.GetHolds() {
+		h := quarantine.Hold{
+			Name: quarantine.Feature(told.GetName()), Since: timeOf(told.GetSinceMsAgo(), now), Placed: timeOf(told.GetPlacedMsAgo(), now),
+			Until: now.Add(min(time.Duration(told.GetLeftMs())*time.Millisecond, quarantine.HoldTime)), Crashes: int(told.GetCrashes()), Answers: int(told.GetAnswers()),
+		}
+		for _, f := range told.GetFeatures() {
+			if len(h.Features) < quarantine.MaxFeatures {
+				h.Features = append(h.Features, quarantine.Feature(f))
+			}
+		}
+		r.Holds = append(r.Holds, h)
+	}
+	if len(m.GetLifted()) == len(m.GetLiftedMsAgo()) {
+		for i, f := range m.GetLifted() {
+			r.Lifted = append(r.Lifted, quarantine.Lifting{Name: quarantine.Feature(f), At: timeOf(m.GetLiftedMsAgo()[i], now)})
 		}
 	}
 	if len(m.GetBoots()) == len(m.GetCrashedMsAgo()) {
--- a/internal/quarantine/clearance.go
+++ b/internal/quarantine/clearance.go
@@ -14,17 +14,28 @@
 	at time.Time
 	// own is true when this gateway sent it.
 	own bool
+	// before are the times of those before it, the latest first.
+	before [contradictions]time.Time
 }
 
+// contradictions is how many answers may contradict a hold after many crashes: a feature may
+// crash upstreams only some of the time.
+const contradictions = 2
+
 // clearanceEntries is the number of features in one generation; a gateway has a few hundred
 // shared parts in use.
 const clearanceEntries = 8192
 
 // add records a clearance; it reports whether it is the newest one of the feature.
 func (c *clearances) add(f Feature, new clearance) bool {
-	if at, ok := c.last(f); ok && !new.at.After(at) {
+	was, ok := c.get(f)
+	if ok && !new.at.After(was.at) {
 		return false
 	}
+	if ok {
+		new.before[0] = was.at
+		copy(new.before[1:], was.before[:])
+	}
 	if c.current == nil || len(c.current) >= clearanceEntries {
 		c.current, c.previous = map[Feature]clearance{}, c.current
 	}
@@ -45,3 +56,10 @@
 	e, ok := c.previous[f]
 	return e, ok
 }
+
+// many reports whether more answers than a hold after many crashes allows were to requests
+// sent after the given time.
+func (c *clearances) many(f Feature, since time.Time) bool {
+	e, ok := c.get(f)
+	return ok && e.before[contradictions-1].After(since)
+}
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -14,10 +14,14 @@
 	// crashed, and that had no answer since: which of them is to blame is not known. They
 	// include Name.
 	Features []Feature
-	// Since is when the first of its strikes was sent, Until when the hold ends.
+	// Since is the time from which an answer contradicts the hold: when the first of its strikes
+	// was sent, or, with Answers, when it was placed. Until is when it ends.
 	Since, Until time.Time
-	// Crashes is the number of upstreams that crashed.
-	Crashes int
+	// Placed is when a gateway placed the hold; zero if unknown.
+	Placed time.Time
+	// Crashes is the number of upstreams that crashed, Answers that of answers between the
+	// crashes.
+	Crashes, Answers int
 }
 
 // covers reports whether a request with the given features is held.
@@ -121,15 +125,32 @@
 		}
 		// A request that is held by itself does not explain its own strikes: one of its
 		// features may be to blame.
-		if slices.ContainsFunc(t.strikes, func(o strike) bool {
-			return o.Boot == s.Boot && h.covers(o.Features) && (o.Request != s.Request || h.Name != Feature(o.Request))
-		}) {
+		if slices.ContainsFunc(t.heldAt(h)[s.Boot], func(request uint64) bool { return request != s.Request || h.Name != Feature(request) }) {
 			return true
 		}
 	}
 	return false
 }
 
+// heldAt returns the requests that a hold covers and that were at upstreams when these
+// crashed.
+func (t *Tracker) heldAt(h *Hold) map[Boot][]uint64 {
+	if at, ok := t.heldIndex[h]; ok {
+		return at
+	}
+	at := map[Boot][]uint64{}
+	for _, s := range t.strikes {
+		if h.covers(s.Features) {
+			at[s.Boot] = append(at[s.Boot], s.Request)
+		}
+	}
+	if t.heldIndex == nil {
+		t.heldIndex = map[*Hold]map[Boot][]uint64{}
+	}
+	t.heldIndex[h] = at
+	return at
+}
+
 // threshold returns the weight from which a feature is held.
 func (t *Tracker) threshold(f Feature) float64 {
 	if _, known := t.cleared.last(f); known {
@@ -156,9 +177,9 @@
 			}
 		}
 		if len(found.strikes) == 0 {
-			return changes
+			return append(changes, t.holdByShare(features)...)
 		}
-		h := &Hold{Name: worst, Features: t.common(worst, found), Until: now.Add(HoldTime)}
+		h := &Hold{Name: worst, Features: t.common(worst, found), Until: now.Add(HoldTime), Placed: now}
 		h.Since = slices.MinFunc(found.strikes, func(a, b strike) int { return a.SentAt.Compare(b.SentAt) }).SentAt
 		boots := map[Boot]bool{}
 		for _, s := range found.strikes {
@@ -213,7 +234,7 @@
 		if len(kept) == 0 || len(kept) == len(h.Features) {
 			continue
 		}
-		changes = append(changes, h.rename(kept)...)
+		changes = append(changes, t.rename(h, kept)...)
 	}
 	return changes
 }
@@ -235,8 +256,9 @@
 }
 
 // rename keeps some of the features of a hold.
-func (h *Hold) rename(kept []Feature) (changes []Change) {
+func (t *Tracker) rename(h *Hold, kept []Feature) (changes []Change) {
 	old := *h
+	t.heldIndex = nil
 	h.Features = kept
 	if !slices.Contains(kept, h.Name) {
 		changes = append(changes, Change{Hold: old, Released: true})
@@ -246,47 +268,107 @@
 }
 
 // release removes a feature that had an answer from the holds, which apply to more requests
-// then; a hold for the feature itself passes to another of its features, or ends.
+// then; a hold for the feature itself passes to another of its features, or ends, unless
+// the share of its requests that crash upstreams speaks for itself.
 func (t *Tracker) release(f Feature, sentAt time.Time) (changes []Change) {
 	t.holds = slices.DeleteFunc(t.holds, func(h *Hold) bool {
 		if !slices.Contains(h.Features, f) || !sentAt.After(h.Since) {
 			return false
 		}
+		if h.Answers > 0 && !h.outweighed(h.Answers+max(1, t.answers.total(f))) {
+			return false
+		}
 		kept := slices.DeleteFunc(slices.Clone(h.Features), func(o Feature) bool { return o == f })
 		if len(kept) == 0 {
 			changes = append(changes, Change{Hold: *h, Released: true})
 			return true
 		}
-		changes = append(changes, h.rename(kept)...)
+		changes = append(changes, t.rename(h, kept)...)
 		return false
 	})
+	if len(changes) > 0 {
+		changes = append(changes, t.holdByShare([]Feature{f})...)
+	}
 	return changes
 }
 
+// Refusal is why a hold that was placed elsewhere was not taken over.
+type Refusal string
+
+const (
+	// Taken says that the hold is in force now.
+	Taken Refusal = ""
+	// Known says that it was in force before.
+	Known Refusal = "known"
+	// Answered says that requests with its features had answers here since.
+	Answered Refusal = "answered"
+	// Lifted says that it was lifted since it was placed.
+	Lifted Refusal = "lifted"
+	// Malformed says that it has no features.
+	Malformed Refusal = "malformed"
+)
+
 // Restore places a hold that was read from the store. It reports whether that changed
 // anything.
-func (t *Tracker) Restore(h Hold) bool {
-	if len(h.Features) == 0 {
-		return false
+func (t *Tracker) Restore(h Hold) bool { return t.Adopt(h) == Taken }
+
+// AdoptTold places a hold that a peer has told of, unless it was lifted since.
+func (t *Tracker) AdoptTold(h Hold) Refusal {
+	if at, ok := t.lifted[h.Name]; ok && !h.Placed.After(at) {
+		return Lifted
 	}
-	h.Features = slices.DeleteFunc(slices.Clone(h.Features), func(f Feature) bool {
+	return t.Adopt(h)
+}
+
+// Adopt places a hold that another gateway has placed, unless answers contradict it. After many
+// crashes, a few do not.
+func (t *Tracker) Adopt(h Hold) Refusal {
+	if len(h.Features) == 0 || !slices.Contains(h.Features, h.Name) {
+		return Malformed
+	}
+	for _, o := range t.holds {
+		if o.Name == h.Name && len(h.Features) >= len(o.Features) {
+			return Known
+		}
+	}
+	all, few := h.Features, false
+	h.Features = slices.DeleteFunc(slices.Clone(all), func(f Feature) bool {
 		at, ok := t.cleared.last(f)
-		return ok && at.After(h.Since)
+		contradicted := ok && at.After(h.Since)
+		if contradicted && f == h.Name {
+			few = h.Crashes >= shareCrashes && !t.cleared.many(f, h.Since)
+			contradicted = !few
+		}
+		return contradicted
 	})
 	if !slices.Contains(h.Features, h.Name) {
-		return false
+		t.contest(all)
+		return Answered
+	}
+	if few {
+		h.Answers, h.Since = max(1, h.Answers), t.latest
 	}
 	for _, o := range t.holds {
 		if o.Name == h.Name {
 			if len(h.Features) >= len(o.Features) {
-				return false
+				return Known
 			}
 			*o = h
-			return true
+			t.heldIndex = nil
+			return Taken
 		}
 	}
 	t.holds = append(t.holds, &h)
-	return true
+	return Taken
+}
+
+// contest has the next reports tell of the answers to requests with the features.
+func (t *Tracker) contest(features []Feature) {
+	for _, f := range features {
+		if _, ok := t.cleared.last(f); ok && len(t.contested) < maxReportedClearances {
+			t.contested[f] = t.latest
+		}
+	}
 }
 
 // Lift ends the hold with the given name, as an operator does by deleting it from the
@@ -301,6 +383,10 @@
 	})
 	if len(changes) > 0 {
 		t.strikes = slices.DeleteFunc(t.strikes, func(s strike) bool { return s.has(name) })
+		t.heldIndex = nil
+	}
+	if len(t.lifted) < maxLifted {
+		t.lifted[name] = t.latest
 	}
 	return changes
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,12 +4,14 @@
 // gateway and of its peers. It has no I/O or clock of its own.
 //
 // When an upstream crashes, all its requests fail together, and a crash has many causes.
-// A feature of a request, such as a part of its prompt, is held responsible only if
+// A feature of a request, such as a part of its prompt, is held responsible if
 // upstreams crash under it again and again, each time after the last crash, and no request
-// with it has had an answer meanwhile.
+// with it has had an answer meanwhile; or if so many of the requests with it end in a crash
+// that the requests without it make chance unlikely.
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -85,6 +87,12 @@
 	crashGap = 100 * time.Millisecond
 	// orderSlack is the error of the times that peers report.
 	orderSlack = 20 * time.Millisecond
+	// proofTime is how long after an attempt the proof may come that its upstream crashed: the
+	// list of upstreams shows it, and the store may be away.
+	proofTime = 30 * time.Second
+	// listSlack is how long before the first sight of a successor in the list a boot may have
+	// ended that was listed still: its heartbeats end later.
+	listSlack = 2 * time.Second
 )
 
 // Bounds of the state.
@@ -101,13 +109,27 @@
 type Tracker struct {
 	// pending are attempts that ended without an answer at upstreams that may have crashed.
 	pending []Attempt
-	// crashes holds the boots that have crashed.
+	// crashes holds the boots that have crashed, and when. A boot that came back under its ID
+	// crashes again until the list shows its successor.
 	crashes map[Boot]time.Time
-	strikes []strike
-	cleared clearances
-	holds   []*Hold
+	// successors are the boots that took the ID of an earlier one.
+	successors map[Boot]Boot
+	strikes    []strike
+	cleared    clearances
+	answers    answerCounts
+	holds      []*Hold
+	// heldIndex caches heldAt; it is dropped when strikes or holds change.
+	heldIndex map[*Hold]map[Boot][]uint64
 	// suspects are the features that are close to a hold.
 	suspects map[Feature]bool
+	// contested are features of holds that had answers here, for the next reports.
+	contested map[Feature]time.Time
+	// lifted is when holds were lifted.
+	lifted map[Feature]time.Time
+	// latest is the latest time that the tracker was given.
+	latest time.Time
+	// unproven counts the attempts whose upstreams were not proven to have crashed.
+	unproven int
 }
 
 // strike is an attempt that ended without an answer when its upstream crashed.
@@ -120,22 +142,37 @@
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{crashes: map[Boot]time.Time{}, suspects: map[Feature]bool{}}
+	return &Tracker{
+		crashes: map[Boot]time.Time{}, successors: map[Boot]Boot{}, suspects: map[Feature]bool{},
+		answers:   answerCounts{byFeature: map[Feature]*answerCount{}},
+		contested: map[Feature]time.Time{}, lifted: map[Feature]time.Time{},
+	}
 }
 
 // Unanswered records an attempt that ended without any of its answer. It counts only if
-// its upstream is known to have crashed, now or shortly afterwards.
+// its upstream is known to have crashed, now or later.
 func (t *Tracker) Unanswered(a Attempt, now time.Time) (changes []Change) {
-	if at, ok := t.crashes[a.Boot]; ok && a.endedBy(at) {
-		return t.add([]strike{{Attempt: a, own: true, at: now}}, now)
+	for range maxSuccessors {
+		if at, ok := t.crashes[a.Boot]; ok && a.endedBy(at) {
+			return t.add([]strike{{Attempt: a, own: true, at: now}}, now)
+		}
+		next, ok := t.successors[a.Boot]
+		if !ok {
+			break
+		}
+		a.Boot = next // it was sent before the list showed that
 	}
 	if len(t.pending) >= maxPending {
 		t.pending = slices.Delete(t.pending, 0, 1)
+		t.unproven++
 	}
 	t.pending = append(t.pending, a)
 	return nil
 }
 
+// maxSuccessors is how many boots may take an ID within the time of one request.
+const maxSuccessors = 8
+
 // endedBy reports whether the crash of the upstream at the given time explains the end of
 // the attempt, or may follow from it.
 func (a Attempt) endedBy(crash time.Time) bool {
@@ -148,29 +185,69 @@
 
 // Crashed records that an upstream crashed at the given time.
 func (t *Tracker) Crashed(b Boot, at, now time.Time) (changes []Change) {
-	if _, ok := t.crashes[b]; ok {
+	if was, ok := t.crashes[b]; ok && at.Sub(was) <= crashMatch {
 		return nil
 	}
-	if len(t.crashes) < maxCrashes {
+	t.recordCrash(b, at)
+	var found []strike
+	t.pending = slices.DeleteFunc(t.pending, func(a Attempt) bool {
+		if a.Boot != b || !a.endedBy(at) {
+			return a.Boot == b && a.EndedAt.Before(at) // it ended for another cause
+		}
+		found = append(found, strike{Attempt: a, own: true, at: now})
+		return true
+	})
+	return t.add(found, now)
+}
+
+func (t *Tracker) recordCrash(b Boot, at time.Time) {
+	if _, ok := t.crashes[b]; ok || len(t.crashes) < maxCrashes {
 		t.crashes[b] = at
 	}
-	var found []strike
+}
+
+// Ended records that the list shows the end of a boot. Unless it was planned, the attempts
+// that broke off there since the list was read before are strikes. crashed is true if there
+// are any.
+func (t *Tracker) Ended(e Ending, now time.Time) (changes []Change, crashed bool) {
+	if e.Successor != 0 && len(t.successors) < maxCrashes {
+		t.successors[e.Boot] = e.Successor
+	}
+	var ended []Attempt
 	t.pending = slices.DeleteFunc(t.pending, func(a Attempt) bool {
-		if a.Boot != b {
+		if a.Boot != e.Boot {
 			return false
 		}
-		if a.endedBy(at) {
-			found = append(found, strike{Attempt: a, own: true, at: now})
+		if !e.Planned && a.EndedAt.After(e.After.Add(-listSlack)) {
+			ended = append(ended, a)
 		}
 		return true
 	})
-	return t.add(found, now)
+	if e.Planned {
+		return nil, false
+	}
+	crash := now // of attempts whose end is not known yet
+	for _, a := range ended {
+		if !a.GivenUp && a.EndedAt.Before(crash) {
+			crash = a.EndedAt
+		}
+	}
+	if was, ok := t.crashes[e.Boot]; !ok || len(ended) > 0 || now.Sub(was) > proofTime {
+		t.recordCrash(e.Boot, crash)
+	}
+	var found []strike
+	for _, a := range ended {
+		if !a.GivenUp || a.endedBy(crash) {
+			found = append(found, strike{Attempt: a, own: true, at: now})
+		}
+	}
+	return t.add(found, now), len(found) > 0
 }
 
-// HasCrashed reports whether an upstream is known to have crashed.
-func (t *Tracker) HasCrashed(b Boot) bool {
-	_, ok := t.crashes[b]
-	return ok
+// HasCrashedAt reports whether an upstream is known to have crashed at about the given time.
+func (t *Tracker) HasCrashedAt(b Boot, at time.Time) bool {
+	was, ok := t.crashes[b]
+	return ok && at.Sub(was) <= crashMatch
 }
 
 // Struck records strikes of a peer.
@@ -184,6 +261,7 @@
 
 // add adds strikes that are not known yet and holds the features that they incriminate.
 func (t *Tracker) add(found []strike, now time.Time) (changes []Change) {
+	t.latest = later(t.latest, now)
 	var touched []Feature
 	for _, s := range found {
 		if len(s.Features) == 0 || now.Sub(s.EndedAt) > strikeMemory || slices.ContainsFunc(t.strikes, s.same) {
@@ -195,20 +273,43 @@
 		t.strikes = append(t.strikes, s)
 		touched = append(touched, s.Features...)
 	}
+	t.heldIndex = nil
+	for _, f := range touched {
+		t.answers.follow(f)
+	}
 	changes = append(t.widen(), t.hold(touched, now)...)
 	for _, f := range touched {
-		t.suspects[f] = t.evidence(f).weight >= t.threshold(f)-suspectMargin
+		t.suspects[f] = t.suspicious(f)
 	}
 	return changes
 }
 
+// suspicious reports whether a feature is close to a hold.
+func (t *Tracker) suspicious(f Feature) bool {
+	if t.evidence(f).weight >= t.threshold(f)-suspectMargin {
+		return true
+	}
+	s := t.shareOf(f)
+	return s.crashes >= shareCrashes-1 && s.unlikely()
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s strike) same(o strike) bool { return s.Boot == o.Boot && s.Request == o.Request }
 
 // Answered records that an upstream has answered a request that was sent at sentAt, far
 // enough that it would have crashed before.
 func (t *Tracker) Answered(features []Feature, request uint64, sentAt time.Time) (changes []Change) {
+	t.latest = later(t.latest, sentAt)
+	t.answers.answered(sentAt)
 	shared := make([]Feature, 0, len(features))
 	for _, f := range features {
+		t.answers.count(f)
 		// Most requests never come again; only those with strikes are remembered.
 		if _, struck := t.suspects[f]; struck || f != Feature(request) {
 			shared = append(shared, f)
@@ -224,7 +325,7 @@
 		}
 		changes = append(changes, t.release(f, c.at)...)
 		if t.suspects[f] {
-			t.suspects[f] = t.evidence(f).weight >= t.threshold(f)-suspectMargin
+			t.suspects[f] = t.suspicious(f)
 		}
 	}
 	return changes
@@ -232,16 +333,34 @@
 
 // Prune drops what no longer counts.
 func (t *Tracker) Prune(now time.Time) (changes []Change) {
-	t.pending = slices.DeleteFunc(t.pending, func(a Attempt) bool { return now.Sub(a.EndedAt) > 2*crashMatch })
+	t.latest = later(t.latest, now)
+	t.pending = slices.DeleteFunc(t.pending, func(a Attempt) bool {
+		late := now.Sub(a.EndedAt) > proofTime
+		if late {
+			t.unproven++
+		}
+		return late
+	})
+	before := len(t.strikes)
 	t.strikes = slices.DeleteFunc(t.strikes, func(s strike) bool { return now.Sub(s.EndedAt) > strikeMemory })
 	for b, at := range t.crashes {
 		if now.Sub(at) > strikeMemory {
 			delete(t.crashes, b)
+			delete(t.successors, b)
 		}
 	}
+	if len(t.crashes) == 0 {
+		clear(t.successors)
+	}
+	if len(t.strikes) != before {
+		t.answers.forget(t.strikes)
+		t.heldIndex = nil
+	}
 	if len(t.strikes) == 0 {
 		clear(t.suspects)
 	}
+	maps.DeleteFunc(t.contested, func(_ Feature, at time.Time) bool { return now.Sub(at) > tellTime })
+	maps.DeleteFunc(t.lifted, func(_ Feature, at time.Time) bool { return now.Sub(at) > liftMemory })
 	t.holds = slices.DeleteFunc(t.holds, func(h *Hold) bool {
 		if now.Before(h.Until) {
 			return false
@@ -251,3 +370,7 @@
 	})
 	return changes
 }
+
+// Unproven returns how many attempts broke off at upstreams that were not proven to have
+// crashed, since the start.
+func (t *Tracker) Unproven() int { return t.unproven }
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -18,6 +18,10 @@
 	up      []*upstream
 	boots   Boot
 	request uint64
+	// share of deadly requests that crash their upstream; beforeHead is true if their answers do
+	// not begin.
+	share      float64
+	beforeHead bool
 	// deadlyCrashes and deadlySends are when deadly requests caused crashes and were sent.
 	deadlyCrashes, deadlySends []time.Time
 }
@@ -54,8 +58,8 @@
 
 func (s *fleet) after(d time.Duration, do func()) { heap.Push(&s.queue, event{s.now.Add(d), do}) }
 
-func newFleet(seed uint64, upstreams int) *fleet {
-	s := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(), now: start}
+func newFleet(seed uint64) *fleet {
+	s := &fleet{share: 1, rng: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(), now: start}
 	for range upstreams {
 		s.boots++
 		s.up = append(s.up, &upstream{boot: s.boots})
@@ -63,8 +67,8 @@
 	return s
 }
 
-func (s *fleet) run(lasts time.Duration) {
-	for end := start.Add(lasts); len(s.queue) > 0 && s.queue[0].at.Before(end); {
+func (s *fleet) run() {
+	for end := start.Add(minute); len(s.queue) > 0 && s.queue[0].at.Before(end); {
 		e := heap.Pop(&s.queue).(event)
 		s.now = e.at
 		e.do()
@@ -78,6 +82,8 @@
 	crashAfter  = 90 * time.Millisecond // from the start of a deadly request
 	firstEvents = 60 * time.Millisecond // from the start of a sound one
 	maxTries    = 3
+	upstreams   = 18
+	minute      = 60 * time.Second
 	seeds       = 8
 )
 
@@ -111,8 +117,11 @@
 			}
 		})
 	}
-	step(wait, func() { r.Began = true })
-	if r.deadly {
+	crashes := r.deadly && (s.share == 1 || s.rng.Float64() < s.share)
+	if !crashes || !s.beforeHead {
+		step(wait, func() { r.Began = true })
+	}
+	if crashes {
 		step(wait+crashAfter, func() {
 			s.deadlyCrashes = append(s.deadlyCrashes, s.now)
 			s.crash(u)
@@ -172,11 +181,11 @@
 func TestDeadlyRequestIsHeldSoon(t *testing.T) {
 	for _, perSecond := range []float64{0.2, 1, 5} {
 		for seed := range uint64(seeds) {
-			s := newFleet(seed, 18)
+			s := newFleet(seed)
 			s.traffic(60, false, s.sound)
 			s.repeat(perSecond, []Feature{shared, 1001})
 			s.flap(2 * time.Second)
-			s.run(60 * time.Second)
+			s.run()
 			if v, _ := s.tracker.Judge([]Feature{shared, 1001, firstRequest}, s.now); v != Held {
 				t.Errorf("%v a second, seed %d: not held after %d crashes", perSecond, seed, len(s.deadlyCrashes))
 			}
@@ -222,11 +231,11 @@
 	for _, perSecond := range []float64{0.2, 1, 5, 20} {
 		worst, crashes := 0, 0
 		for seed := range uint64(seeds) {
-			s := newFleet(seed, 18)
+			s := newFleet(seed)
 			s.traffic(60, false, s.sound)
 			s.traffic(perSecond, true, func() []Feature { return []Feature{shared, 1001, dead} })
 			s.flap(2 * time.Second)
-			s.run(60 * time.Second)
+			s.run()
 			if v, _ := s.tracker.Judge([]Feature{shared, 1001, dead}, s.now); v != Held {
 				t.Errorf("%v a second, seed %d: not held after %d crashes", perSecond, seed, len(s.deadlyCrashes))
 			}
@@ -244,6 +253,38 @@
 	}
 }
 
+// TestPartThatCrashesSometimesIsHeldSoon: a part that had answers before crashes the upstreams of half of
+// its requests, or of all before their answers begin.
+func TestPartThatCrashesSometimesIsHeldSoon(t *testing.T) {
+	for name, c := range map[string]struct {
+		share      float64
+		beforeHead bool
+	}{"every second time": {0.5, false}, "before the head": {1, true}, "every second time, before the head": {0.5, true}} {
+		worst := 0
+		for seed := range uint64(seeds) {
+			s := newFleet(seed)
+			s.share, s.beforeHead = c.share, c.beforeHead
+			s.tracker.Answered([]Feature{shared, 1001, dead}, 0, start)
+			s.traffic(60, false, s.sound)
+			s.traffic(3, true, func() []Feature { return []Feature{shared, 1001, dead} })
+			s.run()
+			if v, _ := s.tracker.Judge([]Feature{shared, 1001, dead}, s.now); v != Held {
+				t.Errorf("%s, seed %d: not held after %d crashes", name, seed, len(s.deadlyCrashes))
+			}
+			for _, h := range s.tracker.Holds() {
+				if !s.single(h) && !h.covers([]Feature{shared, 1001, dead}) || h.covers([]Feature{shared, 1001}) {
+					t.Errorf("%s, seed %d: wrong hold %+v", name, seed, h)
+				}
+			}
+			if n := s.lateSends(5, 3*time.Second); n > 3 {
+				t.Errorf("%s, seed %d: %d requests reached upstreams late", name, seed, n)
+			}
+			worst = max(worst, len(s.deadlyCrashes))
+		}
+		t.Logf("%s: %d crashes at most", name, worst)
+	}
+}
+
 // single reports whether a hold is for one request alone.
 func (s *fleet) single(h Hold) bool { return h.Name >= firstRequest }
 
@@ -279,10 +320,10 @@
 	} {
 		wrong, single, requests := 0, 0, uint64(0)
 		for seed := range uint64(seeds) {
-			s := newFleet(seed, 18)
+			s := newFleet(seed)
 			s.traffic(90, false, s.sound)
 			cause(s)
-			s.run(60 * time.Second)
+			s.run()
 			for _, h := range s.tracker.Holds() {
 				if s.single(h) {
 					single++
