A part of an answer before a reset, and malformed heads, are no answers

Cause: the kernel reports a reset once; the goroutine that writes the upload takes the error and the read sees an end. And net/http accepts heads that are none.

--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -18,6 +18,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/spf13/cobra"
 
+	"tarragonbay.example/tarragonbay/internal/answers"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -155,7 +156,7 @@
 }
 
 func (p loadPlan) run(ctx context.Context) loadReport {
-	transport := &http.Transport{MaxIdleConnsPerHost: p.concurrency, MaxConnsPerHost: p.concurrency}
+	transport := answers.NewTransport(&http.Transport{MaxIdleConnsPerHost: p.concurrency, MaxConnsPerHost: p.concurrency})
 	defer transport.CloseIdleConnections()
 	r := &loadRun{
 		plan:     p,
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"tarragonbay.example/tarragonbay/internal/answers"
 	"tarragonbay.example/tarragonbay/internal/link"
 	"tarragonbay.example/tarragonbay/internal/publish"
 	"tarragonbay.example/tarragonbay/internal/result"
@@ -37,11 +38,11 @@
 // dial returns connections to other daemons, for pulling configurations and what
 // they have learned.
 func (d *Daemon) dial() publish.Dial {
-	transport := &http.Transport{
+	transport := answers.NewTransport(&http.Transport{
 		DialContext:       (&net.Dialer{Timeout: d.settings.Timeouts.Connect}).DialContext,
 		TLSClientConfig:   d.clientTLS,
 		DisableKeepAlives: true,
-	}
+	})
 	httpClient := &http.Client{Transport: transport, Timeout: d.settings.Timeouts.Platform}
 	scheme := "http://"
 	if d.clientTLS != nil {
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -58,7 +58,7 @@
 // reserve before each allocation and fails if reserve returns false; a nil reserve allows
 // every allocation. After an error the response is incomplete.
 func (e *Exchange) ReadAll(limit int64, reserve func(bytes int64) bool) (Body, error) {
-	body, err := ReadBody(e.resp.Body, e.resp.ContentLength, limit, reserve)
+	body, err := ReadBody(e, e.resp.ContentLength, limit, reserve)
 	return body, errors.Annotate(err, "read a response body")
 }
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"tarragonbay.example/tarragonbay/internal/answers"
 	"tarragonbay.example/tarragonbay/internal/intake"
 )
 
@@ -228,6 +229,7 @@
 		return nil, errors.Annotate(err, "connect to an upstream")
 	}
 	p.opened.Add(1)
+	nc = answers.Conn(nc)
 	c := newConn(nc, nc)
 	c.pool = p
 	return c, nil
--- a/internal/h1/roundtrip.go
+++ b/internal/h1/roundtrip.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"tarragonbay.example/tarragonbay/internal/answers"
 )
 
 // Limits on late responses to earlier requests, which are discarded.
@@ -37,8 +39,10 @@
 	resp *http.Response
 	// detach detaches the exchange from its context (see context.AfterFunc).
 	detach func() bool
-	// bodyUnsent is true while a body that is written concurrently is incomplete.
+	// bodyUnsent is true while a body that is written concurrently is incomplete. written is
+	// closed once the writing has ended; it is nil for bodies that were written with the head.
 	bodyUnsent atomic.Bool
+	written    chan struct{}
 	// ctxEnded is set when the connection is closed because the context ended.
 	ctxEnded atomic.Bool
 }
@@ -91,7 +95,9 @@
 		return errors.Annotate(err, "send a request")
 	}
 	e.bodyUnsent.Store(true)
+	e.written = make(chan struct{})
 	go func() {
+		defer close(e.written)
 		// A write error surfaces when the response is read.
 		if _, err := req.Body.WriteTo(e.conn); err == nil {
 			e.bodyUnsent.Store(false)
@@ -144,11 +150,11 @@
 		if c.limit.exceeded {
 			return nil, errHeadTooLong
 		}
-		if err != nil {
-			return nil, err
+		if err == nil {
+			err = answers.CheckHead(resp)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
 		}
 	}
 }
@@ -169,8 +175,18 @@
 	return err == nil && n <= limit && e.conn.SetReadDeadline(time.Time{}) == nil
 }
 
-// Read reads from the response body.
-func (e *Exchange) Read(b []byte) (int, error) { return e.resp.Body.Read(b) }
+// Read reads from the response body. One without a length that ends before the request was
+// sent is not known to be whole until it was: the upstream may be about to reset the connection.
+func (e *Exchange) Read(b []byte) (int, error) {
+	n, err := e.resp.Body.Read(b)
+	if errors.Is(err, io.EOF) && e.written != nil && !e.Framed() {
+		<-e.written // ends with the exchange's context at the latest
+		if e.bodyUnsent.Load() {
+			return n, io.ErrUnexpectedEOF
+		}
+	}
+	return n, err
+}
 
 // ContextEnded reports whether the connection was closed because the context ended.
 func (e *Exchange) ContextEnded() bool { return e.ctxEnded.Load() }
--- a/internal/link/http.go
+++ b/internal/link/http.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"tarragonbay.example/tarragonbay/internal/answers"
 )
 
 // Waits and sizes of the HTTP connections.
@@ -62,7 +64,7 @@
 }
 
 // newTransport returns a transport to one agent.
-func newTransport(tlsConfig *tls.Config, pooled bool, bufferBytes int) *http.Transport {
+func newTransport(tlsConfig *tls.Config, pooled bool, bufferBytes int) answers.Transport {
 	t := &http.Transport{
 		DialContext:           dial,
 		TLSHandshakeTimeout:   tlsHandshakeLimit,
@@ -79,12 +81,12 @@
 		t.TLSClientConfig = tlsConfig.Clone()
 	}
 	t.Protocols.SetHTTP1(true)
-	return t
+	return answers.NewTransport(t)
 }
 
 // httpClient makes requests without redirects, cookies or a timeout of its
 // own: connect-go needs no more than the transport.
-type httpClient struct{ transport *http.Transport }
+type httpClient struct{ transport answers.Transport }
 
 // Do implements connect.HTTPClient.
 func (c httpClient) Do(r *http.Request) (*http.Response, error) {
--- a/internal/ports/client/caller.go
+++ b/internal/ports/client/caller.go
@@ -11,6 +11,7 @@
 	"github.com/go-resty/resty/v2"
 	"github.com/juju/errors"
 
+	"tarragonbay.example/tarragonbay/internal/answers"
 	"tarragonbay.example/tarragonbay/internal/ports/wire"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
@@ -57,13 +58,13 @@
 // a new connection for each call.
 func restyClient(o Options, fresh bool) *resty.Client {
 	dialer := &net.Dialer{Timeout: o.TryTimeout}
-	transport := &http.Transport{
+	transport := answers.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: o.Concurrency,
 		MaxConnsPerHost:     o.Concurrency,
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   fresh,
-	}
+	})
 	return resty.New().
 		SetBaseURL(o.BaseURL).
 		SetTransport(transport).
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,6 +20,7 @@
 
 	"github.com/juju/errors"
 
+	"tarragonbay.example/tarragonbay/internal/answers"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -88,9 +89,9 @@
 	base string
 	// pooled and streamed reuse connections, for answers in one piece and for
 	// streams; fresh opens one for each call.
-	pooled   *http.Transport
-	streamed *http.Transport
-	fresh    *http.Transport
+	pooled   answers.Transport
+	streamed answers.Transport
+	fresh    answers.Transport
 	// echoes is true once the upstream has sent an attempt's id back. Until then no
 	// connection is used again: a second copy of an answer that comes late would be
 	// taken for the answer to the next call.
@@ -109,9 +110,9 @@
 	return c
 }
 
-func newTransport(bufferBytes int) *http.Transport {
+func newTransport(bufferBytes int) answers.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return answers.NewTransport(&http.Transport{
 		DialContext:         d.DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
@@ -120,7 +121,7 @@
 		WriteBufferSize:     bufferBytes,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 // Close drops idle connections.
@@ -172,7 +173,7 @@
 
 // transport returns the one for the call. Neither follows redirects: what an
 // upstream answers goes to the caller.
-func (c *Client) transport(call Call) *http.Transport {
+func (c *Client) transport(call Call) answers.Transport {
 	switch {
 	case !call.Idempotent, !c.echoes.Load():
 		return c.fresh
