Whoever reads answers bounds them, also from daemons gone bad

A faulty sender of bytes without end: entries read messages of agents, daemons the configuration of a peer, agents the state of an engine and tools any answer at any length. 384 to 2,560 MiB were allocated in one call of a second (TestEndlessAnswersOfAnAgentAreNotKept, TestEndlessFrameOfAnAgentIsNotKept, TestEndlessAnswersOfAPeerAreNotKept failed before). Bounds of 33 MiB, 1 MiB, 32 MiB, 1 MiB and 64 MiB end that.

--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-resty/resty/v2"
 
+	"tarragonbay.example/tarragonbay/internal/answers"
 	"tarragonbay.example/tarragonbay/internal/explain"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
@@ -29,10 +30,13 @@
 	State json.RawMessage `json:"state"`
 }
 
+// maxAnswerBytes bounds an answer of a daemon: a dump holds the state of every part.
+const maxAnswerBytes = 64 << 20
+
 // NewClient returns a client of the daemon whose admin listener is at addr,
 // IP:port. The key may be empty.
 func NewClient(addr, key string) *Client {
-	c := resty.New().SetCloseConnection(true).SetBaseURL("http://" + addr)
+	c := resty.New().SetTransport(answers.NewTransport(&http.Transport{})).SetResponseBodyLimit(maxAnswerBytes).SetCloseConnection(true).SetBaseURL("http://" + addr)
 	if key != "" {
 		c.SetAuthToken(key)
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -115,6 +115,13 @@
 	return p
 }
 
+// Bounds on what an agent sends as one message: all frames of an answer, or one of them, with
+// what stands beside its data.
+const (
+	maxAnswerBytes = TotalLimit + 1<<20
+	maxFrameBytes  = MaxFrame + 1<<20
+)
+
 func (c *Client) newPeer(addr string) *peer {
 	scheme := "http://"
 	if c.opts.TLS != nil {
@@ -124,10 +131,11 @@
 	streamed := newTransport(c.opts.TLS, true, streamBuffer)
 	fresh := newTransport(c.opts.TLS, false, connectionBuffer)
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	whole, frames := connect.WithReadMaxBytes(maxAnswerBytes), connect.WithReadMaxBytes(maxFrameBytes)
 	return &peer{
-		pooled:   linkv1connect.NewAgentServiceClient(gatheringClient{httpClient{pooled}}, scheme+addr, plain),
-		streamed: linkv1connect.NewAgentServiceClient(httpClient{streamed}, scheme+addr, plain),
-		fresh:    linkv1connect.NewAgentServiceClient(httpClient{fresh}, scheme+addr, plain),
+		pooled:   linkv1connect.NewAgentServiceClient(gatheringClient{httpClient{pooled}}, scheme+addr, plain, whole),
+		streamed: linkv1connect.NewAgentServiceClient(httpClient{streamed}, scheme+addr, plain, frames),
+		fresh:    linkv1connect.NewAgentServiceClient(httpClient{fresh}, scheme+addr, plain, whole),
 		closeIdle: func() {
 			pooled.CloseIdleConnections()
 			streamed.CloseIdleConnections()
--- a/internal/publish/peers.go
+++ b/internal/publish/peers.go
@@ -274,10 +274,14 @@
 
 var _ PeerClient = ConnectPeers{}
 
+// maxPulledBytes bounds what a daemon sends of a configuration. A packed snapshot of the target
+// size has 29 KB (docs/CAPACITY.md).
+const maxPulledBytes = 32 << 20
+
 // Pull calls PeerService.Pull at the address.
 func (p ConnectPeers) Pull(ctx context.Context, address string, req *linkv1.PullRequest) (*linkv1.PullResponse, error) {
 	client, baseURL := p.Dial(address)
-	resp, err := linkv1connect.NewPeerServiceClient(client, baseURL).Pull(ctx, connect.NewRequest(req))
+	resp, err := linkv1connect.NewPeerServiceClient(client, baseURL, connect.WithReadMaxBytes(maxPulledBytes)).Pull(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -20,6 +21,9 @@
 // stateTimeout bounds one question for an engine's state.
 const stateTimeout = time.Second
 
+// maxStateBytes is far above any state: a version's name takes some tens of bytes.
+const maxStateBytes = 1 << 20
+
 // State asks a model engine for its state. An engine without the path counts
 // as one that stays.
 func (c *Client) State(ctx context.Context) (State, error) {
@@ -38,7 +42,7 @@
 		return State{}, nil
 	}
 	var s State
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&s); err != nil {
 		return State{}, errors.Trace(err)
 	}
 	return s, nil
