A frozen gateway neither ages nor deletes the holds of others

Ages now count from the arrival of the datagram (SO_TIMESTAMPNS), and a refused row is left to those that placed the hold, who hear of the answers. Repeated clearances count as one, a crash that a peer tells without attempts of its own drops no attempt here, and answers to a held feature are counted without strikes.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -182,11 +182,11 @@
 }
 
 // upstreamsListed feeds changed entries of the list, which may show that upstreams crashed.
-func (g *Gateway) upstreamsListed(changed []changedUpstream, removed []string, now time.Time) {
+func (g *Gateway) upstreamsListed(list listChanges, now time.Time) {
 	var changes []quarantine.Change
 	g.crashes.mu.Lock()
 	g.crashes.roster.Read(now)
-	for _, u := range changed {
+	for _, u := range list.upstreams {
 		for _, e := range g.crashes.roster.Put(quarantine.Listed{ID: u.ID, Address: u.Address, Boot: quarantine.Boot(u.Boot), Born: u.Born, Leaving: u.Leaving}, now) {
 			e.Planned = e.Planned || g.notices.Leaves(fleet.Upstream{ID: e.ID, Born: e.Born})
 			c, crashed := g.crashes.tracker.Ended(e, now)
@@ -197,9 +197,12 @@
 			}
 		}
 	}
-	for _, id := range removed {
+	for _, id := range list.removed {
 		g.crashes.roster.Remove(id, now)
 	}
+	if list.all != nil {
+		g.crashes.roster.Retain(list.all, now)
+	}
 	g.crashes.mu.Unlock()
 	g.applyHoldChanges(changes, byStrike)
 }
--- a/internal/gateway/holds.go
+++ b/internal/gateway/holds.go
@@ -66,7 +66,10 @@
 		case quarantine.Known:
 		default:
 			g.logRefusal(h, why, byRow)
-			wake(c.report) // those that placed it hear of the answers
+			if why == quarantine.Answered {
+				c.rows.Contested(h.Name)
+				wake(c.report) // those that placed it hear of the answers
+			}
 		}
 	}
 	c.mu.Unlock()
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -86,7 +86,7 @@
 		goneAt = until
 	}
 	changed := l.g.applyUpstreamRows(l.known, u.page, u.full, goneAt)
-	l.g.upstreamsListed(changed.upstreams, changed.removed, now)
+	l.g.upstreamsListed(changed, now)
 	l.g.publishFleet(l.known, now)
 	changed.log()
 	l.feed.finishUpdate(u, changed.rows)
@@ -138,6 +138,7 @@
 	}
 	if full {
 		known.RemoveOthers(listed, goneAt)
+		changed.all = listed
 	}
 	known.Advance(page.Rev)
 	return changed
@@ -149,8 +150,9 @@
 	// rows are the changed rows, which are sent to peers.
 	rows      []store.Row
 	upstreams []changedUpstream
-	// removed are the IDs of those that are no longer listed.
+	// removed are the IDs of those that are no longer listed; all, if set, are those that are.
 	removed []string
+	all     map[string]bool
 }
 
 type changedUpstream struct {
--- a/internal/holdtable/holdtable.go
+++ b/internal/holdtable/holdtable.go
@@ -35,8 +35,10 @@
 type savedRow struct {
 	rev      uint64
 	features []quarantine.Feature
-	// unreadable is true for a row that no gateway of this build wrote.
-	unreadable bool
+	// unreadable is true for a row that no gateway of this build wrote, contested for one
+	// whose hold is not in force here since its features had answers. Whoever placed that
+	// one decides.
+	unreadable, contested bool
 }
 
 // Rows are the rows of the hold table as far as they are known. The zero value knows none; it is
@@ -126,7 +128,7 @@
 		}
 	}
 	for name, s := range t.saved {
-		if !inForce[name] && !s.unreadable {
+		if !inForce[name] && !s.unreadable && !s.contested {
 			return store.Txn{Expect: []store.Expect{{Key: key(name), Rev: s.rev}}, Delete: []store.Key{key(name)}}, name, true, nil
 		}
 	}
@@ -157,6 +159,14 @@
 	return h, err
 }
 
+// Contested records that the hold of a row is not in force here because of answers.
+func (t *Rows) Contested(name quarantine.Feature) {
+	if s, ok := t.saved[name]; ok {
+		s.contested = true
+		t.saved[name] = s
+	}
+}
+
 // Written records a row that this gateway has written, or removed.
 func (t *Rows) Written(txn store.Txn, name quarantine.Feature, rev uint64) {
 	if len(txn.Delete) > 0 {
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -147,6 +147,9 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for gossip on %s", o.Address)
 	}
+	if err := stampArrivals(conn); err != nil {
+		o.Log.Event("peers", "arrivals of datagrams are not stamped", eventlog.Error(err)) // ages then count from when they are read
+	}
 	return &Gossip{
 		Peers: NewPeerTable(), opts: o, conn: conn, listed: map[string]listedGateway{},
 		pending: make(chan SentRequest, maxPending), listSoon: make(chan struct{}, 1),
@@ -367,9 +370,9 @@
 func (t *Gossip) Receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
 	defer stop()
-	buf := make([]byte, maxDatagramBytes)
+	buf, control := make([]byte, maxDatagramBytes), make([]byte, arrivalControlBytes)
 	for {
-		size, from, err := t.conn.ReadFromUDPAddrPort(buf)
+		size, controlSize, _, from, err := t.conn.ReadMsgUDPAddrPort(buf, control)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -382,13 +385,13 @@
 			t.opts.Log.Event("peers", "gossip message not decoded", zap.Int("bytes", size), eventlog.Error(err))
 			continue
 		}
-		t.handle(&n, from)
+		t.handle(&n, from, arrivalTime(control[:controlSize], time.Now()))
 	}
 }
 
 // handle processes a gossip message. Readings, limits and departures are accepted only
 // from the listed address of the gateway that the message names.
-func (t *Gossip) handle(n *gossipv1.News, from netip.AddrPort) {
+func (t *Gossip) handle(n *gossipv1.News, from netip.AddrPort, arrived time.Time) {
 	t.mu.Lock()
 	peer, known := t.listed[n.GetGateway()]
 	ask := !known && n.GetGateway() != t.opts.Name &&
@@ -400,7 +403,7 @@
 		return
 	case known && n.GetCrashes() != nil:
 		if peer.address == from {
-			t.opts.Crashes(n.GetGateway(), decodeCrashes(n.GetCrashes(), time.Now()))
+			t.opts.Crashes(n.GetGateway(), decodeCrashes(n.GetCrashes(), arrived))
 		}
 		return
 	case known:
--- a/internal/peers/oddrows_test.go
+++ b/internal/peers/oddrows_test.go
@@ -153,7 +153,7 @@
 		if proto.Unmarshal(datagram, &n) != nil {
 			return
 		}
-		tk.handle(&n, from)
+		tk.handle(&n, from, time.Now())
 		tk.Peers.Loads(time.Now())
 		tk.Peers.Evidence("s", 1, time.Now())
 	})
--- a/internal/quarantine/clearance.go
+++ b/internal/quarantine/clearance.go
@@ -14,7 +14,7 @@
 	at time.Time
 	// own is true when this gateway sent it.
 	own bool
-	// before are the times of those before it, the latest first.
+	// before are the times of this gateway's before it, the latest first.
 	before [contradictions]time.Time
 }
 
@@ -32,9 +32,10 @@
 	if ok && !new.at.After(was.at) {
 		return false
 	}
-	if ok {
-		new.before[0] = was.at
+	new.before = was.before
+	if ok && was.own {
 		copy(new.before[1:], was.before[:])
+		new.before[0] = was.at
 	}
 	if c.current == nil || len(c.current) >= clearanceEntries {
 		c.current, c.previous = map[Feature]clearance{}, c.current
@@ -57,7 +58,7 @@
 	return e, ok
 }
 
-// many reports whether more answers than a hold after many crashes allows were to requests
+// many reports whether more answers of this gateway than a hold after many crashes allows were to requests
 // sent after the given time.
 func (c *clearances) many(f Feature, since time.Time) bool {
 	e, ok := c.get(f)
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -22,6 +22,8 @@
 	// Crashes is the number of upstreams that crashed, Answers that of answers between the
 	// crashes.
 	Crashes, Answers int
+	// countedBefore is what this gateway had counted of answers to requests with Name before.
+	countedBefore int
 }
 
 // covers reports whether a request with the given features is held.
@@ -275,7 +277,7 @@
 		if !slices.Contains(h.Features, f) || !sentAt.After(h.Since) {
 			return false
 		}
-		if h.Answers > 0 && !h.outweighed(h.Answers+max(1, t.answers.total(f))) {
+		if h.Answers > 0 && !h.outweighed(h.Answers+max(1, t.answers.total(f)-h.countedBefore)) {
 			return false
 		}
 		kept := slices.DeleteFunc(slices.Clone(h.Features), func(o Feature) bool { return o == f })
@@ -345,6 +347,10 @@
 		t.contest(all)
 		return Answered
 	}
+	for _, f := range h.Features {
+		t.answers.follow(f)
+	}
+	h.countedBefore = t.answers.total(h.Name)
 	if few {
 		h.Answers, h.Since = max(1, h.Answers), t.latest
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -112,6 +112,8 @@
 	// crashes holds the boots that have crashed, and when. A boot that came back under its ID
 	// crashes again until the list shows its successor.
 	crashes map[Boot]time.Time
+	// ended is when the list showed the end of boots without attempts here.
+	ended map[Boot]time.Time
 	// successors are the boots that took the ID of an earlier one.
 	successors map[Boot]Boot
 	strikes    []strike
@@ -143,7 +145,7 @@
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		crashes: map[Boot]time.Time{}, successors: map[Boot]Boot{}, suspects: map[Feature]bool{},
+		crashes: map[Boot]time.Time{}, ended: map[Boot]time.Time{}, successors: map[Boot]Boot{}, suspects: map[Feature]bool{},
 		answers:   answerCounts{byFeature: map[Feature]*answerCount{}},
 		contested: map[Feature]time.Time{}, lifted: map[Feature]time.Time{},
 	}
@@ -153,8 +155,10 @@
 // its upstream is known to have crashed, now or later.
 func (t *Tracker) Unanswered(a Attempt, now time.Time) (changes []Change) {
 	for range maxSuccessors {
-		if at, ok := t.crashes[a.Boot]; ok && a.endedBy(at) {
-			return t.add([]strike{{Attempt: a, own: true, at: now}}, now)
+		for _, known := range []map[Boot]time.Time{t.crashes, t.ended} {
+			if at, ok := known[a.Boot]; ok && a.endedBy(at) {
+				return t.add([]strike{{Attempt: a, own: true, at: now}}, now)
+			}
 		}
 		next, ok := t.successors[a.Boot]
 		if !ok {
@@ -192,7 +196,7 @@
 	var found []strike
 	t.pending = slices.DeleteFunc(t.pending, func(a Attempt) bool {
 		if a.Boot != b || !a.endedBy(at) {
-			return a.Boot == b && a.EndedAt.Before(at) // it ended for another cause
+			return false
 		}
 		found = append(found, strike{Attempt: a, own: true, at: now})
 		return true
@@ -226,14 +230,14 @@
 	if e.Planned {
 		return nil, false
 	}
-	crash := now // of attempts whose end is not known yet
+	crash := now
 	for _, a := range ended {
 		if !a.GivenUp && a.EndedAt.Before(crash) {
 			crash = a.EndedAt
 		}
 	}
-	if was, ok := t.crashes[e.Boot]; !ok || len(ended) > 0 || now.Sub(was) > proofTime {
-		t.recordCrash(e.Boot, crash)
+	if len(t.ended) < maxCrashes {
+		t.ended[e.Boot] = now // for attempts whose end is not known yet
 	}
 	var found []strike
 	for _, a := range ended {
@@ -241,6 +245,9 @@
 			found = append(found, strike{Attempt: a, own: true, at: now})
 		}
 	}
+	if len(found) > 0 {
+		t.recordCrash(e.Boot, crash)
+	}
 	return t.add(found, now), len(found) > 0
 }
 
@@ -346,14 +353,16 @@
 	for b, at := range t.crashes {
 		if now.Sub(at) > strikeMemory {
 			delete(t.crashes, b)
-			delete(t.successors, b)
 		}
 	}
-	if len(t.crashes) == 0 {
-		clear(t.successors)
+	for b, at := range t.ended {
+		if now.Sub(at) > strikeMemory {
+			delete(t.ended, b)
+			delete(t.successors, b)
+		}
 	}
 	if len(t.strikes) != before {
-		t.answers.forget(t.strikes)
+		t.answers.forget(t.strikes, t.holds)
 		t.heldIndex = nil
 	}
 	if len(t.strikes) == 0 {
--- a/internal/quarantine/roster.go
+++ b/internal/quarantine/roster.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// Retain records that a full list holds no other upstreams than those.
+func (r *Roster) Retain(listed map[string]bool, now time.Time) {
+	for id := range r.known {
+		if !listed[id] {
+			r.Remove(id, now)
+		}
+	}
+}
+
 // Leaves reports whether a boot leaves as planned: what ends with it says nothing.
 func (r *Roster) Leaves(id string, b Boot, now time.Time) bool {
 	e := r.known[id]
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -109,9 +109,14 @@
 	return sum
 }
 
-// forget drops the counts of features without strikes.
-func (c *answerCounts) forget(strikes []strike) {
+// forget drops the counts of features without strikes or holds.
+func (c *answerCounts) forget(strikes []strike, holds []*Hold) {
 	struck := map[Feature]bool{}
+	for _, h := range holds {
+		for _, f := range h.Features {
+			struck[f] = true
+		}
+	}
 	for _, s := range strikes {
 		for _, f := range s.Features {
 			struck[f] = true
@@ -258,7 +263,7 @@
 		}
 		h := &Hold{
 			Name: worst, Features: t.equals(worst, found), Since: t.latest, Until: t.latest.Add(HoldTime), Placed: t.latest,
-			Crashes: found.crashes, Answers: found.answers,
+			Crashes: found.crashes, Answers: found.answers, countedBefore: t.answers.total(worst),
 		}
 		t.holds = append(t.holds, h)
 		changes = append(changes, Change{Hold: *h})
--- a/internal/quarantine/told_test.go
+++ b/internal/quarantine/told_test.go
@@ -71,3 +71,43 @@
 		t.Errorf("long after: %+v", r)
 	}
 }
+
+// TestAnswersEndAHoldThatTookAnswersIntoAccount: one answer does not, many do.
+func TestAnswersEndAHoldThatTookAnswersIntoAccount(t *testing.T) {
+	k := NewTracker()
+	h := Hold{Name: dead, Features: []Feature{dead}, Since: at(900), Placed: at(900), Until: at(0).Add(HoldTime), Crashes: 6, Answers: 4}
+	if k.Adopt(h) != Taken {
+		t.Fatal("not held")
+	}
+	answers := 0
+	for ; len(k.Holds()) > 0 && answers < 1000; answers++ {
+		k.Answered([]Feature{dead}, 0, at(1000+answers))
+	}
+	if answers < 10 || answers > 100 {
+		t.Errorf("the hold ended after %d answers", answers)
+	}
+}
+
+// TestRepeatedClearanceIsOneAnswer: the age of a clearance that is told again and again is off by the
+// time that each message takes.
+func TestRepeatedClearanceIsOneAnswer(t *testing.T) {
+	k := NewTracker()
+	for i := range 10 {
+		k.Hear(Report{From: "edge-2", Clearances: []Clearance{{Feature: dead, SentAt: at(100 + 5*i)}}}, at(1000*i))
+	}
+	_, h := heldAfter(t, 6)
+	if why := k.Adopt(h); why != Taken {
+		t.Errorf("the hold is refused: %q", why)
+	}
+}
+
+// TestCrashThatAPeerSawLaterKeepsAttempts: a peer without attempts of its own names the time at which it
+// read the list.
+func TestCrashThatAPeerSawLaterKeepsAttempts(t *testing.T) {
+	k := NewTracker()
+	k.Unanswered(attempt(1, 1, 0, 100, dead), at(100))
+	k.Hear(Report{From: "edge-2", Crashes: []Crash{{1, at(1700)}}}, at(1700))
+	if _, crashed := k.Ended(Ending{Listed: Listed{Boot: 1}, Successor: 2, After: at(1200)}, at(1800)); !crashed {
+		t.Error("the attempt was dropped")
+	}
+}
