--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -187,7 +187,7 @@
 	g.crashes.mu.Lock()
 	g.crashes.roster.Read(now)
 	for _, u := range list.upstreams {
-		for _, e := range g.crashes.roster.Put(quarantine.Listed{ID: u.ID, Address: u.Address, Boot: quarantine.Boot(u.Boot), Born: u.Born, Leaving: u.Leaving}, now) {
+		for _, e := range g.crashes.roster.Put(quarantine.Listed{ID: u.ID, Address: u.Address, Boot: quarantine.Boot(u.Boot), Born: u.Born, Leaving: u.Leaving}) {
 			e.Planned = e.Planned || g.notices.Leaves(fleet.Upstream{ID: e.ID, Born: e.Born})
 			c, crashed := g.crashes.tracker.Ended(e, now)
 			if changes = append(changes, c...); crashed {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -222,7 +222,7 @@
 		if a.Boot != e.Boot {
 			return false
 		}
-		if !e.Planned && a.EndedAt.After(e.After.Add(-listSlack)) {
+		if e.explains(a.EndedAt) {
 			ended = append(ended, a)
 		}
 		return true
--- a/internal/quarantine/roster.go
+++ b/internal/quarantine/roster.go
@@ -21,12 +21,21 @@
 	Listed
 	// Successor is the boot that took its ID; zero if that of its address has another ID.
 	Successor Boot
-	// Planned is true when the boot had announced that it leaves, or was no longer listed.
+	// Planned is true when the boot had announced that it leaves.
 	Planned bool
-	// After is when the list was last read without the successor.
+	// Removed is when the boot was no longer listed; zero if it was listed to the end.
+	Removed time.Time
+	// After is when the list was last read with the boot and without the successor.
 	After time.Time
 }
 
+// explains reports whether an attempt that broke off at the given time did so because the boot
+// ended, and not as planned.
+func (e Ending) explains(at time.Time) bool {
+	unlisted := !e.Removed.IsZero() && at.Sub(e.Removed) > crashMatch
+	return !e.Planned && !unlisted && at.After(e.After.Add(-listSlack))
+}
+
 // Roster finds out from the list of upstreams which boots have ended: another boot has
 // their ID or their address. It is not safe for concurrent use; the zero value is empty.
 type Roster struct {
@@ -38,8 +47,9 @@
 
 type rosterEntry struct {
 	Listed
-	// removed is when the upstream was no longer listed.
-	removed time.Time
+	// removed is when the upstream was no longer listed, listedUntil when the list was read
+	// before that.
+	removed, listedUntil time.Time
 }
 
 // Read records that the list is read; the changes follow.
@@ -47,7 +57,7 @@
 
 // Put records an upstream that is new or has changed, and returns the boots that its entry
 // shows to have ended.
-func (r *Roster) Put(l Listed, now time.Time) (ended []Ending) {
+func (r *Roster) Put(l Listed) (ended []Ending) {
 	if r.known == nil {
 		r.known, r.byAddress = map[string]*rosterEntry{}, map[string]string{}
 	}
@@ -56,24 +66,28 @@
 		if l.Born <= old.Born {
 			return nil // an older entry, such as one of a store that came back older
 		}
-		ended = append(ended, r.ending(old, l.Boot, now))
+		ended = append(ended, r.ending(old, l.Boot))
 	}
 	if other := r.known[r.byAddress[l.Address]]; other != nil && other.ID != l.ID && other.Address == l.Address && other.Born > 0 && l.Born > other.Born {
-		ended = append(ended, r.ending(other, 0, now))
+		ended = append(ended, r.ending(other, 0))
 		delete(r.known, other.ID)
 	}
 	r.known[l.ID], r.byAddress[l.Address] = &rosterEntry{Listed: l}, l.ID
 	return ended
 }
 
-func (r *Roster) ending(e *rosterEntry, successor Boot, now time.Time) Ending {
-	return Ending{Listed: e.Listed, Successor: successor, Planned: e.leaves(now), After: r.previousRead}
+func (r *Roster) ending(e *rosterEntry, successor Boot) Ending {
+	out := Ending{Listed: e.Listed, Successor: successor, Planned: e.Leaving, Removed: e.removed, After: r.previousRead}
+	if !e.removed.IsZero() {
+		out.After = e.listedUntil
+	}
+	return out
 }
 
 // Remove records that an upstream is no longer listed.
 func (r *Roster) Remove(id string, now time.Time) {
 	if e := r.known[id]; e != nil && e.removed.IsZero() {
-		e.removed = now
+		e.removed, e.listedUntil = now, r.previousRead
 	}
 }
 
--- a/internal/quarantine/roster_test.go
+++ b/internal/quarantine/roster_test.go
@@ -11,40 +11,45 @@
 		want bool
 	}{
 		"the same id": {func(r *Roster) []Ending {
-			return r.Put(Listed{ID: "u1", Address: "a", Boot: 2, Born: 20}, at(5600))
+			return r.Put(Listed{ID: "u1", Address: "a", Boot: 2, Born: 20})
 		}, true},
 		"another id at the address": {func(r *Roster) []Ending {
-			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20}, at(5600))
+			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20})
 		}, true},
 		"another id at the address, after its entry had lapsed": {func(r *Roster) []Ending {
 			r.Remove("u1", at(5500))
-			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20}, at(5600))
+			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20})
+		}, true},
+		"another id at the address, long after its entry had lapsed": {func(r *Roster) []Ending {
+			r.Remove("u1", at(5500))
+			r.Read(at(9000))
+			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20})
 		}, true},
 		"another address": {func(r *Roster) []Ending {
-			return r.Put(Listed{ID: "u9", Address: "b", Boot: 2, Born: 20}, at(5600))
+			return r.Put(Listed{ID: "u9", Address: "b", Boot: 2, Born: 20})
 		}, false},
 		"the same boot": {func(r *Roster) []Ending {
-			return r.Put(Listed{ID: "u1", Address: "a", Boot: 1, Born: 10}, at(5600))
+			return r.Put(Listed{ID: "u1", Address: "a", Boot: 1, Born: 10})
 		}, false},
 		"an older entry": {func(r *Roster) []Ending {
-			return r.Put(Listed{ID: "u1", Address: "a", Boot: 7, Born: 5}, at(5600))
+			return r.Put(Listed{ID: "u1", Address: "a", Boot: 7, Born: 5})
 		}, false},
 		"an entry of another writer": {func(r *Roster) []Ending {
-			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2}, at(5600))
+			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2})
 		}, false},
 		"a boot that drained": {func(r *Roster) []Ending {
-			r.Put(Listed{ID: "u1", Address: "a", Boot: 1, Born: 10, Leaving: true}, at(3000))
-			return r.Put(Listed{ID: "u1", Address: "a", Boot: 2, Born: 20}, at(5600))
+			r.Put(Listed{ID: "u1", Address: "a", Boot: 1, Born: 10, Leaving: true})
+			return r.Put(Listed{ID: "u1", Address: "a", Boot: 2, Born: 20})
 		}, false},
 		"a boot whose entry had been removed before": {func(r *Roster) []Ending {
 			r.Remove("u1", at(2000))
-			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20}, at(5600))
+			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20})
 		}, false},
 	} {
 		var r Roster
 		k := NewTracker()
 		r.Read(at(0))
-		r.Put(Listed{ID: "u1", Address: "a", Boot: 1, Born: 10}, at(0))
+		r.Put(Listed{ID: "u1", Address: "a", Boot: 1, Born: 10})
 		k.Unanswered(attempt(1, 1, 4900, 5000, dead), at(5000))
 		r.Read(at(4800))
 		r.Read(at(5600))
