Few requests are enough to compare a part with others

A gateway with few requests had no ten answers without the part since its first crash, so it waited with a hold by share. Answers of the minute before count for that bound now; the shares themselves are still taken since the first crash.

--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -17,8 +17,10 @@
 	releaseShare = 0.15
 	// minContrast is the least ratio of that share to the share of attempts without the feature.
 	minContrast = 2.0
-	// minOthers is the number of answers without the feature that the comparison needs.
-	minOthers = 10
+	// minOthers is the number of answers without the feature that the comparison needs, since
+	// baselineTime before the first crash: a gateway may have few requests.
+	minOthers    = 10
+	baselineTime = time.Minute
 	// minEvidence is the least logarithm of the likelihood ratio of a feature that causes the
 	// crashes to one that is present by chance: one in eight thousand.
 	minEvidence = 9.0
@@ -141,6 +143,8 @@
 	// ownAttempts are this gateway's attempts since then, ownWith those with the feature.
 	// otherAnswers and otherStrikes are the ends of those without it.
 	ownAttempts, ownWith, otherAnswers, otherStrikes int
+	// baseline is the number of answers that show what is usual.
+	baseline int
 }
 
 // shareOf returns what the strikes say about one feature, whether it had answers or not.
@@ -175,6 +179,7 @@
 	s.answers = t.answers.total(f)
 	own := int(t.answers.own(f))
 	s.otherAnswers = max(0, t.answers.since(first, t.latest)-own)
+	s.baseline = max(0, t.answers.since(first.Add(-baselineTime), t.latest)-own)
 	s.ownWith += own
 	s.ownAttempts = s.ownWith + s.otherAnswers + s.otherStrikes
 	return s
@@ -218,7 +223,7 @@
 // unlikely reports whether chance does not explain the share: the feature is present at more
 // crashes than its part of the traffic and the number of requests at a crash let expect.
 func (s share) unlikely() bool {
-	if s.crashes == 0 || s.otherAnswers < minOthers || s.value() < minShare || s.value() < minContrast*rate(s.otherStrikes, s.otherStrikes+s.otherAnswers) {
+	if s.crashes == 0 || s.baseline < minOthers || s.value() < minShare || s.value() < minContrast*rate(s.otherStrikes, s.otherStrikes+s.otherAnswers) {
 		return false
 	}
 	perCrash := float64(s.allStrikes) / float64(s.allCrashes)
