An outage of a service holds no part

What callers saw: after two seconds in which all engines crash under whatever they run, 0 of 658 requests were answered for as long as the test looked (TestServiceIsServedAfterAnOutage, red before); a hold lasts an hour. Cause: the part that all prompts share had five crashes in a row, and a hold of two parts was narrowed to it. Now nothing is held while upstreams crash under most other requests, fleet-wide, and no hold is narrowed to such a feature.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -185,6 +185,7 @@
 func (g *Gateway) upstreamsListed(list listChanges, now time.Time) {
 	var changes []quarantine.Change
 	g.crashes.mu.Lock()
+	g.crashes.tracker.SetGateways(g.gateways())
 	g.crashes.roster.Read(now)
 	for _, u := range list.upstreams {
 		for _, e := range g.crashes.roster.Put(quarantine.Listed{ID: u.ID, Address: u.Address, Boot: quarantine.Boot(u.Boot), Born: u.Born, Leaving: u.Leaving}) {
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -171,7 +171,7 @@
 		var found evidence
 		for _, f := range features {
 			e := t.evidence(f)
-			if e.weight < t.threshold(f) || (e.requests < minRequests && !e.single) || t.heldAs(f) {
+			if e.weight < t.threshold(f) || (e.requests < minRequests && !e.single) || t.heldAs(f) || t.outage(f, e) {
 				continue
 			}
 			if len(e.strikes) > len(found.strikes) {
@@ -233,7 +233,7 @@
 func (t *Tracker) widen() (changes []Change) {
 	for _, h := range t.holds {
 		kept := slices.DeleteFunc(slices.Clone(h.Features), func(f Feature) bool { return t.strikesOutside(h, f) < wideningStrikes })
-		if len(kept) == 0 || len(kept) == len(h.Features) {
+		if len(kept) == 0 || len(kept) == len(h.Features) || slices.ContainsFunc(kept, func(o Feature) bool { return t.outage(o, t.evidence(o)) }) {
 			continue
 		}
 		changes = append(changes, t.rename(h, kept)...)
@@ -281,7 +281,7 @@
 			return false
 		}
 		kept := slices.DeleteFunc(slices.Clone(h.Features), func(o Feature) bool { return o == f })
-		if len(kept) == 0 {
+		if len(kept) == 0 || slices.ContainsFunc(kept, func(o Feature) bool { return t.outage(o, t.evidence(o)) }) {
 			changes = append(changes, Change{Hold: *h, Released: true})
 			return true
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -128,6 +128,8 @@
 	contested map[Feature]time.Time
 	// lifted is when holds were lifted.
 	lifted map[Feature]time.Time
+	// gateways is the number of gateways, this one included.
+	gateways int
 	// latest is the latest time that the tracker was given.
 	latest time.Time
 	// unproven counts the attempts whose upstreams were not proven to have crashed.
@@ -145,7 +147,7 @@
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		crashes: map[Boot]time.Time{}, ended: map[Boot]time.Time{}, successors: map[Boot]Boot{}, suspects: map[Feature]bool{},
+		gateways: 1, crashes: map[Boot]time.Time{}, ended: map[Boot]time.Time{}, successors: map[Boot]Boot{}, suspects: map[Feature]bool{},
 		answers:   answerCounts{byFeature: map[Feature]*answerCount{}},
 		contested: map[Feature]time.Time{}, lifted: map[Feature]time.Time{},
 	}
@@ -380,6 +382,9 @@
 	return changes
 }
 
+// SetGateways sets the number of gateways, this one included.
+func (t *Tracker) SetGateways(n int) { t.gateways = max(1, n) }
+
 // Unproven returns how many attempts broke off at upstreams that were not proven to have
 // crashed, since the start.
 func (t *Tracker) Unproven() int { return t.unproven }
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -31,7 +31,7 @@
 // answerCounts counts answers, in all and for features with strikes.
 type answerCounts struct {
 	byFeature map[Feature]*answerCount
-	seconds   [answerSeconds]answerSecond
+	slots     [answerSlots]answerSlot
 }
 
 // answerCount counts the answers to requests with a feature since its first strike.
@@ -40,13 +40,19 @@
 	peers map[string]uint32
 }
 
-// answerSecond counts this gateway's answers to requests that were sent in one second.
-type answerSecond struct {
-	unix  int64
-	count uint32
+// answerSlot counts this gateway's answers to requests that were sent in one slotTime.
+type answerSlot struct {
+	number int64
+	count  uint32
 }
 
-const answerSeconds = int64(strikeMemory / time.Second)
+const (
+	slotTime    = 200 * time.Millisecond
+	answerSlots = int64(strikeMemory / slotTime)
+)
+
+// slotOf numbers the slots of time.
+func slotOf(at time.Time) int64 { return at.UnixNano() / int64(slotTime) }
 
 func (c *answerCounts) follow(f Feature) {
 	if c.byFeature[f] == nil {
@@ -93,18 +99,20 @@
 
 // answered counts an answer of any kind to a request that was sent at the given time.
 func (c *answerCounts) answered(sentAt time.Time) {
-	unix := sentAt.Unix()
-	s := &c.seconds[unix%answerSeconds]
-	if s.unix != unix {
-		*s = answerSecond{unix: unix}
+	number := slotOf(sentAt)
+	s := &c.slots[number%answerSlots]
+	if s.number != number {
+		*s = answerSlot{number: number}
 	}
 	s.count++
 }
 
-// since returns this gateway's answers since a time, to a second.
+// since returns this gateway's answers to requests that were sent after a time, from the
+// next slot on.
 func (c *answerCounts) since(at, now time.Time) (sum int) {
-	for unix := max(at.Unix(), now.Unix()-answerSeconds+1); unix <= now.Unix(); unix++ {
-		if s := c.seconds[unix%answerSeconds]; s.unix == unix {
+	last := slotOf(now)
+	for number := max(slotOf(at)+1, last-answerSlots+1); number <= last; number++ {
+		if s := c.slots[number%answerSlots]; s.number == number {
 			sum += int(s.count)
 		}
 	}
@@ -250,6 +258,52 @@
 	return s.crashes >= shareCrashes && (s.requests >= minRequests || s.single) && s.unlikely()
 }
 
+// Bounds of an outage.
+const (
+	// outageShare is the share of other requests that end in crashes at which the feature is not
+	// present, from which the feature is not to blame.
+	outageShare = 1.0 / 3
+	// widespread is the share of requests from which a feature that had answers before is present
+	// at too many crashes for that: then others count at all crashes, up to widespreadOutageShare.
+	widespread            = 0.25
+	widespreadOutageShare = 0.5
+	// minOutage is the least number of other requests that ended so, or, under a widespread
+	// feature, that have answers.
+	minOutage = 3
+)
+
+// outage reports whether upstreams crash under most requests: a version or a service fails,
+// and no feature is to blame. Strikes are those of all gateways; the others answer about as
+// many requests as this one.
+func (t *Tracker) outage(f Feature, e evidence) bool {
+	if len(e.strikes) == 0 {
+		return false // the hold of another gateway, which has decided
+	}
+	first, boots := e.strikes[0].EndedAt, map[Boot]bool{}
+	for _, s := range e.strikes {
+		boots[s.Boot] = true
+	}
+	with, struck, stray := t.answers.total(f), 0, 0
+	for _, s := range t.strikes {
+		switch {
+		case s.EndedAt.Before(first):
+		case s.has(f):
+			with++
+		case !t.explained(s, f):
+			struck++
+			if !boots[s.Boot] {
+				stray++
+			}
+		}
+	}
+	answered := t.gateways * max(0, t.answers.since(first, t.latest)-int(t.answers.own(f)))
+	if _, known := t.cleared.last(f); known && !e.single && float64(with) > widespread*float64(with+struck+answered) {
+		unanswered := answered < minOutage && t.answers.since(first.Add(-baselineTime), t.latest) >= minOthers
+		return unanswered || struck >= minOutage && float64(struck) > widespreadOutageShare*float64(struck+answered)
+	}
+	return stray >= minOutage && float64(stray) > outageShare*float64(stray+answered)
+}
+
 // holdByShare places a hold on the feature whose share is the least likely, if any.
 func (t *Tracker) holdByShare(features []Feature) (changes []Change) {
 	for {
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -22,6 +22,8 @@
 	// not begin.
 	share      float64
 	beforeHead bool
+	// outage is how long an upstream stays away.
+	outage time.Duration
 	// deadlyCrashes and deadlySends are when deadly requests caused crashes and were sent.
 	deadlyCrashes, deadlySends []time.Time
 }
@@ -59,7 +61,7 @@
 func (s *fleet) after(d time.Duration, do func()) { heap.Push(&s.queue, event{s.now.Add(d), do}) }
 
 func newFleet(seed uint64) *fleet {
-	s := &fleet{share: 1, rng: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(), now: start}
+	s := &fleet{share: 1, outage: outage, rng: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(), now: start}
 	for range upstreams {
 		s.boots++
 		s.up = append(s.up, &upstream{boot: s.boots})
@@ -150,7 +152,7 @@
 	}
 	s.after(gossipDelay, func() { s.tracker.Crashed(boot, at, s.now) })
 	u.running = nil
-	s.after(outage, func() {
+	s.after(s.outage, func() {
 		s.boots++
 		u.boot, u.down = s.boots, false
 	})
@@ -298,6 +300,42 @@
 	s.after(mean, next)
 }
 
+// TestOutageHoldsNothing: all upstreams crash under all requests for a while, as with a bad version,
+// and come back at once; then they serve.
+func TestOutageHoldsNothing(t *testing.T) {
+	wrong, requests := 0, uint64(0)
+	for seed := range uint64(seeds) {
+		s := newFleet(seed)
+		s.outage = 50 * time.Millisecond
+		s.traffic(60, false, s.sound)
+		for _, u := range s.up {
+			s.failing(u, 20*time.Second, 25*time.Second)
+		}
+		s.run()
+		for _, h := range s.tracker.Holds() {
+			wrong++
+			t.Logf("seed %d: %+v", seed, h)
+		}
+		requests += s.request
+	}
+	if wrong > 0 {
+		t.Errorf("%d holds for %d requests", wrong, requests)
+	}
+}
+
+// failing crashes an upstream soon after each request, between two times.
+func (s *fleet) failing(u *upstream, from, to time.Duration) {
+	s.after(from, func() {
+		for at := time.Duration(0); at < to-from; at += 100 * time.Millisecond {
+			s.after(at+time.Duration(s.rng.IntN(100))*time.Millisecond, func() {
+				if len(u.running) > 0 {
+					s.crash(u)
+				}
+			})
+		}
+	})
+}
+
 // TestCrashesOfOtherCausesHoldNothing: upstreams go down one by one, a third of them at
 // once, and all of them.
 func TestCrashesOfOtherCausesHoldNothing(t *testing.T) {
