A hold that took answers into account is taken over despite more of them

A gateway that missed such a hold had more than two answers of its own and refused it, although answers are what the hold was placed despite; found by reading. Row of TestHoldAndAnswers, red before.

--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -323,7 +323,7 @@
 }
 
 // Adopt places a hold that another gateway has placed, unless answers contradict it. After many
-// crashes, a few do not.
+// crashes, a few do not, and a hold that took answers into account ends by many more.
 func (t *Tracker) Adopt(h Hold) Refusal {
 	if len(h.Features) == 0 || !slices.Contains(h.Features, h.Name) {
 		return Malformed
@@ -338,7 +338,7 @@
 		at, ok := t.cleared.last(f)
 		contradicted := ok && at.After(h.Since)
 		if contradicted && f == h.Name {
-			few = h.Crashes >= shareCrashes && !t.cleared.many(f, h.Since)
+			few = h.Crashes >= shareCrashes && (h.Answers > 0 || !t.cleared.many(f, h.Since))
 			contradicted = !few
 		}
 		return contradicted
--- a/internal/quarantine/told_test.go
+++ b/internal/quarantine/told_test.go
@@ -39,18 +39,19 @@
 	}
 }
 
-// TestHoldAndAnswers: a few answers do not contradict a hold after many crashes; more do, and
-// after few crashes one does.
+// TestHoldAndAnswers: a few answers do not contradict a hold after many crashes; more do, unless there were
+// answers between the crashes, and after few crashes one does.
 func TestHoldAndAnswers(t *testing.T) {
 	for _, c := range []struct {
-		crashes, answers int
-		want             Refusal
-	}{{6, 0, Taken}, {6, 1, Taken}, {6, 2, Taken}, {6, 3, Answered}, {3, 0, Taken}, {3, 1, Answered}} {
+		crashes, between, answers int
+		want                      Refusal
+	}{{6, 0, 0, Taken}, {6, 0, 1, Taken}, {6, 0, 2, Taken}, {6, 0, 3, Answered}, {6, 4, 9, Taken}, {3, 0, 0, Taken}, {3, 0, 1, Answered}} {
 		k := NewTracker()
 		for i := range c.answers {
 			k.Answered([]Feature{dead}, 0, at(100+i))
 		}
 		_, h := heldAfter(t, c.crashes)
+		h.Answers = c.between
 		if why := k.Adopt(h); why != c.want {
 			t.Errorf("%d crashes, %d answers: %q", c.crashes, c.answers, why)
 		}
