--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -14,8 +14,8 @@
 const Everyone = 0
 
 // SendCrashes sends a report on crashes of upstreams to the given number of listed gateways, drawn
-// at random, in as many datagrams as it needs. Gateways whose program does not know such reports take it for an addition
-// without requests; those that do not know holds read the rest.
+// at random, in as many datagrams as it needs. Gateways whose program does not know such reports
+// take it for an addition without requests; those that do not know holds read the rest.
 func (t *Gossip) SendCrashes(r quarantine.Report, receivers int, now time.Time) {
 	to := t.addresses()
 	if receivers != Everyone && receivers < len(to) {
@@ -136,14 +136,15 @@
 		}
 	}
 	for _, told := range m.GetHolds() {
+		if len(told.GetFeatures()) > quarantine.MaxFeatures {
+			continue // without some of its features, it would apply to more requests
+		}
 		h := quarantine.Hold{
 			Name: quarantine.Feature(told.GetName()), Since: timeOf(told.GetSinceMsAgo(), now), Placed: timeOf(told.GetPlacedMsAgo(), now),
 			Until: now.Add(min(time.Duration(told.GetLeftMs())*time.Millisecond, quarantine.HoldTime)), Crashes: int(told.GetCrashes()), Answers: int(told.GetAnswers()),
 		}
 		for _, f := range told.GetFeatures() {
-			if len(h.Features) < quarantine.MaxFeatures {
-				h.Features = append(h.Features, quarantine.Feature(f))
-			}
+			h.Features = append(h.Features, quarantine.Feature(f))
 		}
 		r.Holds = append(r.Holds, h)
 	}
--- a/internal/peers/crashes_test.go
+++ b/internal/peers/crashes_test.go
@@ -56,3 +56,11 @@
 		t.Errorf("read %+v", got)
 	}
 }
+
+// TestHoldWithTooManyFeaturesIsDropped: cut to the bound, it would apply to more requests.
+func TestHoldWithTooManyFeaturesIsDropped(t *testing.T) {
+	told := &gossipv1.ToldHold{Name: 0, LeftMs: 1000, Features: make([]uint64, quarantine.MaxFeatures+1)}
+	if r := decodeCrashes(&gossipv1.CrashReport{Holds: []*gossipv1.ToldHold{told}}, time.Now()); len(r.Holds) != 0 {
+		t.Errorf("%+v", r.Holds)
+	}
+}
