--- a/internal/quarantine/roster_test.go
+++ b/internal/quarantine/roster_test.go
@@ -22,6 +22,7 @@
 		}, true},
 		"another id at the address, long after its entry had lapsed": {func(r *Roster) []Ending {
 			r.Remove("u1", at(5500))
+			r.Read(at(8000))
 			r.Read(at(9000))
 			return r.Put(Listed{ID: "u9", Address: "a", Boot: 2, Born: 20})
 		}, true},
