Retry budget: no window that begins between two bursts exceeds the bound

Callers see the rule BUDGET broken: upstreams get more repeats than the bound. Cause: a gateway held the repeats of the window that ends now against the requests of that window. Where requests come in bursts and answers fail in the last of them, a window that begins between two bursts has all the repeats and the requests of one burst alone. Hypotheses were: this; counts lost at a kill (2%); gossip that is late. Change: what is left is the least over all windows that begin within the last one, each held against what the users' rule allows for it, without requests that may come later. Where fixed parts are in force the own counts are held likewise. For this, counts are kept for two windows.

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -65,6 +65,8 @@
 type peerSums struct {
 	// requests and extra are those of the peers that are heard.
 	requests, extra int
+	// history is theirs too.
+	history *history
 	// excess is what silent peers have used beyond their own requests' part.
 	excess float64
 }
@@ -240,7 +242,10 @@
 		return true
 	}
 	if d.lag() > maxLag {
-		if !f.vouched(now, d) || float64(extraWhole+1) > d.usable(part.Ratio*float64(whole)+part.Slack) {
+		allowed := func(requests float64) float64 { return d.usable(part.Ratio*requests + part.Slack) }
+		h := historyOf(now, f.span)
+		h.add(f.own)
+		if !f.vouched(now, d) || min(allowed(float64(whole))-float64(extraWhole), h.leastLeft(allowed)) < 1 {
 			return false
 		}
 		if !f.sharedLately(now) {
@@ -286,8 +291,14 @@
 	}
 	// Extra sends allowed by a chance maximum of the requests still count when those are
 	// back at their mean: one standard deviation is kept back, which matters for few.
-	left = d.usable(sharedMargin*d.All.Ratio*(all-math.Sqrt(all))) - float64(extra+f.sums.extra) - f.sums.excess
-	return left, float64(requests) / all
+	allowed := func(requests float64) float64 {
+		return d.usable(sharedMargin * d.All.Ratio * (requests - math.Sqrt(requests)))
+	}
+	left = allowed(all) - float64(extra+f.sums.extra)
+	h := historyOf(now, f.span)
+	h.add(f.own)
+	h.addEarlier(f.sums.history)
+	return min(left, h.leastLeft(allowed)) - f.sums.excess, float64(requests) / all
 }
 
 // toldLeft returns the least that peers which are heard take to be left; ok is false if none
@@ -331,7 +342,7 @@
 	if f.sumsAt > 0 && now-f.sumsAt < sumsTime {
 		return
 	}
-	f.sums, f.sumsAt = peerSums{}, now
+	f.sums, f.sumsAt = peerSums{history: historyOf(now, f.span)}, now
 	for _, p := range f.peers {
 		if p.window == nil || f.gone(p, now) {
 			continue
@@ -340,6 +351,7 @@
 		if now-p.heardAt <= lag && !p.total.Deaf {
 			f.sums.requests += requests
 			f.sums.extra += extra
+			f.sums.history.add(p.window)
 		} else {
 			f.sums.excess += max(0, float64(extra)-ratio*float64(requests))
 		}
--- /dev/null
+++ b/internal/retrywindow/overlap.go
@@ -0,0 +1,60 @@
+package retrywindow
+
+import (
+	"math"
+	"time"
+)
+
+// kept is the number of buckets whose counts are kept: a window that begins now is measured
+// against the requests of the one before it too.
+const kept = 2*buckets + 1
+
+// history holds the counts of the last two windows, the present bucket last.
+type history struct {
+	// at is the number of the present bucket since the epoch of the clock.
+	at              int64
+	requests, extra [kept]int
+}
+
+// add adds the counts of a window of the same length, unless they are too old.
+func (h *history) add(w *Window) {
+	for i := range w.ring {
+		o := &w.ring[i]
+		if ago := h.at - o.at; ago >= 0 && ago < kept {
+			h.requests[kept-1-ago] += o.requests
+			h.extra[kept-1-ago] += o.extra
+		}
+	}
+}
+
+// addEarlier adds a history of a few buckets before.
+func (h *history) addEarlier(o *history) {
+	for i := min(h.at-o.at, kept); i < kept; i++ {
+		h.requests[i-(h.at-o.at)] += o.requests[i]
+		h.extra[i-(h.at-o.at)] += o.extra[i]
+	}
+}
+
+// leastLeft returns the fewest extra sends that are left in any window that begins within the
+// last one, apart from the last one itself. A window is measured against its own requests, those of
+// the window before it or of the one half a window before it, whichever has most; what
+// callers will send is unknown, so it does not count. allowed returns the extra sends that a
+// number of requests allows.
+func (h *history) leastLeft(allowed func(requests float64) float64) float64 {
+	const half = buckets / 2
+	var before [kept + 1]int
+	for i, n := range h.requests {
+		before[i+1] = before[i] + n
+	}
+	between := func(first, end int) int { return before[min(end, kept)] - before[max(first, 0)] }
+	left, extra := math.Inf(1), 0
+	for first := kept - 1; first > kept-1-buckets; first-- {
+		extra += h.extra[first]
+		most := max(between(first, kept), between(first-buckets, first), between(first-half, first+half+1))
+		left = min(left, allowed(float64(most))-float64(extra))
+	}
+	return left
+}
+
+// historyOf returns an empty history as of now.
+func historyOf(now, span time.Duration) *history { return &history{at: int64(now / (span / buckets))} }
--- a/internal/retrywindow/retrywindow.go
+++ b/internal/retrywindow/retrywindow.go
@@ -28,7 +28,7 @@
 // safe for concurrent use.
 type Window struct {
 	span time.Duration
-	ring [buckets + 1]count
+	ring [kept]count
 }
 
 // New returns an empty window of the given length.
@@ -36,7 +36,7 @@
 
 func (w *Window) bucket(now time.Duration) *count {
 	at := int64(now / (w.span / buckets))
-	c := &w.ring[at%int64(len(w.ring))]
+	c := &w.ring[at%kept]
 	if c.at != at {
 		*c = count{at: at}
 	}
@@ -48,7 +48,7 @@
 	last := w.bucket(now).at
 	for i := range int64(buckets) {
 		part := func(all int) int { return int(int64(all)*(i+1)/buckets - int64(all)*i/buckets) }
-		w.ring[(last-i+int64(len(w.ring)))%int64(len(w.ring))] = count{at: last - i, requests: part(requests), extra: part(extra)}
+		w.ring[(last-i+kept)%kept] = count{at: last - i, requests: part(requests), extra: part(extra)}
 	}
 }
 
@@ -92,7 +92,7 @@
 func (w *Window) counts(now time.Duration) (requests, extra int) {
 	requests, extra = w.countsWhole(now)
 	c := w.bucket(now)
-	if oldest := &w.ring[(c.at+1)%int64(len(w.ring))]; c.at-oldest.at == buckets {
+	if oldest := &w.ring[(c.at-buckets+kept)%kept]; c.at-oldest.at == buckets {
 		requests -= oldest.requests
 	}
 	return requests, extra
