Retry budget: decisions whose times are out of order do not end the gateway

Requests take the time before they wait for the budget's lock, so a decision may come with a time of the bucket before that of the sums. The sum of two histories then began at index -1: a panic, which would have ended the gateway in a storm of retries. Evidence: TestTimesOutOfOrder panicked on ("index out of range [-1]"). Change: counts of a later bucket than the present count as of the present one, for own counts and for peers'. The history of the sums is kept in place, so nothing is allocated.

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -66,7 +66,7 @@
 	// requests and extra are those of the peers that are heard.
 	requests, extra int
 	// history is theirs too.
-	history *history
+	history history
 	// excess is what silent peers have used beyond their own requests' part.
 	excess float64
 }
@@ -297,7 +297,7 @@
 	left = allowed(all) - float64(extra+f.sums.extra)
 	h := historyOf(now, f.span)
 	h.add(f.own)
-	h.addEarlier(f.sums.history)
+	h.addHistory(&f.sums.history)
 	return min(left, h.leastLeft(allowed)) - f.sums.excess, float64(requests) / all
 }
 
--- a/internal/retrywindow/overlap.go
+++ b/internal/retrywindow/overlap.go
@@ -20,18 +20,23 @@
 func (h *history) add(w *Window) {
 	for i := range w.ring {
 		o := &w.ring[i]
-		if ago := h.at - o.at; ago >= 0 && ago < kept {
-			h.requests[kept-1-ago] += o.requests
-			h.extra[kept-1-ago] += o.extra
-		}
+		h.count(o.at, o.requests, o.extra)
 	}
 }
 
-// addEarlier adds a history of a few buckets before.
-func (h *history) addEarlier(o *history) {
-	for i := min(h.at-o.at, kept); i < kept; i++ {
-		h.requests[i-(h.at-o.at)] += o.requests[i]
-		h.extra[i-(h.at-o.at)] += o.extra[i]
+// addHistory adds the counts of another time.
+func (h *history) addHistory(o *history) {
+	for i := range o.requests {
+		h.count(o.at-int64(kept-1-i), o.requests[i], o.extra[i])
+	}
+}
+
+// count adds counts of a bucket. Those of a later one than the present, of a caller that took
+// the time later and came first, count as of the present one.
+func (h *history) count(at int64, requests, extra int) {
+	if ago := max(0, h.at-at); ago < kept {
+		h.requests[kept-1-ago] += requests
+		h.extra[kept-1-ago] += extra
 	}
 }
 
@@ -57,4 +62,4 @@
 }
 
 // historyOf returns an empty history as of now.
-func historyOf(now, span time.Duration) *history { return &history{at: int64(now / (span / buckets))} }
+func historyOf(now, span time.Duration) history { return history{at: int64(now / (span / buckets))} }
