A stop takes up every connection that its listener has opened

What callers saw: connections that a stopping gateway or entry had opened were reset or cut before their request was answered (LOST).

Cause: closing a listener resets what waits to be accepted. A gateway gave that 50 ms by a deadline, whose end the runtime returns without a look at the queue; a process that does not run at that moment loses all that connected meanwhile, and any process what the system opens just before the close. An entry's listener was closed at once.

Change: internal/lastaccept, taken out of internal/gateway and used by httpserver too. At the end a socket filter on the listener drops the first packet of new connections, what waits after the deadline is still accepted, then the listener is closed. Errors of accept that pass no longer end accepting. Callers' listeners are plain TCP, because Multipath TCP takes no filter. "accepting ended" is a new log line.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -10,6 +10,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/eventlog"
 	"tarragonbay.example/tarragonbay/internal/graceperiod"
+	"tarragonbay.example/tarragonbay/internal/lastaccept"
 	"tarragonbay.example/tarragonbay/internal/result"
 )
 
@@ -93,12 +94,12 @@
 // drainCallers returns when no caller's connection is left to serve, or at plan.CutAt. It
 // closes idle connections itself: http.Server.Shutdown also closes one whose request has
 // just been read, and that request would be forwarded.
-func (g *Gateway) drainCallers(ln *acceptor, plan graceperiod.Plan) {
-	accepts := true
+func (g *Gateway) drainCallers(ln *lastaccept.Listener, plan graceperiod.Plan) {
+	accepts, ended := true, false
 	stopAccepting := func() {
 		if accepts {
 			accepts = false
-			if err := ln.finish(); err != nil {
+			if err := ln.Finish(); err != nil {
 				g.log.Event(component, "listener not finished", eventlog.Error(err))
 			}
 		}
@@ -115,7 +116,12 @@
 			if idle || !now.Before(plan.AcceptUntil) {
 				stopAccepting()
 			}
-			if idle && ln.hasEnded() && g.conns.closeAll(now) {
+			if !ended && ln.HasEnded() {
+				ended = true
+				last := ln.Last()
+				g.log.Event(component, "accepting ended", zap.Int64("acceptedLast", last.Accepted), zap.Bool("dropsNew", last.DropsNew))
+			}
+			if idle && ended && g.conns.closeAll(now) {
 				g.log.Event(component, "drained", zap.Duration("tookMs", time.Since(plan.Start)))
 				return
 			}
@@ -124,13 +130,3 @@
 	}
 	stopAccepting()
 }
-
-// hasEnded reports whether no further connection will be accepted.
-func (a *acceptor) hasEnded() bool {
-	select {
-	case <-a.ended:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tarragonbay.example/tarragonbay/internal/graceperiod"
+	"tarragonbay.example/tarragonbay/internal/lastaccept"
 	"tarragonbay.example/tarragonbay/internal/routetable"
 	"tarragonbay.example/tarragonbay/internal/settings"
 )
@@ -36,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepts := newAcceptor(laggingListener{inner.(*net.TCPListener)})
+	accepts := lastaccept.New(laggingListener{inner.(*net.TCPListener)})
 	callers := &server{ln: accepts, admitted: accepts, http: &http.Server{
 		ReadHeaderTimeout: headerTimeout, ConnState: g.conns.stateChanged, ConnContext: g.conns.connContext,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -53,7 +54,7 @@
 		g.drain([]*server{callers})
 		close(drained)
 	}()
-	for !callers.ln.finishing.Load() {
+	for !callers.ln.Finishing() {
 		time.Sleep(time.Millisecond)
 	}
 	conn, err := net.Dial("tcp", inner.Addr().String())
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +11,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/explain"
 	"tarragonbay.example/tarragonbay/internal/intake"
+	"tarragonbay.example/tarragonbay/internal/lastaccept"
 )
 
 // Limits on callers that apply before a configuration sets its own.
@@ -30,48 +29,11 @@
 // server is one open listener.
 type server struct {
 	http *http.Server
-	ln   *acceptor
+	ln   *lastaccept.Listener
 	// admitted accepts from ln what there is room for.
 	admitted net.Listener
 }
 
-// acceptor is a listener that can stop without closing connections that wait to be
-// accepted.
-type acceptor struct {
-	net.Listener
-	finishing atomic.Bool
-	// ended is closed once every accepted connection has been handed to the HTTP server.
-	ended     chan struct{}
-	endedOnce sync.Once
-}
-
-func newAcceptor(ln net.Listener) *acceptor {
-	return &acceptor{Listener: ln, ended: make(chan struct{})}
-}
-
-// backlogTimeout is how long connections in the backlog are still accepted after finish.
-const backlogTimeout = 50 * time.Millisecond
-
-// finish makes the listener accept the connections in the backlog and then end.
-func (a *acceptor) finish() error {
-	a.finishing.Store(true)
-	ln, ok := a.Listener.(interface{ SetDeadline(t time.Time) error })
-	if !ok {
-		return a.Close()
-	}
-	return ln.SetDeadline(time.Now().Add(backlogTimeout))
-}
-
-// Accept implements net.Listener.
-func (a *acceptor) Accept() (net.Conn, error) {
-	c, err := a.Listener.Accept()
-	if err != nil && a.finishing.Load() {
-		a.endedOnce.Do(func() { close(a.ended) })
-		return nil, http.ErrServerClosed
-	}
-	return c, err
-}
-
 // listen opens the listeners for callers, readiness and, if configured, metrics.
 func (g *Gateway) listen() ([]*server, error) {
 	callers := &http.Server{
@@ -101,7 +63,7 @@
 			}
 			return nil, errors.Annotatef(err, "listen on %s", s.address)
 		}
-		accepts := newAcceptor(ln)
+		accepts := lastaccept.New(ln)
 		out = append(out, &server{http: s.http, ln: accepts, admitted: g.admitFrom(s.name, accepts)})
 	}
 	return out, nil
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -14,6 +14,7 @@
 
 	"tarragonbay.example/tarragonbay/internal/holding"
 	"tarragonbay.example/tarragonbay/internal/intake"
+	"tarragonbay.example/tarragonbay/internal/lastaccept"
 	"tarragonbay.example/tarragonbay/internal/settings"
 	"tarragonbay.example/tarragonbay/internal/tlsfiles"
 )
@@ -48,6 +49,7 @@
 	config   Config
 	http     *http.Server
 	listener net.Listener
+	last     *lastaccept.Listener
 }
 
 // Listen opens the listener; nothing is served before Run. The error is a
@@ -74,7 +76,8 @@
 }
 
 func newServer(c Config, handler http.Handler, ln net.Listener, tlsConfig *tls.Config) *Server {
-	ln = intake.New(ln, intake.Options{
+	last := lastaccept.New(ln)
+	ln = intake.New(last, intake.Options{
 		Name: c.Name, Share: c.Share, HeadBytes: func() int { return c.HeaderBytes }, BodyCopies: 1,
 		TLS: tlsConfig, Answer: intake.Refuse, Event: c.Event,
 	})
@@ -88,6 +91,7 @@
 			MaxHeaderBytes:    c.HeaderBytes,
 		},
 		listener: ln,
+		last:     last,
 	}
 }
 
@@ -107,10 +111,20 @@
 	}
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.config.Drain)
 	defer cancel()
+	finishErr := s.last.Finish() // before Shutdown, which closes the listener
+	if finishErr == nil {
+		select {
+		case <-s.last.Ended():
+		case <-drain.Done():
+		}
+	}
 	err := s.http.Shutdown(drain)
 	if err != nil {
 		_ = s.http.Close() // the drain time has passed
 	}
 	<-failed //nolint:errcheck // it is http.ErrServerClosed
+	if err == nil {
+		err = finishErr
+	}
 	return errors.Annotatef(err, "drain %s", s.config.Name)
 }
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -76,6 +76,7 @@
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { SmallReceiveBuffer(int(fd)) })
 	}}
+	config.SetMultipathTCP(false) // it takes no socket filter, see lastaccept
 	return config.Listen(context.Background(), "tcp", address)
 }
 
