Retry budget: sums of a window are kept, and spent budgets are denied early

Each decision added up its window three times and looked at all overlapping windows.

Change: a window keeps its sums; a repeat that the present window denies is denied without a look at the others; the bound of a run of windows with the same repeats is computed once. The models ask a gateway for what it tells once a round, as the product does, not once a peer. One function counts a window for both models.

--- a/internal/retrywindow/fleet.go
+++ b/internal/retrywindow/fleet.go
@@ -141,13 +141,13 @@
 	late := told.At > 0 && now-told.At-p.offset.observe(now-told.At, now, f.span) > silentRounds*round
 	told.LeftKnown = told.LeftKnown && !late
 	if p.window != nil {
-		b := p.window.bucket(now)
+		requests := 0
 		// Messages in between may have been lost.
 		gap := max(now-p.heardAt, told.At-p.total.At)
 		if !late && gap <= silentRounds*round {
-			b.requests += int(min(told.Requests-p.total.Requests, told.WindowRequests))
+			requests = int(min(told.Requests-p.total.Requests, told.WindowRequests))
 		}
-		b.extra += int(min(told.Extra-p.total.Extra, told.WindowExtra))
+		p.window.add(now, requests, int(min(told.Extra-p.total.Extra, told.WindowExtra)))
 	}
 	p.total, p.heardAt = told, now
 }
@@ -227,10 +227,10 @@
 	if !f.allows(now, d) {
 		return false
 	}
-	f.own.bucket(now).extra++
+	f.own.add(now, 0, 1)
 	f.total.Extra++
 	if f.unheard != nil {
-		f.unheard.bucket(now).extra++
+		f.unheard.add(now, 0, 1)
 	}
 	return true
 }
@@ -252,7 +252,10 @@
 			return true
 		}
 	}
-	left, share := f.left(now, d)
+	left, share, ok := f.leftNow(now, d)
+	if !ok {
+		return false
+	}
 	if !f.countsWholeWindow(now) {
 		// Peers tell what is left for failed requests.
 		told, ok := f.toldLeft(now, d)
@@ -262,7 +265,8 @@
 		left = min(left, d.usable(told))
 	}
 	_, unheard := f.unheard.countsWhole(now)
-	return float64(unheard+1) <= share*(left+float64(unheard))
+	enough := func(left float64) bool { return float64(unheard+1) <= share*(left+float64(unheard)) }
+	return enough(left) && enough(f.leftOverlapping(now, d))
 }
 
 // sharedLately reports whether peers may have used this gateway's part within the window,
@@ -276,6 +280,15 @@
 
 // left returns what is left of the bound over all gateways, and this gateway's share of it.
 func (f *Fleet) left(now time.Duration, d Demand) (left, share float64) {
+	left, share, ok := f.leftNow(now, d)
+	if !ok {
+		return 0, 0
+	}
+	return min(left, f.leftOverlapping(now, d)), share
+}
+
+// leftNow is like left, of the window that ends now alone; ok is false if it has no request.
+func (f *Fleet) leftNow(now time.Duration, d Demand) (left, share float64, ok bool) {
 	lag := d.lag()
 	if lag <= maxLag && f.countsWholeWindow(now) {
 		f.sharedAt = now
@@ -287,18 +300,25 @@
 	}
 	all := float64(requests + f.sums.requests)
 	if all == 0 {
-		return 0, 0
-	}
-	// Extra sends allowed by a chance maximum of the requests still count when those are
-	// back at their mean: one standard deviation is kept back, which matters for few.
-	allowed := func(requests float64) float64 {
-		return d.usable(sharedMargin * d.All.Ratio * (requests - math.Sqrt(requests)))
+		return 0, 0, false
 	}
-	left = allowed(all) - float64(extra+f.sums.extra)
+	return d.shared(all) - float64(extra+f.sums.extra) - f.sums.excess, float64(requests) / all, true
+}
+
+// leftOverlapping is what is left of all windows that overlap the present, once leftNow has
+// been called.
+func (f *Fleet) leftOverlapping(now time.Duration, d Demand) float64 {
 	h := historyOf(now, f.span)
 	h.add(f.own)
 	h.addHistory(&f.sums.history)
-	return min(left, h.leastLeft(allowed)) - f.sums.excess, float64(requests) / all
+	return h.leastLeft(d.shared) - f.sums.excess
+}
+
+// shared returns how many extra sends a number of requests allows over all gateways. Extra
+// sends allowed by a chance maximum of the requests still count when those are back at their
+// mean: one standard deviation is kept back, which matters for few.
+func (d Demand) shared(requests float64) float64 {
+	return d.usable(sharedMargin * d.All.Ratio * (requests - math.Sqrt(requests)))
 }
 
 // toldLeft returns the least that peers which are heard take to be left; ok is false if none
--- a/internal/retrywindow/overlap.go
+++ b/internal/retrywindow/overlap.go
@@ -19,8 +19,9 @@
 // add adds the counts of a window of the same length, unless they are too old.
 func (h *history) add(w *Window) {
 	for i := range w.ring {
-		o := &w.ring[i]
-		h.count(o.at, o.requests, o.extra)
+		if o := &w.ring[i]; o.requests != 0 || o.extra != 0 {
+			h.count(o.at, o.requests, o.extra)
+		}
 	}
 }
 
@@ -44,7 +45,7 @@
 // last one, apart from the last one itself. A window is measured against its own requests, those of
 // the window before it or of the one half a window before it, whichever has most; what
 // callers will send is unknown, so it does not count. allowed returns the extra sends that a
-// number of requests allows.
+// number of requests allows; more requests allow no fewer.
 func (h *history) leastLeft(allowed func(requests float64) float64) float64 {
 	const half = buckets / 2
 	var before [kept + 1]int
@@ -52,13 +53,15 @@
 		before[i+1] = before[i] + n
 	}
 	between := func(first, end int) int { return before[min(end, kept)] - before[max(first, 0)] }
-	left, extra := math.Inf(1), 0
+	left, extra, fewest := math.Inf(1), 0, math.MaxInt
 	for first := kept - 1; first > kept-1-buckets; first-- {
+		if h.extra[first] > 0 && fewest < math.MaxInt {
+			left, fewest = min(left, allowed(float64(fewest))-float64(extra)), math.MaxInt
+		}
 		extra += h.extra[first]
-		most := max(between(first, kept), between(first-buckets, first), between(first-half, first+half+1))
-		left = min(left, allowed(float64(most))-float64(extra))
+		fewest = min(fewest, max(between(first, kept), between(first-buckets, first), between(first-half, first+half+1)))
 	}
-	return left
+	return min(left, allowed(float64(fewest))-float64(extra))
 }
 
 // historyOf returns an empty history as of now.
--- a/internal/retrywindow/pulses_test.go
+++ b/internal/retrywindow/pulses_test.go
@@ -30,9 +30,10 @@
 		if now >= nextRound {
 			nextRound += round
 			for i, from := range fleet {
+				totals := from.Totals(now, d)
 				for j, to := range fleet {
 					if i != j {
-						to.Heard(fmt.Sprint(i), 1, from.Totals(now, d), now, round)
+						to.Heard(fmt.Sprint(i), 1, totals, now, round)
 					}
 				}
 			}
@@ -87,17 +88,9 @@
 // mostUsedOf returns the largest share of the bound that a window has used which begins or
 // ends at an extra send.
 func mostUsedOf(requests, extras []time.Duration, bound Bound) float64 {
-	count := func(all []time.Duration, from time.Duration) float64 {
-		first, _ := slices.BinarySearch(all, from)
-		end, _ := slices.BinarySearch(all, from+stormWindow)
-		return float64(end - first)
-	}
 	most := 0.0
 	for _, at := range extras {
-		for _, from := range []time.Duration{at, at - stormWindow + 1} {
-			sent := max(count(requests, from), count(requests, from-stormWindow/2), count(requests, from-stormWindow))
-			most = max(most, count(extras, from)/(bound.Ratio*sent+bound.Slack))
-		}
+		most = max(most, usedOf(bound, requests, extras, at), usedOf(bound, requests, extras, at-stormWindow+1))
 	}
 	return most
 }
--- a/internal/retrywindow/restarts_test.go
+++ b/internal/retrywindow/restarts_test.go
@@ -143,10 +143,10 @@
 		return
 	}
 	g.nextRound = now + seriesRound
+	totals, heard := g.budget.Totals(now, s.demand()), g.budget.HeardPeers(now, s.demand())
 	for j := range s.gateways {
 		if j != i {
-			totals := g.budget.Totals(now, s.demand())
-			totals.Deaf = !slices.Contains(g.budget.HeardPeers(now, s.demand()), fmt.Sprint(j))
+			totals.Deaf = !slices.Contains(heard, fmt.Sprint(j))
 			s.wire = append(s.wire, told{due: now + seriesStep, from: i, to: j, incarnation: g.starts, totals: totals})
 		}
 	}
@@ -178,26 +178,32 @@
 	c.attempts, c.nextAt = c.attempts+1, now+attemptTime
 }
 
-// mostUsed returns the largest share of the bound that a window of extra sends has used. The
-// requests are those of that window, the one before it or the one half a window before it,
-// whichever has most. Windows that reach beyond the last extra send are left out.
+// mostUsed returns the largest share of the bound that a window of extra sends has used.
+// Windows that reach beyond the last extra send are left out.
 func (s *series) mostUsed() float64 {
-	count := func(all []time.Duration, from time.Duration) float64 {
-		first, _ := slices.BinarySearch(all, from)
-		end, _ := slices.BinarySearch(all, from+stormWindow)
-		return float64(end - first)
-	}
 	most := 0.0
 	for _, from := range s.extras {
 		if from+stormWindow > s.extras[len(s.extras)-1] {
 			break
 		}
-		requests := max(count(s.requests, from), count(s.requests, from-stormWindow/2), count(s.requests, from-stormWindow))
-		most = max(most, count(s.extras, from)/(seriesBound.Ratio*requests+seriesBound.Slack))
+		most = max(most, usedOf(seriesBound, s.requests, s.extras, from))
 	}
 	return most
 }
 
+// usedOf returns the share of the bound that the extra sends of the window from a time have
+// used. The requests are those of that window, the one before it or the one half a window
+// before it, whichever has most.
+func usedOf(bound Bound, requests, extras []time.Duration, from time.Duration) float64 {
+	count := func(all []time.Duration, from time.Duration) float64 {
+		first, _ := slices.BinarySearch(all, from)
+		end, _ := slices.BinarySearch(all, from+stormWindow)
+		return float64(end - first)
+	}
+	sent := max(count(requests, from), count(requests, from-stormWindow/2), count(requests, from-stormWindow))
+	return count(extras, from) / (bound.Ratio*sent + bound.Slack)
+}
+
 // TestGatewaysRestartedAfterABurstExceedTheBound guards against gateways that forget at a
 // restart what they have sent, or count requests that they hear of late.
 func TestGatewaysRestartedAfterABurstExceedTheBound(t *testing.T) {
