--- a/review/stage-2/world.go
+++ b/review/stage-2/world.go
@@ -19,7 +19,7 @@
 )
 
 //go:embed config.json
-var configText []byte
+var configText string
 
 //go:embed entry.json
 var entryText string
@@ -37,11 +37,15 @@
 	mu       sync.Mutex
 	replicas map[string]*replica
 	gateways []*gateway
-	started  int
+	// proxied puts a proxy of its own between each gateway and the store.
+	proxied bool
+	proxies []*proxy
+	started int
 	// heads are told of each head that a replica sends: request and replica.
 	heads chan [2]string
-	// ran counts the runs by request.
-	ran map[string]int
+	// ran counts the runs by request, arrived holds what reached plain replicas.
+	ran     map[string]int
+	arrived []arrival
 }
 
 // newWorld opens the record and starts the store with the configuration.
@@ -52,10 +56,17 @@
 		cannotRun(err)
 	}
 	w.store, w.storeAt = startStore()
-	w.store.put("op", "config", configText)
+	w.publish(3, "desk")
 	return w
 }
 
+// publish writes a configuration in which a service has the route /look/.
+func (w *world) publish(version int, look string) {
+	text := strings.NewReplacer("{version}", fmt.Sprint(version), "{look}", look).Replace(configText)
+	w.store.put("op", "config", []byte(text))
+	w.note("operator: version %d is acked, /look/ goes to %s", version, look)
+}
+
 // note writes a line of the record.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
@@ -179,11 +190,21 @@
 	ended               chan struct{}
 }
 
+// storeFor returns the address at which the next gateway reaches the store.
+func (w *world) storeFor() string {
+	if !w.proxied {
+		return w.storeAt
+	}
+	p := startProxy(w.storeAt)
+	w.proxies = append(w.proxies, p)
+	return p.address
+}
+
 // startGateway starts a gateway as the deploy file does and waits until it is ready.
 func (w *world) startGateway(program string) *gateway {
 	g := &gateway{name: fmt.Sprintf("edge-%d", len(w.gateways)+1), listen: freeAddress(), ready: freeAddress(), ended: make(chan struct{})}
 	text := strings.NewReplacer("{name}", g.name, "{listen}", g.listen, "{ready}", g.ready, "{admin}", freeAddress(),
-		"{peer}", freeAddress(), "{store}", w.storeAt).Replace(settingsText)
+		"{peer}", freeAddress(), "{store}", w.storeFor()).Replace(settingsText)
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
 		cannotRun(err)
@@ -229,7 +250,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.replicas {
-		_ = r.cmd.Process.Kill() // it may have ended
+		if r.cmd != nil {
+			_ = r.cmd.Process.Kill() // it may have ended
+		}
 	}
 	for _, g := range w.gateways {
 		_ = g.cmd.Process.Kill() // it may have ended
