--- a/review/stage-2/store.go
+++ b/review/stage-2/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -18,6 +20,51 @@
 	ver     uint64
 	began   time.Time
 	changed chan struct{}
+	// away closes connections without an answer; era counts the returns from a copy.
+	away bool
+	era  int
+	// watch is called with each row that the system writes.
+	watch func(row)
+}
+
+// copied is what the store held at one moment.
+type copied struct {
+	rows    map[rowKey]row
+	history []row
+	ver     uint64
+}
+
+// copyNow returns what the store holds.
+func (s *store) copyNow() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copied{maps.Clone(s.rows), slices.Clone(s.history), s.ver}
+}
+
+// leave makes the store unreachable.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+}
+
+// comeBackFrom returns the store with what a copy holds. Versions go back and are given out
+// again, and the era rises by one.
+func (s *store) comeBackFrom(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.ver = maps.Clone(c.rows), slices.Clone(c.history), c.ver
+	s.era++
+	s.away = false
+	s.wake()
+}
+
+// isAway reports whether calls get no answer.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
 }
 
 type rowKey struct{ table, part, key string }
@@ -81,6 +128,9 @@
 // ServeHTTP answers the calls of gateways.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	if s.isAway() {
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
 	case name("list"):
 		s.mu.Lock()
@@ -109,6 +159,16 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for over := wait == 0; ; {
 		s.mu.Lock()
+		if s.away {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after > s.ver { // a version that it doesn't have
+			s.heading(w)
+			w.WriteHeader(http.StatusGone)
+			s.mu.Unlock()
+			return
+		}
 		var out []row
 		for _, c := range s.history {
 			if c.Table == q.Get("table") && c.Ver > after {
@@ -148,6 +208,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		panic(http.ErrAbortHandler)
+	}
 	for field, rows := range body {
 		if field == "setKeys" || field == "remove" {
 			continue
@@ -162,6 +225,9 @@
 	s.ver++
 	for _, e := range body["setKeys"] {
 		s.set(e)
+		if s.watch != nil {
+			s.watch(e)
+		}
 	}
 	for _, e := range body["remove"] {
 		s.remove(rowKey{e.Table, e.Part, e.Key})
@@ -170,8 +236,12 @@
 	s.answer(w, http.StatusOK, nil)
 }
 
+// heading sets the header that all answers bear; the store is locked.
+func (s *store) heading(w http.ResponseWriter) { w.Header().Set(name("era"), strconv.Itoa(s.era)) }
+
 // answer writes a page; the store is locked.
 func (s *store) answer(w http.ResponseWriter, status int, rows []row) {
+	s.heading(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
