Case 6 of the review: a bad version after a drill of the store, 7: a revoked key, 8 renumbered

Cause: a gateway that starts after the store has come back from a copy takes what the copy holds as the newest: an order of a shift that was superseded, and a configuration with a key that was taken away. Change: the cases 6 (EXPOSURE) and 7 (CONFIG) with their stage; the case of resumed streams moves to 8 and its replicas are down for 2 s; a draft of case 9 (EVAC).

--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -48,6 +48,10 @@
 		os.Exit(revived(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
 	case len(os.Args) == 4 && os.Args[1] == "shift":
 		os.Exit(shift(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+	case len(os.Args) == 4 && os.Args[1] == "emptied":
+		os.Exit(emptied(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+	case len(os.Args) == 4 && os.Args[1] == "quiet":
+		os.Exit(quiet(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
 	default:
 		cannotRun("usage: stage CASE GATEWAY FOLDER")
 	}
--- a/review/stage-2/plain.go
+++ b/review/stage-2/plain.go
@@ -12,19 +12,19 @@
 // startPlain starts a replica of a plain service in this process and lists it. It answers after
 // the work with the service's name.
 func (w *world) startPlain(service string, work time.Duration) *replica {
-	return w.startVersion(service, "v1", work, 0)
+	return w.startVersion(service, "v1", firstZone, work, 0)
 }
 
 // startVersion is startPlain for a version of which a part of the answers are failures from
 // w.failing on.
-func (w *world) startVersion(service, version string, work time.Duration, failing float64) *replica {
+func (w *world) startVersion(service, version, zone string, work time.Duration, failing float64) *replica {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		cannotRun(err)
 	}
 	w.mu.Lock()
 	w.started++
-	r := &replica{id: fmt.Sprintf("i-%d", w.started), service: service, version: version, state: "ready", born: time.Now().UnixMilli(), address: ln.Addr().String()}
+	r := &replica{id: fmt.Sprintf("i-%d", w.started), service: service, version: version, state: "ready", zone: zone, born: time.Now().UnixMilli(), address: ln.Addr().String()}
 	w.replicas[r.id] = r
 	w.mu.Unlock()
 	handle := func(out http.ResponseWriter, in *http.Request) {
--- a/review/stage-2/resumed.go
+++ b/review/stage-2/resumed.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// Figures of the case: the largest dose of the site file is a quarter of a service's replicas
-// down for 4.5 s.
+// Figures of the case: a dose of the site's days is a quarter of a service's replicas down for
+// 2 s.
 const (
 	resumedReplicas = 4
 	resumedRounds   = 6
 	resumedEvents   = 12
 	resumedAfter    = 4
 	resumedWithin   = 8 * time.Second
-	downFor         = 4500 * time.Millisecond
+	downFor         = 2 * time.Second
 )
 
 // resumed has consumers go on with streams of which they have some events already. The replica
--- a/review/stage-2/shift.go
+++ b/review/stage-2/shift.go
@@ -21,18 +21,22 @@
 	badAnswers     = 50
 	failingPart    = 0.5
 	// failsAfter is the time from the order to the first failures.
-	failsAfter     = 3 * time.Second
-	contact        = 3 * time.Second
-	shiftTime      = 16 * time.Second
-	shiftReplicas  = 3
-	shiftConsumers = 12
-	shiftPause     = 200 * time.Millisecond
+	failsAfter = 3 * time.Second
+	contact    = 3 * time.Second
+	// A gateway is added this long after the store's return, and the operator writes again
+	// what was lost this long after that.
+	addedAfter, againAfter = time.Second, 1500 * time.Millisecond
+	shiftTime              = 16 * time.Second
+	shiftReplicas          = 3
+	shiftConsumers         = 12
+	shiftPause             = 200 * time.Millisecond
 )
 
 // operator orders versions of a service and does what the statuses ask for.
 type operator struct {
-	w  *world
-	mu sync.Mutex
+	w       *world
+	service string
+	mu      sync.Mutex
 	// ordered is the version that was ordered last, row its row.
 	ordered string
 	row     []byte
@@ -44,14 +48,14 @@
 }
 
 func (o *operator) order(version string, within time.Duration) time.Duration {
-	row, err := json.Marshal(map[string]any{"service": "desk", "to": version, "durationS": within.Seconds()})
+	row, err := json.Marshal(map[string]any{"service": o.service, "to": version, "durationS": within.Seconds()})
 	if err != nil {
 		cannotRun(err)
 	}
 	o.mu.Lock()
 	o.ordered, o.row = version, row
 	o.mu.Unlock()
-	o.w.store.put("op", name("order")+"desk", row)
+	o.w.store.put("op", name("order")+o.service, row)
 	o.w.note("operator: the order to move to %s is acked", version)
 	return time.Since(o.w.began)
 }
@@ -62,13 +66,13 @@
 	row := o.row
 	o.mu.Unlock()
 	o.w.publish(3, "desk")
-	o.w.store.put("op", name("order")+"desk", row)
+	o.w.store.put("op", name("order")+o.service, row)
 	o.w.note("the operator has written again what was lost")
 }
 
 // status is called with each row that the system writes.
 func (o *operator) status(r row) {
-	if r.Table != "status" || r.Key != name("order")+"desk" {
+	if r.Table != "status" || r.Key != name("order")+o.service {
 		return
 	}
 	var s struct{ To, State string }
@@ -77,7 +81,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.w.note("status: %s is %s", s.To, s.State)
+	o.w.note("status: %s of %s is %s", s.To, o.service, s.State)
 	was := o.states[s.To]
 	o.states[s.To] = s.State
 	if s.To != o.ordered || was == s.State {
@@ -127,11 +131,11 @@
 func shift(program, folder string, trouble bool) int {
 	w := newWorld(folder)
 	defer w.end()
-	o := &operator{w: w, replicas: map[string][]*replica{}, states: map[string]string{}, ended: make(chan string, 8)}
+	o := &operator{w: w, service: "desk", replicas: map[string][]*replica{}, states: map[string]string{}, ended: make(chan string, 8)}
 	w.store.watch = o.status
 	start := func(version string, failing float64) {
 		for range shiftReplicas {
-			r := w.startVersion("desk", version, 10*time.Millisecond, failing)
+			r := w.startVersion("desk", version, firstZone, 10*time.Millisecond, failing)
 			o.mu.Lock()
 			o.replicas[version] = append(o.replicas[version], r)
 			o.mu.Unlock()
@@ -177,9 +181,10 @@
 	} else {
 		time.Sleep(time.Second)
 	}
+	time.Sleep(addedAfter)
 	w.startGateway(program)
 	if trouble {
-		time.Sleep(2 * time.Second)
+		time.Sleep(againAfter)
 		o.again()
 		stable = time.Since(w.began) + contact
 	}
--- a/review/stage-2/world.go
+++ b/review/stage-2/world.go
@@ -91,19 +91,22 @@
 
 // replica is a replica's process and its entry.
 type replica struct {
-	id, service, version, address, state string
-	sequence                             int
-	born                                 int64
-	cmd                                  *exec.Cmd
-	stop                                 func()
-	crashed                              bool
+	id, service, version, address, state, zone string
+	sequence                                   int
+	born                                       int64
+	cmd                                        *exec.Cmd
+	stop                                       func()
+	crashed                                    bool
 }
 
+// firstZone is the zone of the gateways, and of replicas unless another is named.
+const firstZone = "zone-1"
+
 // startReplica starts a replica's process and lists it.
 func (w *world) startReplica(service string, args ...string) *replica {
 	w.mu.Lock()
 	w.started++
-	r := &replica{id: fmt.Sprintf("i-%d", w.started), service: service, version: "v1", state: "ready", born: time.Now().UnixMilli()}
+	r := &replica{id: fmt.Sprintf("i-%d", w.started), service: service, version: "v1", state: "ready", zone: firstZone, born: time.Now().UnixMilli()}
 	w.mu.Unlock()
 	own, err := os.Executable()
 	if err != nil {
@@ -151,7 +154,7 @@
 func (w *world) beat(r *replica) {
 	w.mu.Lock()
 	r.sequence++
-	text := strings.NewReplacer("{service}", r.service, "{address}", r.address, "{slots}", "48", "{version}", r.version, "{state}", r.state,
+	text := strings.NewReplacer("{service}", r.service, "{address}", r.address, "{slots}", "48", "{version}", r.version, "{zone}", r.zone, "{state}", r.state,
 		"{sequence}", fmt.Sprint(r.sequence), "{born}", fmt.Sprint(r.born)).Replace(entryText)
 	w.mu.Unlock()
 	w.store.put("servers", r.id, []byte(text))
