Case of the review: a bad version of a quiet service

Cause: the shift to a new version goes on by time where there are too few answers to judge it. Change: the case quiet: five services with a request every 0.9 s each.

--- a/review/stage-2/quiet.go
+++ b/review/stage-2/quiet.go
@@ -10,13 +10,13 @@
 
 // Figures of the case: those of the site file's roll-outs of bad versions.
 const (
-	quietFailing = 0.5
+	quietFailing = 0.55
 	quietTime    = 16 * time.Second
-	quietPause   = 800 * time.Millisecond // on average
-	quietEnd     = 111 * time.Second
+	quietPause   = 900 * time.Millisecond // on average
+	quietEnd     = 113 * time.Second
 )
 
-// quiet orders a bad version of each of three services that get little traffic.
+// quiet orders a bad version of each of five services that get little traffic.
 func quiet(program, folder string, trouble bool) int {
 	w := newWorld(folder)
 	defer w.end()
@@ -24,7 +24,7 @@
 	if trouble {
 		failing, w.failing = quietFailing, 1 // from the start on
 	}
-	paths := map[string]string{"desk": "/book/x", "counter": "/enter/x", "gate": "/sign/x"}
+	paths := map[string]string{"desk": "/book/x", "counter": "/enter/x", "gate": "/sign/x", "ramp": "/load/x", "depot": "/keep/x"}
 	var operators []*operator
 	for service := range paths {
 		o := &operator{w: w, service: service, replicas: map[string][]*replica{}, states: map[string]string{}, ended: make(chan string, 8)}
@@ -72,7 +72,7 @@
 	var asked sync.WaitGroup
 	defer asked.Wait()
 	for n := 0; ; n++ {
-		time.Sleep(time.Duration(rand.ExpFloat64() * float64(quietPause)))
+		time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(quietPause)))
 		if time.Since(w.began) > quietEnd {
 			return
 		}
--- a/review/stage-2/world.go
+++ b/review/stage-2/world.go
@@ -199,8 +199,21 @@
 	ended               chan struct{}
 }
 
-// startGateway starts a gateway as the deploy file does and waits until it is ready.
+// startGateway starts a gateway as the deploy file does and waits until it is ready. Another
+// program may take one of its ports first; then it is started on others.
 func (w *world) startGateway(program string) *gateway {
+	for range 3 {
+		if g := w.tryGateway(program); g != nil {
+			return g
+		}
+	}
+	w.end()
+	cannotRun("no gateway keeps running")
+	return nil
+}
+
+// tryGateway returns nil when the gateway ends before it is ready.
+func (w *world) tryGateway(program string) *gateway {
 	g := &gateway{name: fmt.Sprintf("edge-%d", len(w.gateways)+1), listen: freeAddress(), ready: freeAddress(), ended: make(chan struct{})}
 	text := strings.NewReplacer("{name}", g.name, "{listen}", g.listen, "{ready}", g.ready, "{admin}", freeAddress(),
 		"{peer}", freeAddress(), "{store}", w.storeAt).Replace(settingsText)
@@ -229,6 +242,12 @@
 	}()
 	w.gateways = append(w.gateways, g)
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		select {
+		case <-g.ended:
+			w.gateways = w.gateways[:len(w.gateways)-1]
+			return nil
+		default:
+		}
 		resp, err := http.Get("http://" + g.ready + "/v1/readiness")
 		if err != nil {
 			continue
