--- a/review/stage-2/world.go
+++ b/review/stage-2/world.go
@@ -192,6 +192,8 @@
 // gateway is a process of the project.
 type gateway struct {
 	name, listen, ready string
+	// folder holds its settings and its log.
+	folder string
 	cmd                 *exec.Cmd
 	ended               chan struct{}
 }
@@ -218,6 +220,7 @@
 	if err != nil {
 		cannotRun(err)
 	}
+	g.folder = folder
 	file := filepath.Join(folder, g.name+".json")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		cannotRun(err)
@@ -242,6 +245,7 @@
 		select {
 		case <-g.ended:
 			w.gateways = w.gateways[:len(w.gateways)-1]
+			_ = os.RemoveAll(folder) // it is in a temporary folder
 			return nil
 		default:
 		}
@@ -260,7 +264,7 @@
 	return nil
 }
 
-// end ends all processes that were started.
+// end ends all processes that were started and removes their files.
 func (w *world) end() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -272,6 +276,7 @@
 	for _, g := range w.gateways {
 		_ = g.cmd.Process.Kill() // it may have ended
 		<-g.ended
+		_ = os.RemoveAll(g.folder) // it is in a temporary folder
 	}
 }
 
