--- a/review/stage-2/world.go
+++ b/review/stage-2/world.go
@@ -194,8 +194,8 @@
 	name, listen, ready string
 	// folder holds its settings and its log.
 	folder string
-	cmd                 *exec.Cmd
-	ended               chan struct{}
+	cmd    *exec.Cmd
+	ended  chan struct{}
 }
 
 // startGateway starts a gateway as the deploy file does and waits until it is ready. Another
